--- /dev/null
+++ b/apps/agent/AgentProcess.cpp
@@ -0,0 +1,187 @@
+#include "AgentProcess.h"
+#include <boost/asio/signal_set.hpp>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/runtime/Address.h>
+#include <cowslipdoor/runtime/AnnouncementJson.h>
+#include <cowslipdoor/runtime/Process.h>
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+namespace cowslipdoor::agent {
+
+using namespace runtime;
+
+namespace {
+
+    AgentConfig machineConfig(const Settings& settings, Incarnation incarnation)
+    {
+        AgentConfig config;
+        config.name = settings.text("name");
+        config.failureDomain = settings.text("failure-domain");
+        config.incarnation = incarnation;
+        config.ledger.repeatWindow = settings.duration("repeat-window");
+        config.announceInterval = settings.duration("announce-interval");
+        return config;
+    }
+
+    UpstreamCallerConfig callerConfig(const Settings& settings, Incarnation incarnation)
+    {
+        UpstreamCallerConfig config;
+        config.incarnation = incarnation;
+        config.connectTime = settings.duration("connect-limit");
+        config.bodyBytes = settings.number("answer-limit");
+        return config;
+    }
+
+    EntryLinkerConfig linkerConfig(const Settings& settings)
+    {
+        return { settings.text("name"), parseAddressList(settings.text("entries")), settings.number("links"), settings.duration("silence-limit") };
+    }
+
+    nlohmann::ordered_json printCapacity(const Capacity& capacity)
+    {
+        return { { "slots", capacity.slots }, { "connections", capacity.connections }, { "milli_cores", capacity.milliCores }, { "memory_mb", capacity.memoryMb } };
+    }
+
+    std::string printStatus(const AgentStatus& status, const std::string& name)
+    {
+        const nlohmann::ordered_json json {
+            { "agent", name },
+            { "ready", status.load.ready },
+            { "draining", status.load.draining },
+            { "ledger_complete", status.load.ledgerComplete },
+            { "total", printCapacity(status.load.total) },
+            { "free", printCapacity(status.load.free) },
+            { "active_calls", status.activeCalls },
+            { "held", status.heldCount },
+            { "ledger_records", status.ledgerRecords },
+            { "links", status.links },
+            { "rules_version", status.rulesVersion },
+        };
+        return json.dump(2) + "\n";
+    }
+
+}
+
+AgentProcess::AgentProcess(const Settings& settings)
+    : settings(settings)
+    , name(settings.text("name"))
+    , log(makeLog(settings, this->name))
+    , context(1)
+    , incarnation(newIncarnation())
+    , task(this->context.get_executor(), machineConfig(settings, this->incarnation), callerConfig(settings, this->incarnation), this->log, this->metrics)
+    , linker(this->context.get_executor(), linkerConfig(settings), this->task.inbox(), this->log, this->metrics)
+    , admin(this->context.get_executor(), settings.text("admin-listen"), httpLimits(settings))
+{
+    this->addPages();
+}
+
+int AgentProcess::run()
+{
+    this->task.start();
+    this->linker.start();
+    this->admin.start();
+    asio::co_spawn(
+        this->context, [this]() { return this->awaitStop(); }, asio::detached);
+    this->log.record(EventId::ProcessStarted, "announcements at " + this->settings.text("admin-listen"));
+    this->context.run();
+    this->log.record(EventId::ProcessStopped, "exit code " + std::to_string(this->exitCode));
+    return this->exitCode;
+}
+
+void AgentProcess::addPages()
+{
+    this->admin.handle("POST", "/announce", [this](const HttpRequest& request) { return this->announce(request); });
+    this->admin.handle("GET", "/healthz", [](const HttpRequest&) -> asio::awaitable<Response> { co_return plainResponse(200, "text/plain", "ok\n"); });
+    this->admin.handle("GET", "/readyz", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const AgentStatus status = co_await this->status();
+        const bool ready = status.load.ready && !status.load.draining;
+        co_return plainResponse(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+    });
+    this->admin.handle("GET", "/status", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const AgentStatus status = co_await this->status();
+        co_return plainResponse(200, "application/json", printStatus(status, this->name));
+    });
+    this->admin.handle("GET", "/metrics", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const AgentStatus status = co_await this->status();
+        this->metrics.setGauge("cowslipdoor_free_slots", "Free slots of the VM", status.load.free.slots);
+        this->metrics.setGauge("cowslipdoor_active_calls", "Calls to the upstream in progress", static_cast<double>(status.activeCalls));
+        co_return plainResponse(200, "text/plain; version=0.0.4", this->metrics.expose());
+    });
+}
+
+asio::awaitable<void> AgentProcess::awaitStop()
+{
+    asio::signal_set signals(this->context, SIGTERM, SIGINT);
+    co_await signals.async_wait(asTuple);
+    asio::co_spawn(
+        this->context, [this]() { return this->cutOnSecondSignal(); }, asio::detached);
+    co_await this->drain();
+    this->context.stop();
+}
+
+asio::awaitable<void> AgentProcess::cutOnSecondSignal()
+{
+    asio::signal_set signals(this->context, SIGTERM, SIGINT);
+    co_await signals.async_wait(asTuple);
+    const AgentStatus status = co_await this->status();
+    this->cut("second signal, " + std::to_string(status.activeCalls) + " calls cut off");
+}
+
+asio::awaitable<void> AgentProcess::drain()
+{
+    const AgentInput stopRequested(AgentEvent(StopRequested {}));
+    co_await send(this->task.inbox(), stopRequested);
+    bool finished = false;
+    const Mailbox<Drained> drained = this->task.drained();
+    const bool inTime = co_await waitUntil(
+        [&finished, &drained]() {
+            finished = finished || drained->try_receive([](error_code, const Drained&) { });
+            return finished;
+        },
+        this->settings.duration("drain-limit"));
+    if (!inTime) {
+        const AgentStatus status = co_await this->status();
+        this->cut("drain limit, " + std::to_string(status.activeCalls) + " calls cut off");
+        co_return;
+    }
+    co_await pauseFor(this->settings.duration("drain-linger"));
+    this->linker.stop();
+    const AgentInput closeLinks(CloseLinks {});
+    co_await send(this->task.inbox(), closeLinks);
+    const Duration flushLimit = std::chrono::seconds(5);
+    co_await waitUntil([this]() { return this->linker.openLinks() == 0; }, flushLimit);
+}
+
+void AgentProcess::cut(const std::string& why)
+{
+    this->log.record(EventId::DrainCut, why);
+    this->exitCode = exitFailure;
+    this->context.stop();
+}
+
+asio::awaitable<Response> AgentProcess::announce(const HttpRequest& request)
+{
+    try {
+        const Announcement announcement = parseAnnouncement(request.body.view());
+        const Mailbox<AnnouncementReply> reply = makeMailbox<AnnouncementReply>(this->context.get_executor(), 1);
+        const AgentInput announcementReceived(AnnouncementReceived { announcement, reply });
+        co_await send(this->task.inbox(), announcementReceived);
+        const std::tuple<error_code, AnnouncementReply> received = co_await reply->async_receive(asTuple);
+        co_return plainResponse(200, "application/json", printReply(std::get<1>(received)));
+    } catch (const Error& error) {
+        this->log.record(EventId::AnnouncementRefused, error.what());
+        co_return errorResponse(error.kind(), error.what(), "");
+    }
+}
+
+asio::awaitable<AgentStatus> AgentProcess::status()
+{
+    const Mailbox<AgentStatus> reply = makeMailbox<AgentStatus>(this->context.get_executor(), 1);
+    const AgentInput agentStatusQuery(AgentStatusQuery { reply });
+    co_await send(this->task.inbox(), agentStatusQuery);
+    const std::tuple<error_code, AgentStatus> received = co_await reply->async_receive(asTuple);
+    co_return std::get<1>(received);
+}
+
+}
--- /dev/null
+++ b/apps/entry/Commands.cpp
@@ -0,0 +1,161 @@
+#include "Commands.h"
+#include "EntryProcess.h"
+#include "RulesFile.h"
+#include <array>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/runtime/HttpClient.h>
+#include <cowslipdoor/runtime/Process.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+namespace cowslipdoor::entry {
+
+using namespace runtime;
+
+namespace {
+
+    constexpr std::string_view usage = "cowslipdoor: schedules latency-critical and batch work on shared VMs.\n\n"
+                                       "usage: cowslipdoor COMMAND [SETTINGS] [OPERANDS]\n\n"
+                                       "commands:\n"
+                                       "  entry              run an entry behind the balancer\n"
+                                       "  rules check FILE   print every fault of a rules file\n"
+                                       "  rules show         print the rules in force at an entry, and whose request each serves\n"
+                                       "  status             print what an entry sees\n"
+                                       "  version            print the version\n\n"
+                                       "cowslipdoor COMMAND --help lists the settings of a command.\n";
+
+    using Words = std::vector<std::string>;
+    using Action = int (*)(const Words&);
+
+    struct Command {
+        std::vector<std::string_view> words;
+        Action action;
+    };
+
+    std::vector<SettingSpec> clientSettings()
+    {
+        return {
+            { "admin", AddressSetting {}, std::nullopt, "Admin address of the entry to ask." },
+            { "form", ChoiceSetting { { "text", "json" } }, "text", "Form of the output." },
+        };
+    }
+
+    /// Prints help when it is asked for; tells whether it did.
+    bool helped(const CommandLine& line, const std::string& synopsis, const std::vector<SettingSpec>& specs)
+    {
+        if (line.helpWanted)
+            std::cout << "usage: cowslipdoor " << synopsis << "\n\nsettings (a flag wins over its variable):\n" << describeSettings(specs);
+        return line.helpWanted;
+    }
+
+    void expectOperands(const CommandLine& line, std::size_t count, const std::string& synopsis)
+    {
+        if (line.operands.size() != count)
+            throw SettingsError({ "usage: cowslipdoor " + synopsis });
+    }
+
+    std::string fetchPage(const std::string& address, const std::string& target)
+    {
+        const Response response = fetch({ .address = address, .target = target });
+        if (response.status != 200)
+            throw Error(ErrorKind::Internal, address + target + " answered with status " + std::to_string(response.status));
+        return std::string(response.body.view());
+    }
+
+    int runEntry(const Words& words)
+    {
+        const std::vector<SettingSpec> specs = entrySettings();
+        const CommandLine line = readCommandLine(specs, words, processEnvironment);
+        if (helped(line, "entry --name NAME --failure-domain DOMAIN --listen IP:PORT --link-listen IP:PORT --admin-listen IP:PORT --rules FILE", specs))
+            return 0;
+        expectOperands(line, 0, "entry [SETTINGS]");
+        return EntryProcess(line.settings).run();
+    }
+
+    int checkRules(const Words& words)
+    {
+        const CommandLine line = readCommandLine({}, words, processEnvironment);
+        if (helped(line, "rules check FILE", {}))
+            return 0;
+        expectOperands(line, 1, "rules check FILE");
+        const RuleSet rules = readRulesFile(line.operands.front());
+        std::cout << line.operands.front() << ": version " << rules.version() << ", " << rules.rules().size() << " rules, no fault\n";
+        return 0;
+    }
+
+    int showRules(const Words& words)
+    {
+        const std::vector<SettingSpec> specs = clientSettings();
+        const CommandLine line = readCommandLine(specs, words, processEnvironment);
+        if (helped(line, "rules show --admin IP:PORT", specs))
+            return 0;
+        expectOperands(line, 0, "rules show --admin IP:PORT");
+        const std::string page = fetchPage(line.settings.text("admin"), "/rules");
+        if (line.settings.text("form") == "json") {
+            std::cout << page;
+            return 0;
+        }
+        const nlohmann::json json = nlohmann::json::parse(page);
+        std::cout << "version " << json.at("version") << "\n";
+        for (const nlohmann::json& rule : json.at("rules"))
+            std::cout << rule.at("line").get<std::string>() << "\n";
+        return 0;
+    }
+
+    int showStatus(const Words& words)
+    {
+        const std::vector<SettingSpec> specs = clientSettings();
+        const CommandLine line = readCommandLine(specs, words, processEnvironment);
+        if (helped(line, "status --admin IP:PORT", specs))
+            return 0;
+        expectOperands(line, 0, "status --admin IP:PORT");
+        std::cout << fetchPage(line.settings.text("admin"), "/status");
+        return 0;
+    }
+
+    int showVersion(const Words&)
+    {
+        std::cout << "cowslipdoor " << COWSLIPDOOR_VERSION << "\n";
+        return 0;
+    }
+
+    int showUsage(const Words&)
+    {
+        std::cout << usage;
+        return 0;
+    }
+
+    const std::vector<Command>& commands()
+    {
+        static const std::vector<Command> all {
+            { { "entry" }, runEntry },
+            { { "rules", "check" }, checkRules },
+            { { "rules", "show" }, showRules },
+            { { "status" }, showStatus },
+            { { "version" }, showVersion },
+            { { "--version" }, showVersion },
+            { { "help" }, showUsage },
+            { { "--help" }, showUsage },
+        };
+        return all;
+    }
+
+    bool beginsWith(const Words& words, const Command& command)
+    {
+        return words.size() >= command.words.size() && std::equal(command.words.begin(), command.words.end(), words.begin());
+    }
+
+}
+
+int runCommand(const std::vector<std::string>& arguments)
+{
+    for (const Command& command : commands()) {
+        if (beginsWith(arguments, command))
+            return command.action(Words(arguments.begin() + static_cast<std::ptrdiff_t>(command.words.size()), arguments.end()));
+    }
+    const std::string given = arguments.empty() ? "no command is given" : "'" + arguments.front() + "': no such command";
+    throw SettingsError({ given, std::string(usage) });
+}
+
+}
--- /dev/null
+++ b/apps/entry/EntryProcess.cpp
@@ -0,0 +1,187 @@
+#include "EntryProcess.h"
+#include "RulesFile.h"
+#include "StatusJson.h"
+#include <boost/asio/signal_set.hpp>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/runtime/Process.h>
+#include <csignal>
+#include <random>
+
+namespace cowslipdoor::entry {
+
+using namespace runtime;
+
+namespace {
+
+    EntryConfig machineConfig(const Settings& settings)
+    {
+        std::random_device device;
+        EntryConfig config;
+        config.name = settings.text("name");
+        config.incarnation = newIncarnation();
+        config.randomSeed = device();
+        config.router.failureDomain = settings.text("failure-domain");
+        config.maximumQueued = settings.number("queue-limit");
+        config.keyWitnesses = static_cast<std::uint32_t>(settings.number("key-witnesses"));
+        config.keySettle = settings.duration("key-settle");
+        return config;
+    }
+
+    CallerServerConfig callersConfig(const Settings& settings)
+    {
+        return { settings.text("listen"), settings.text("user-header"), settings.number("connection-limit"), httpLimits(settings) };
+    }
+
+}
+
+std::vector<SettingSpec> entrySettings()
+{
+    const std::vector<SettingSpec> own {
+        { "listen", AddressSetting {}, std::nullopt, "Address for callers, behind the platform's balancer." },
+        { "link-listen", AddressSetting {}, std::nullopt, "Address for the links of agents." },
+        { "rules", TextSetting {}, std::nullopt, "Path of the rules file; SIGHUP reads it again." },
+        { "user-header", TextSetting {}, "X-User", "Request header that names the user." },
+        { "queue-limit", NumberSetting { 1, 1'000'000 }, "4096", "Requests that wait for room at most." },
+        { "connection-limit", NumberSetting { 1, 1'000'000 }, "4096", "Callers' connections at most." },
+        { "silence-limit", DurationSetting { std::chrono::milliseconds(500), std::chrono::minutes(10) }, "4s", "Shortest silence that closes a link." },
+        { "key-witnesses", NumberSetting { 0, 8 }, "1", "Agents that fence a non-idempotent request before its home agent runs it." },
+        { "key-settle", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(1) }, "1s", "How long after its start an entry awaits agents before it sends non-idempotent requests." },
+        { "drain-grace", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(10) }, "3s", "How long a stopping entry still accepts, until the balancer has seen /readyz change." },
+    };
+    return joinSettings(commonSettings(), joinSettings(httpSettings(), own));
+}
+
+EntryProcess::EntryProcess(const Settings& settings)
+    : settings(settings)
+    , name(settings.text("name"))
+    , firstRules(readRulesFile(settings.text("rules")))
+    , log(makeLog(settings, this->name))
+    , context(1)
+    , task(this->context.get_executor(), machineConfig(settings), this->log, this->metrics)
+    , callers(this->context.get_executor(), callersConfig(settings), this->task.inbox(), this->log)
+    , links(this->context.get_executor(), settings.text("link-listen"), this->task.inbox(), settings.duration("silence-limit"), this->log, this->metrics)
+    , admin(this->context.get_executor(), settings.text("admin-listen"), httpLimits(settings))
+{
+    this->addPages();
+}
+
+int EntryProcess::run()
+{
+    this->task.start();
+    this->links.start();
+    this->admin.start();
+    asio::co_spawn(
+        this->context, [this]() { return this->loadRules(); }, asio::detached);
+    asio::co_spawn(
+        this->context, [this]() { return this->reloadOnHangup(); }, asio::detached);
+    asio::co_spawn(
+        this->context, [this]() { return this->awaitStop(); }, asio::detached);
+    this->context.run();
+    this->log.record(EventId::ProcessStopped, "exit code " + std::to_string(this->exitCode));
+    return this->exitCode;
+}
+
+void EntryProcess::addPages()
+{
+    this->admin.handle("GET", "/healthz", [](const HttpRequest&) -> asio::awaitable<Response> { co_return plainResponse(200, "text/plain", "ok\n"); });
+    this->admin.handle("GET", "/readyz", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const EntryStatus status = co_await this->status();
+        co_return plainResponse(status.ready ? 200 : 503, "text/plain", status.ready ? "ready\n" : "not ready\n");
+    });
+    this->admin.handle("GET", "/status", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const EntryStatus status = co_await this->status();
+        co_return plainResponse(200, "application/json", printStatus(status, this->name));
+    });
+    this->admin.handle("GET", "/rules", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const EntryStatus status = co_await this->status();
+        co_return plainResponse(200, "application/json", printRules(status.rules));
+    });
+    this->admin.handle("GET", "/rules.txt", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const EntryStatus status = co_await this->status();
+        co_return plainResponse(200, "text/plain; charset=utf-8", status.rules.text());
+    });
+    this->admin.handle("GET", "/metrics", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const EntryStatus status = co_await this->status();
+        this->metrics.setGauge("cowslipdoor_queued_requests", "Requests that wait for room", static_cast<double>(status.queued));
+        this->metrics.setGauge("cowslipdoor_pending_requests", "Requests not answered yet", static_cast<double>(status.pending));
+        this->metrics.setGauge("cowslipdoor_agents", "Agents with a link", static_cast<double>(status.agents.size()));
+        this->metrics.setGauge("cowslipdoor_rules_version", "Version of the rules in force", static_cast<double>(status.rules.version()));
+        co_return plainResponse(200, "text/plain; version=0.0.4", this->metrics.expose());
+    });
+}
+
+asio::awaitable<void> EntryProcess::loadRules()
+{
+    const EntryInput rulesLoaded(EntryEvent(RulesLoaded { this->firstRules }));
+    co_await send(this->task.inbox(), rulesLoaded);
+    this->callers.start();
+    this->log.record(EventId::ProcessStarted, "callers at " + this->settings.text("listen") + ", agents at " + this->settings.text("link-listen"));
+}
+
+asio::awaitable<void> EntryProcess::reloadOnHangup()
+{
+    asio::signal_set signals(this->context, SIGHUP);
+    while (true) {
+        co_await signals.async_wait(asTuple);
+        try {
+            const RuleSet rules = readRulesFile(this->settings.text("rules"));
+            const EntryInput rulesLoaded(EntryEvent(RulesLoaded { rules }));
+            co_await send(this->task.inbox(), rulesLoaded);
+        } catch (const Error& error) {
+            this->metrics.countEvent(EventId::RulesRefused);
+            this->log.record(EventId::RulesRefused, error.what());
+        }
+    }
+}
+
+asio::awaitable<void> EntryProcess::awaitStop()
+{
+    asio::signal_set signals(this->context, SIGTERM, SIGINT);
+    co_await signals.async_wait(asTuple);
+    asio::co_spawn(
+        this->context, [this]() { return this->cutOnSecondSignal(); }, asio::detached);
+    co_await this->drain();
+    this->context.stop();
+}
+
+asio::awaitable<void> EntryProcess::cutOnSecondSignal()
+{
+    asio::signal_set signals(this->context, SIGTERM, SIGINT);
+    co_await signals.async_wait(asTuple);
+    const EntryStatus status = co_await this->status();
+    this->cut("second signal, " + std::to_string(status.pending) + " requests cut off");
+}
+
+asio::awaitable<void> EntryProcess::drain()
+{
+    const EntryInput stopRequested(EntryEvent(StopRequested {}));
+    co_await send(this->task.inbox(), stopRequested);
+    co_await pauseFor(this->settings.duration("drain-grace"));
+    this->callers.stopAccepting();
+    const EntryInput closeIdleCallers(CloseIdleCallers {});
+    co_await send(this->task.inbox(), closeIdleCallers);
+    const bool inTime = co_await waitUntil([this]() { return this->callers.connections() == 0; }, this->settings.duration("drain-limit"));
+    const EntryStatus status = co_await this->status();
+    if (!inTime)
+        this->cut("drain limit, " + std::to_string(status.pending) + " requests cut off");
+    else
+        this->log.record(EventId::DrainFinished, "no caller is connected");
+}
+
+void EntryProcess::cut(const std::string& why)
+{
+    this->log.record(EventId::DrainCut, why);
+    this->exitCode = exitFailure;
+    this->context.stop();
+}
+
+asio::awaitable<EntryStatus> EntryProcess::status()
+{
+    const Mailbox<EntryStatus> reply = makeMailbox<EntryStatus>(this->context.get_executor(), 1);
+    const EntryInput entryStatusQuery(EntryStatusQuery { reply });
+    co_await send(this->task.inbox(), entryStatusQuery);
+    const std::tuple<error_code, EntryStatus> received = co_await reply->async_receive(asTuple);
+    co_return std::get<1>(received);
+}
+
+}
--- /dev/null
+++ b/apps/entry/EntryProcess.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/// @file
+/// @brief Wiring of the entry's tasks.
+
+#include <cowslipdoor/runtime/AdminServer.h>
+#include <cowslipdoor/runtime/CallerServer.h>
+#include <cowslipdoor/runtime/EntryTask.h>
+#include <cowslipdoor/runtime/LinkServer.h>
+#include <cowslipdoor/runtime/Settings.h>
+#include <vector>
+
+namespace cowslipdoor::entry {
+
+/// @return every setting of `cowslipdoor entry`
+[[nodiscard]] std::vector<runtime::SettingSpec> entrySettings();
+
+/// @brief One run of the entry.
+class EntryProcess {
+public:
+    /// @param settings checked settings
+    /// @throws Error when the rules file has faults or an address cannot be listened on
+    explicit EntryProcess(const runtime::Settings& settings);
+
+    /// @brief Runs until a planned stop has finished.
+    /// @return the exit code
+    [[nodiscard]] int run();
+
+private:
+    void addPages();
+    runtime::asio::awaitable<void> loadRules();
+    runtime::asio::awaitable<void> reloadOnHangup();
+    runtime::asio::awaitable<void> awaitStop();
+    runtime::asio::awaitable<void> drain();
+    runtime::asio::awaitable<void> cutOnSecondSignal();
+    void cut(const std::string& why);
+    runtime::asio::awaitable<runtime::EntryStatus> status();
+
+    runtime::Settings settings;
+    std::string name;
+    RuleSet firstRules;
+    runtime::Log log;
+    runtime::Metrics metrics;
+    runtime::asio::io_context context;
+    runtime::EntryTask task;
+    runtime::CallerServer callers;
+    runtime::LinkServer links;
+    runtime::AdminServer admin;
+    int exitCode = 0;
+};
+
+}
--- /dev/null
+++ b/libs/core/include/cowslipdoor/core/AgentMachine.h
@@ -0,0 +1,235 @@
+#pragma once
+
+/// @file
+/// @brief Every decision of the agent, as a state machine without input or output.
+
+#include "Admission.h"
+#include "Announcement.h"
+#include "EventCatalogue.h"
+#include "Ids.h"
+#include "Ledger.h"
+#include "Messages.h"
+#include "Rule.h"
+#include "Time.h"
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace cowslipdoor {
+
+/// @brief Settings of the agent's decisions.
+struct AgentConfig {
+    std::string name;
+    std::string failureDomain;
+    Incarnation incarnation {};
+    LedgerLimits ledger;
+    /// How often the upstream is asked to announce itself.
+    Duration announceInterval = std::chrono::milliseconds(1000);
+    /// How often while the agent learns what an earlier run left behind.
+    Duration recoveryAnnounceInterval = std::chrono::milliseconds(50);
+    /// Longest run of a non-idempotent request, whoever waits for it.
+    Duration nonIdempotentLimit = std::chrono::seconds(60);
+
+    bool operator==(const AgentConfig&) const = default;
+};
+
+/// @brief The upstream announced itself; the reply goes to `caller`.
+struct UpstreamAnnounced {
+    const CallerId caller {};
+    const Announcement announcement;
+};
+
+/// @brief A link to an entry is open.
+struct EntryLinkOpened {
+    const LinkId link {};
+    const Welcome welcome;
+};
+
+/// @brief A message of an entry came.
+struct EntryMessage {
+    const LinkId link {};
+    const LinkMessage message;
+};
+
+/// @brief A link to an entry is gone.
+struct EntryLinkClosed {
+    const LinkId link {};
+};
+
+/// @brief A call to the upstream ended.
+struct UpstreamCallEnded {
+    const RequestId id;
+    const AttemptId attempt;
+    const Completion completion;
+};
+
+/// @brief The operator asked the process to stop.
+struct StopRequested { };
+
+/// @brief Time has passed.
+struct TimePassed { };
+
+/// @brief Everything that can happen to an agent.
+using AgentEvent = std::variant<UpstreamAnnounced, EntryLinkOpened, EntryMessage, EntryLinkClosed, UpstreamCallEnded, StopRequested, TimePassed>;
+
+/// @brief Send a message on a link.
+struct SendToLink {
+    const LinkId link {};
+    const LinkMessage message;
+
+    bool operator==(const SendToLink&) const = default;
+};
+
+/// @brief Call the upstream.
+struct CallUpstream {
+    const RequestId id;
+    const AttemptId attempt;
+    const std::string address;
+    const RequestHead head;
+    const Bytes body;
+    const Capacity demand;
+    const bool idempotent = true;
+    const Duration timeout {};
+
+    bool operator==(const CallUpstream&) const = default;
+};
+
+/// @brief Close the connection of a call; the work itself may go on.
+struct AbandonCall {
+    const RequestId id;
+    const AttemptId attempt;
+
+    bool operator==(const AbandonCall&) const = default;
+};
+
+/// @brief Reply to an announcement.
+struct ReplyToAnnouncement {
+    const CallerId caller {};
+    const AnnouncementReply reply;
+
+    bool operator==(const ReplyToAnnouncement&) const = default;
+};
+
+/// @brief Write a numbered log event.
+struct RecordEvent {
+    const EventId event {};
+    const std::string detail;
+
+    bool operator==(const RecordEvent&) const = default;
+};
+
+/// @brief Nothing is held any more and the process may stop.
+struct Drained {
+    bool operator==(const Drained&) const = default;
+};
+
+/// @brief Everything that an agent can be told to do.
+using AgentEffect = std::variant<SendToLink, CallUpstream, AbandonCall, ReplyToAnnouncement, RecordEvent, Drained>;
+
+/// @brief The agent's decisions: admission, the ledger, cancellation, leaving, rules in passing.
+/// @code
+/// AgentMachine agent(config);
+/// for (const AgentEffect& effect : agent.step(event, now))
+///     std::visit(adapter, effect);
+/// @endcode
+class AgentMachine {
+public:
+    /// @param config settings
+    explicit AgentMachine(AgentConfig config);
+
+    /// @brief Takes one event in and decides.
+    /// @param event what happened
+    /// @param now the present, never earlier than in the call before
+    /// @return what to do, in order
+    [[nodiscard]] std::vector<AgentEffect> step(const AgentEvent& event, TimePoint now);
+
+    /// @return what the agent tells entries of its VM
+    [[nodiscard]] Load load() const noexcept;
+
+    /// @return what the agent says first on a new link
+    [[nodiscard]] Hello hello() const;
+
+    /// @return the rules that the agent passes on
+    [[nodiscard]] const RuleSet& rules() const noexcept { return this->ruleSet; }
+
+    /// @return the admission state, for status pages and tests
+    [[nodiscard]] const Admission& admission() const noexcept { return this->admissionState; }
+
+    /// @return the ledger, for status pages and tests
+    [[nodiscard]] const Ledger& ledger() const noexcept { return this->ledgerState; }
+
+    /// @return the number of requests that have an unfinished call
+    [[nodiscard]] std::size_t activeCalls() const noexcept { return this->calls.size(); }
+
+private:
+    struct Waiter {
+        LinkId link {};
+        AttemptId attempt;
+    };
+
+    struct Call {
+        AttemptId attempt;
+        bool idempotent = true;
+        std::vector<Waiter> waiters;
+    };
+
+    struct EntryLink {
+        std::string entry;
+        std::uint64_t rulesVersion = 0;
+        Duration heartbeatInterval {};
+        TimePoint lastReport;
+        Load reported;
+    };
+
+    using Effects = std::vector<AgentEffect>;
+    using Calls = std::unordered_map<RequestId, Call, RequestIdHash>;
+
+    void on(const UpstreamAnnounced& event, TimePoint now, Effects& effects);
+    void on(const EntryLinkOpened& event, TimePoint now, Effects& effects);
+    void on(const EntryMessage& event, TimePoint now, Effects& effects);
+    void on(const EntryLinkClosed& event, TimePoint now, Effects& effects);
+    void on(const UpstreamCallEnded& event, TimePoint now, Effects& effects);
+    void on(const StopRequested& event, TimePoint now, Effects& effects);
+    void on(const TimePassed& event, TimePoint now, Effects& effects);
+
+    void onMessage(LinkId link, const DispatchRequest& message, TimePoint now, Effects& effects);
+    void onMessage(LinkId link, const Cancel& message, TimePoint now, Effects& effects);
+    void onMessage(LinkId link, const Inquiry& message, TimePoint now, Effects& effects);
+    void onMessage(LinkId link, const Heartbeat& message, TimePoint now, Effects& effects);
+    void onMessage(LinkId link, const RulesUpdate& message, TimePoint now, Effects& effects);
+    template <typename Other>
+    void onMessage(LinkId link, const Other& message, TimePoint now, Effects& effects);
+
+    void run(LinkId link, const DispatchRequest& message, TimePoint now, Effects& effects);
+    [[nodiscard]] std::optional<ErrorKind> admit(const DispatchRequest& message, LedgerVerdict verdict);
+    [[nodiscard]] bool takesClass(TrafficClass trafficClass) const noexcept;
+    void attach(LinkId link, const RequestId& id, const AttemptId& attempt);
+    void repeatAnswer(LinkId link, const RequestId& id, const AttemptId& attempt, TimePoint now, Effects& effects);
+    void abandon(const RequestId& id, TimePoint now, Effects& effects);
+    void sendAnswer(LinkId link, const RequestId& id, const AttemptId& attempt, const Completion& completion, TimePoint now, Effects& effects);
+    void reportIfMattering(TimePoint now, Effects& effects);
+    void reportOn(LinkId link, EntryLink& entry, TimePoint now, Effects& effects);
+    void passRulesOn(Effects& effects);
+    void finishDrain(Effects& effects);
+    void learnFinished(const Announcement& announcement, TimePoint now);
+    void updateLedgerComplete(TimePoint now) noexcept;
+
+    AgentConfig config;
+    Admission admissionState;
+    Ledger ledgerState;
+    RuleSet ruleSet;
+    Calls calls;
+    std::map<LinkId, EntryLink> links;
+    std::string upstreamAddress;
+    std::vector<TrafficClass> classes;
+    std::optional<TimePoint> ledgerCompleteFrom;
+    bool ledgerRecalled = false;
+    bool ledgerComplete = false;
+    bool stopping = false;
+    bool drainedSent = false;
+};
+
+}
--- /dev/null
+++ b/libs/core/include/cowslipdoor/core/Bytes.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// @file
+/// @brief Immutable, cheaply copied sequence of bytes.
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cowslipdoor {
+
+/// @brief Shared immutable bytes; copies share one buffer, comparison is by content.
+/// @code
+/// const Bytes body("block 7: gang 3");
+/// @endcode
+class Bytes {
+public:
+    /// @brief Makes an empty sequence.
+    Bytes() = default;
+
+    /// @param content the bytes to keep
+    explicit Bytes(std::string content)
+        : content(std::make_shared<const std::string>(std::move(content)))
+    {
+    }
+
+    /// @return the bytes, valid while any copy lives
+    [[nodiscard]] std::string_view view() const noexcept
+    {
+        return this->content ? std::string_view(*this->content) : std::string_view();
+    }
+
+    /// @return the number of bytes
+    [[nodiscard]] std::size_t size() const noexcept { return this->view().size(); }
+
+    [[nodiscard]] bool operator==(const Bytes& other) const noexcept { return this->view() == other.view(); }
+
+private:
+    std::shared_ptr<const std::string> content;
+};
+
+}
--- /dev/null
+++ b/libs/core/include/cowslipdoor/core/EntryMachine.h
@@ -0,0 +1,296 @@
+#pragma once
+
+/// @file
+/// @brief Every decision of the entry, as a state machine without input or output.
+
+#include "AgentMachine.h"
+#include "EventCatalogue.h"
+#include "Ids.h"
+#include "Messages.h"
+#include "RetryBudget.h"
+#include "Router.h"
+#include "Rule.h"
+#include "Time.h"
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace cowslipdoor {
+
+/// @brief Settings of the entry's decisions.
+struct EntryConfig {
+    std::string name;
+    Incarnation incarnation {};
+    std::uint64_t randomSeed = 0;
+    RouterConfig router;
+    RetryBudgetLimits retryBudget;
+    /// Requests that wait for room at most, over all classes.
+    std::size_t maximumQueued = 4096;
+    /// Agents that refuse a keyed request to other entries before its home agent runs it.
+    std::uint32_t keyWitnesses = 1;
+    /// Time after the start in which agents are awaited before a keyed request gets its home.
+    Duration keySettle = std::chrono::seconds(1);
+    /// Bytes a second that all agents together may report to this entry.
+    std::uint32_t reportBytesPerSecond = 5000;
+    Duration shortestHeartbeat = std::chrono::seconds(1);
+    Duration longestHeartbeat = std::chrono::seconds(30);
+
+    bool operator==(const EntryConfig&) const = default;
+};
+
+/// @brief A caller's request came.
+struct RequestArrived {
+    const CallerId caller {};
+    const RequestHead head;
+    const Bytes body;
+};
+
+/// @brief A caller hung up.
+struct CallerGone {
+    const CallerId caller {};
+};
+
+/// @brief An agent opened a link.
+struct AgentLinkOpened {
+    const LinkId link {};
+    const Hello hello;
+};
+
+/// @brief A message of an agent came.
+struct AgentMessage {
+    const LinkId link {};
+    const LinkMessage message;
+};
+
+/// @brief A link to an agent is gone.
+struct AgentLinkClosed {
+    const LinkId link {};
+};
+
+/// @brief An operator gave a rules file, already found without fault.
+struct RulesLoaded {
+    const RuleSet rules;
+};
+
+/// @brief Everything that can happen to an entry.
+using EntryEvent = std::variant<RequestArrived, CallerGone, AgentLinkOpened, AgentMessage, AgentLinkClosed, RulesLoaded, StopRequested, TimePassed>;
+
+/// @brief Answer a caller.
+struct ReplyToCaller {
+    const CallerId caller {};
+    const RequestId id;
+    const Completion completion;
+
+    bool operator==(const ReplyToCaller&) const = default;
+};
+
+/// @brief Close a link that a newer link of the same agent replaces.
+struct CloseLink {
+    const LinkId link {};
+
+    bool operator==(const CloseLink&) const = default;
+};
+
+/// @brief Count how a request ended.
+struct ObserveRequest {
+    const std::string rule;
+    const TrafficClass trafficClass = TrafficClass::Quick;
+    const Outcome outcome = Outcome::NotRun;
+    const Duration latency {};
+
+    bool operator==(const ObserveRequest&) const = default;
+};
+
+/// @brief Everything that an entry can be told to do.
+using EntryEffect = std::variant<SendToLink, CloseLink, ReplyToCaller, ObserveRequest, RecordEvent>;
+
+/// @brief Counts of an entry since its start.
+struct EntryCounters {
+    std::uint64_t arrived = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t retried = 0;
+    std::uint64_t refusedByAgents = 0;
+    std::uint64_t lateAnswersDropped = 0;
+    std::uint64_t inquiries = 0;
+    std::uint64_t cancelled = 0;
+
+    bool operator==(const EntryCounters&) const = default;
+};
+
+/// @brief The entry's decisions: rules, queues, routing, retries, matching of answers, outcome truth.
+/// @code
+/// EntryMachine entry(config);
+/// for (const EntryEffect& effect : entry.step(event, now))
+///     std::visit(adapter, effect);
+/// @endcode
+class EntryMachine {
+public:
+    /// @param config settings
+    explicit EntryMachine(EntryConfig config);
+
+    /// @brief Takes one event in and decides.
+    /// @param event what happened
+    /// @param now the present, never earlier than in the call before
+    /// @return what to do, in order
+    [[nodiscard]] std::vector<EntryEffect> step(const EntryEvent& event, TimePoint now);
+
+    /// @return when TimePassed is due next, or nothing
+    [[nodiscard]] std::optional<TimePoint> nextWakeup() const;
+
+    /// @return the rules in force
+    [[nodiscard]] const RuleSet& rules() const noexcept { return this->ruleSet; }
+
+    /// @return the agents as the entry sees them
+    [[nodiscard]] const Router& router() const noexcept { return this->routerState; }
+
+    /// @return counts since the start
+    [[nodiscard]] const EntryCounters& counters() const noexcept { return this->counts; }
+
+    /// @return the number of requests that wait for room
+    [[nodiscard]] std::size_t queued() const noexcept;
+
+    /// @return the number of requests that are not answered yet
+    [[nodiscard]] std::size_t pending() const noexcept { return this->requests.size(); }
+
+    /// @return whether a stop was asked for
+    [[nodiscard]] bool stopping() const noexcept { return this->stopRequested; }
+
+    /// @return whether the entry can do useful work for callers
+    [[nodiscard]] bool ready() const noexcept;
+
+private:
+    /// Waits in a queue for room.
+    struct Queued { };
+
+    /// Waits until a retry is due.
+    struct Delayed {
+        TimePoint until;
+    };
+
+    /// Waits for witnesses to refuse the request to others.
+    struct Fencing {
+        std::string home;
+        std::set<LinkId> awaited;
+    };
+
+    /// Sent to an agent.
+    struct Dispatched {
+        LinkId link {};
+        std::string agent;
+        Incarnation incarnation {};
+        TimePoint sentAt;
+        TimePoint giveUpAt;
+    };
+
+    /// Sent to an agent that cannot be reached now; its word is awaited.
+    struct Inquiring {
+        std::string agent;
+        Incarnation incarnation {};
+    };
+
+    using Phase = std::variant<Queued, Delayed, Fencing, Dispatched, Inquiring>;
+
+    struct Request {
+        std::vector<CallerId> callers;
+        RequestHead head;
+        Bytes body;
+        std::uint64_t fingerprint = 0;
+        Rule rule;
+        bool keyed = false;
+        TimePoint arrivedAt;
+        TimePoint deadline;
+        std::uint32_t attempts = 0;
+        std::uint32_t retriesLeft = 0;
+        std::set<std::string> failedOn;
+        Phase phase;
+        /// Why the last attempt failed, when that leaves open whether the request ran.
+        std::shared_ptr<const FailureReason> uncertain;
+        /// Whether a home agent and its witnesses have said that no copy of the keyed request ran.
+        bool knownNotRun = false;
+    };
+
+    struct KnownAgent {
+        Incarnation incarnation {};
+        LinkId link {};
+    };
+
+    using Effects = std::vector<EntryEffect>;
+    using Requests = std::unordered_map<RequestId, Request, RequestIdHash>;
+
+    void on(const RequestArrived& event, TimePoint now, Effects& effects);
+    void on(const CallerGone& event, TimePoint now, Effects& effects);
+    void on(const AgentLinkOpened& event, TimePoint now, Effects& effects);
+    void on(const AgentMessage& event, TimePoint now, Effects& effects);
+    void on(const AgentLinkClosed& event, TimePoint now, Effects& effects);
+    void on(const RulesLoaded& event, TimePoint now, Effects& effects);
+    void on(const StopRequested& event, TimePoint now, Effects& effects);
+    void on(const TimePassed& event, TimePoint now, Effects& effects);
+
+    void onMessage(LinkId link, const Answer& message, TimePoint now, Effects& effects);
+    void onMessage(LinkId link, const Report& message, TimePoint now, Effects& effects);
+    void onMessage(LinkId link, const LoadReport& message, TimePoint now, Effects& effects);
+    void onMessage(LinkId link, const RulesUpdate& message, TimePoint now, Effects& effects);
+    template <typename Other>
+    void onMessage(LinkId link, const Other& message, TimePoint now, Effects& effects);
+
+    void admit(const RequestArrived& event, const RequestId& id, const Rule& rule, TimePoint now, Effects& effects);
+    void join(const RequestArrived& event, const RequestId& id, Request& request, Effects& effects);
+    void enqueue(const RequestId& id, Request& request);
+    void pump(TimePoint now, Effects& effects);
+    void pumpQueue(std::deque<RequestId>& queue, TimePoint now, Effects& effects);
+    [[nodiscard]] bool tryDispatch(const RequestId& id, Request& request, TimePoint now, Effects& effects);
+    [[nodiscard]] bool tryKeyed(const RequestId& id, Request& request, TimePoint now, Effects& effects);
+    void send(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects);
+    [[nodiscard]] std::vector<std::string> keyedCandidates() const;
+    void witnessFenced(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects);
+
+    void completeAttempt(const RequestId& id, Request& request, const Answer& message, TimePoint now, Effects& effects);
+    void attemptFailed(const RequestId& id, Request& request, const FailureReason& reason, TimePoint now, Effects& effects);
+    void attemptRefused(const RequestId& id, Request& request, const FailureReason& reason, TimePoint now, Effects& effects);
+    [[nodiscard]] bool scheduleRetry(const RequestId& id, Request& request, TimePoint now, Effects& effects);
+    void linkLostFor(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects);
+    void resumeInquiry(const RequestId& id, Request& request, LinkId link, const Hello& hello, TimePoint now, Effects& effects);
+    void releaseAttempt(Request& request, AttemptHealth health, TimePoint now, Effects& effects);
+    void cancelAttempt(const RequestId& id, const Request& request, Effects& effects);
+    void wake(const RequestId& id, Request& request, TimePoint now, Effects& effects);
+    void expire(const RequestId& id, Request& request, TimePoint now, Effects& effects);
+
+    void answer(const RequestId& id, const Completion& completion, TimePoint now, Effects& effects);
+    void fail(const RequestId& id, ErrorKind kind, const std::string& detail, TimePoint now, Effects& effects);
+    void refuseCaller(const RequestArrived& event, const RequestId& id, ErrorKind kind, const std::string& detail, Effects& effects);
+    void forget(const RequestId& id);
+    void sendHeartbeats(TimePoint now, Effects& effects);
+    void applyRules(const RuleSet& rules, Effects& effects);
+    void sendRulesIfOlder(LinkId link, std::uint64_t version, Effects& effects);
+    [[nodiscard]] RequestId newRequestId() noexcept;
+    [[nodiscard]] bool quotaUsedUp(const Rule& rule) const;
+    [[nodiscard]] AttemptId currentAttempt(const Request& request) const noexcept;
+    [[nodiscard]] Duration heartbeatInterval() const noexcept;
+
+    EntryConfig config;
+    std::mt19937_64 random;
+    Router routerState;
+    RuleSet ruleSet;
+    std::vector<RetryBudget> retryBudgets;
+    std::array<std::deque<RequestId>, trafficClassCount> queues;
+    Requests requests;
+    std::map<CallerId, RequestId> requestOfCaller;
+    std::map<std::string, KnownAgent> agents;
+    std::map<std::string, std::uint32_t> inFlightOfTeam;
+    std::set<std::pair<TimePoint, RequestId>> wakeups;
+    EntryCounters counts;
+    std::optional<TimePoint> startedAt;
+    std::uint64_t requestNumber = 0;
+    TimePoint nextHeartbeat;
+    bool stopRequested = false;
+};
+
+}
--- /dev/null
+++ b/libs/core/include/cowslipdoor/core/Ids.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/// @file
+/// @brief Identifiers of requests, attempts, callers, links and process incarnations.
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace cowslipdoor {
+
+/// @brief Number that tells apart two runs of a process; greater means later.
+enum class Incarnation : std::uint64_t { };
+
+/// @brief Caller's connection as the entry's tasks number it.
+enum class CallerId : std::uint64_t { };
+
+/// @brief Connection between an entry and an agent, numbered by the process that uses it.
+enum class LinkId : std::uint64_t { };
+
+/// @brief 128-bit identifier of a request; equal for every copy of a keyed request.
+/// @code
+/// const RequestId id = keyedRequestId("siti", "tally-17");
+/// @endcode
+struct RequestId {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    std::strong_ordering operator<=>(const RequestId&) const = default;
+};
+
+/// @brief One sending of a request by one run of an entry.
+struct AttemptId {
+    Incarnation entry {};
+    std::uint32_t number = 0;
+
+    std::strong_ordering operator<=>(const AttemptId&) const = default;
+};
+
+/// @brief Derives the identifier that all copies of a keyed request share.
+/// @param user the user who sent the request
+/// @param key the idempotency key that the user chose
+/// @return the same identifier for the same user and key, in every process
+[[nodiscard]] RequestId keyedRequestId(std::string_view user, std::string_view key);
+
+/// @brief Writes an identifier as 32 hexadecimal digits.
+/// @param id the identifier
+/// @return lower-case digits, no separator
+[[nodiscard]] std::string toString(const RequestId& id);
+
+/// @brief Reads an identifier that toString() wrote.
+/// @param text 32 hexadecimal digits
+/// @return the identifier
+/// @throws Error with ErrorKind::BadRequest when the text has another form
+[[nodiscard]] RequestId requestIdFromString(std::string_view text);
+
+/// @brief Hash for unordered containers.
+struct RequestIdHash {
+    [[nodiscard]] std::size_t operator()(const RequestId& id) const noexcept
+    {
+        return static_cast<std::size_t>(id.high ^ (id.low * 0x9e3779b97f4a7c15ULL));
+    }
+};
+
+}
--- /dev/null
+++ b/libs/core/include/cowslipdoor/core/Time.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// @file
+/// @brief The core's notion of time: a monotonic instant that is always passed in, never read.
+
+#include <chrono>
+
+namespace cowslipdoor {
+
+/// @brief Span of time in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// @brief Tag of the monotonic clock; the core never reads it, adapters convert to it.
+struct MonotonicClock {
+    using rep = Duration::rep;
+    using period = Duration::period;
+    using duration = Duration;
+    using time_point = std::chrono::time_point<MonotonicClock>;
+    static constexpr bool is_steady = true;
+};
+
+/// @brief Monotonic instant, counted from an arbitrary origin of the process.
+using TimePoint = MonotonicClock::time_point;
+
+/// @brief Whole milliseconds of a duration, rounded down.
+/// @param duration any duration
+/// @return the number of milliseconds
+[[nodiscard]] constexpr long long toMilliseconds(Duration duration) noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}
--- /dev/null
+++ b/libs/core/include/cowslipdoor/core/impl/RulesParser.h
@@ -0,0 +1,58 @@
+#pragma once
+
+/// @file
+/// @brief Parser of the rules file.
+
+#include "../RulesText.h"
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cowslipdoor::impl {
+
+/// @brief Word of a line with its place.
+struct Word {
+    std::string_view text;
+    std::size_t column = 1;
+};
+
+/// @brief Reads one rules file; used once.
+class RulesParser {
+public:
+    /// @param text the whole file; must outlive the parser
+    explicit RulesParser(std::string_view text) noexcept;
+
+    /// @return the rules and all faults
+    [[nodiscard]] RulesParseResult parse();
+
+private:
+    void parseLine(std::string_view line);
+    void parseVersion(const std::vector<Word>& words);
+    void parseRule(const std::vector<Word>& words, std::string_view comment, std::size_t commentColumn, bool hasComment);
+    void parseField(Rule& rule, const Word& word);
+    void parseComment(Rule& rule, std::string_view comment, std::size_t column, bool hasComment);
+    void checkRule(const Rule& rule, std::size_t column);
+    bool setSelector(Rule& rule, std::string_view key, std::string_view value, std::size_t column);
+    bool setTreatment(Rule& rule, std::string_view key, std::string_view value, std::size_t column);
+    bool setShare(Rule& rule, std::string_view key, std::string_view value, std::size_t column);
+    void setHeader(Rule& rule, std::string_view value, std::size_t column);
+    void setClass(Rule& rule, std::string_view value, std::size_t column);
+    void setObjective(Rule& rule, std::string_view value, std::size_t column);
+    [[nodiscard]] std::uint32_t number(std::string_view value, std::size_t column, std::uint32_t least, std::uint32_t most);
+    [[nodiscard]] Duration duration(std::string_view value, std::size_t column);
+    [[nodiscard]] std::optional<std::uint32_t> decimal(std::string_view value, std::uint32_t scale, std::uint32_t most) const;
+    void fault(std::size_t column, std::string message, std::string expected);
+
+    std::string_view text;
+    std::size_t line = 0;
+    bool versionSeen = false;
+    std::uint64_t version = 0;
+    std::vector<Rule> rules;
+    std::set<std::string, std::less<>> names;
+    std::set<std::string_view> fieldsOfLine;
+    std::vector<TextFault> faults;
+};
+
+}
--- /dev/null
+++ b/libs/core/src/AgentMachine.cpp
@@ -0,0 +1,345 @@
+#include "cowslipdoor/core/AgentMachine.h"
+#include "cowslipdoor/core/RulesText.h"
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace cowslipdoor {
+
+namespace {
+
+    constexpr std::uint32_t reportWhenFreeChangesByOneIn = 4;
+
+    bool mattersToRouting(const Load& before, const Load& after) noexcept
+    {
+        if (before.ready != after.ready || before.draining != after.draining || before.ledgerComplete != after.ledgerComplete)
+            return true;
+        if (before.total != after.total || (before.free.slots == 0) != (after.free.slots == 0))
+            return true;
+        const std::uint32_t difference = std::max(before.free.slots, after.free.slots) - std::min(before.free.slots, after.free.slots);
+        return difference * reportWhenFreeChangesByOneIn >= std::max(after.total.slots, 1U);
+    }
+
+}
+
+AgentMachine::AgentMachine(AgentConfig config)
+    : config(std::move(config))
+    , admissionState(this->config.incarnation)
+    , ledgerState(this->config.ledger)
+{
+}
+
+std::vector<AgentEffect> AgentMachine::step(const AgentEvent& event, TimePoint now)
+{
+    Effects effects;
+    this->ledgerState.expire(now);
+    if (!this->ledgerCompleteFrom)
+        this->ledgerCompleteFrom = now + this->config.ledger.repeatWindow;
+    std::visit([this, now, &effects](const auto& alternative) { this->on(alternative, now, effects); }, event);
+    this->reportIfMattering(now, effects);
+    this->finishDrain(effects);
+    return effects;
+}
+
+Load AgentMachine::load() const noexcept
+{
+    return {
+        .total = this->admissionState.total(),
+        .free = this->admissionState.free(),
+        .ready = this->admissionState.ready(),
+        .draining = this->stopping || this->admissionState.leaving(),
+        .ledgerComplete = this->ledgerComplete,
+    };
+}
+
+Hello AgentMachine::hello() const
+{
+    return { this->config.name, this->config.incarnation, this->config.failureDomain, this->ruleSet.version(), this->load() };
+}
+
+void AgentMachine::on(const UpstreamAnnounced& event, TimePoint now, Effects& effects)
+{
+    const Announcement& announcement = event.announcement;
+    const bool wasLeaving = this->admissionState.leaving();
+    const AnnouncementEffect effect = this->admissionState.announce(announcement);
+    if (effect != AnnouncementEffect::Stale) {
+        this->upstreamAddress = announcement.address;
+        this->classes = announcement.classes;
+        this->learnFinished(announcement, now);
+    }
+    if (effect == AnnouncementEffect::NewInstance)
+        effects.push_back(RecordEvent { EventId::UpstreamAnnounced, announcement.address });
+    if (effect == AnnouncementEffect::Recovered)
+        effects.push_back(RecordEvent { EventId::UpstreamRecovered, announcement.address });
+    if (!wasLeaving && this->admissionState.leaving())
+        effects.push_back(RecordEvent { EventId::UpstreamLeaving, announcement.address });
+    const Duration interval = this->admissionState.ready() ? this->config.announceInterval : this->config.recoveryAnnounceInterval;
+    effects.push_back(ReplyToAnnouncement { event.caller, { this->admissionState.nextToken(), interval } });
+}
+
+void AgentMachine::on(const EntryLinkOpened& event, TimePoint now, Effects& effects)
+{
+    const Welcome& welcome = event.welcome;
+    this->links.insert_or_assign(event.link, EntryLink { welcome.entry, welcome.rulesVersion, welcome.heartbeatInterval, now, {} });
+    this->passRulesOn(effects);
+}
+
+void AgentMachine::on(const EntryMessage& event, TimePoint now, Effects& effects)
+{
+    std::visit([this, &event, now, &effects](const auto& message) { this->onMessage(event.link, message, now, effects); }, event.message);
+}
+
+void AgentMachine::on(const EntryLinkClosed& event, TimePoint now, Effects& effects)
+{
+    this->links.erase(event.link);
+    std::vector<std::pair<RequestId, AttemptId>> unwanted;
+    for (Calls::value_type& item : this->calls) {
+        Call& call = item.second;
+        std::erase_if(call.waiters, [&event](const Waiter& waiter) { return waiter.link == event.link; });
+        if (call.waiters.empty() && call.idempotent)
+            unwanted.emplace_back(item.first, call.attempt);
+    }
+    for (const std::pair<RequestId, AttemptId>& call : unwanted)
+        this->abandon(call.first, now, effects);
+}
+
+void AgentMachine::on(const UpstreamCallEnded& event, TimePoint now, Effects& effects)
+{
+    const Calls::iterator it = this->calls.find(event.id);
+    if (it == this->calls.end() || it->second.attempt != event.attempt)
+        return;
+    const Call call = std::move(it->second);
+    this->calls.erase(it);
+    const FailureReason* const reason = std::get_if<FailureReason>(&event.completion);
+    const bool neverSent = reason && answerOf(reason->kind).outcome == Outcome::NotRun;
+    const bool mayRunOn = reason && answerOf(reason->kind).outcome == Outcome::Unknown;
+    if (mayRunOn)
+        this->admissionState.abandon(event.id);
+    else
+        this->admissionState.finish(event.id);
+    if (neverSent)
+        this->ledgerState.refuse(event.id, event.attempt, call.idempotent, now);
+    else
+        this->ledgerState.finish(event.id, event.completion, call.idempotent, now);
+    if (reason)
+        effects.push_back(RecordEvent { EventId::CallFailed, toString(event.id) + " " + reason->detail });
+    for (const Waiter& waiter : call.waiters)
+        this->sendAnswer(waiter.link, event.id, waiter.attempt, event.completion, now, effects);
+}
+
+void AgentMachine::on(const StopRequested&, TimePoint, Effects& effects)
+{
+    if (this->stopping)
+        return;
+    this->stopping = true;
+    effects.push_back(RecordEvent { EventId::DrainStarted, std::to_string(this->calls.size()) + " calls in progress" });
+}
+
+void AgentMachine::on(const TimePassed&, TimePoint now, Effects& effects)
+{
+    this->updateLedgerComplete(now);
+    for (std::map<LinkId, EntryLink>::value_type& item : this->links) {
+        if (now - item.second.lastReport >= item.second.heartbeatInterval)
+            this->reportOn(item.first, item.second, now, effects);
+    }
+}
+
+void AgentMachine::onMessage(LinkId link, const DispatchRequest& message, TimePoint now, Effects& effects)
+{
+    const bool idempotent = isIdempotent(message.trafficClass);
+    const LedgerVerdict verdict = this->ledgerState.examine(message.id, message.attempt);
+    if (verdict == LedgerVerdict::AlreadyRunning && this->calls.contains(message.id))
+        return this->attach(link, message.id, message.attempt);
+    if (verdict == LedgerVerdict::AlreadyFinished && !idempotent)
+        return this->repeatAnswer(link, message.id, message.attempt, now, effects);
+    const std::optional<ErrorKind> refusal = this->admit(message, verdict);
+    if (!refusal)
+        return this->run(link, message, now, effects);
+    const FailureReason reason { *refusal, this->config.name + ": " + std::string(answerOf(*refusal).meaning) };
+    if (answerOf(*refusal).outcome == Outcome::NotRun && verdict == LedgerVerdict::New)
+        this->ledgerState.refuse(message.id, message.attempt, idempotent, now);
+    this->sendAnswer(link, message.id, message.attempt, reason, now, effects);
+}
+
+void AgentMachine::onMessage(LinkId link, const Cancel& message, TimePoint now, Effects& effects)
+{
+    const Calls::iterator it = this->calls.find(message.id);
+    if (it == this->calls.end() || !it->second.idempotent)
+        return;
+    std::vector<Waiter>& waiters = it->second.waiters;
+    std::erase_if(waiters, [link, &message](const Waiter& waiter) { return waiter.link == link && waiter.attempt == message.attempt; });
+    if (waiters.empty())
+        this->abandon(message.id, now, effects);
+}
+
+void AgentMachine::onMessage(LinkId link, const Inquiry& message, TimePoint now, Effects& effects)
+{
+    if (message.fence && !this->ledgerComplete) {
+        effects.push_back(SendToLink { link, Report { message.id, message.attempt, RequestState::Forgotten, std::nullopt } });
+        return;
+    }
+    const Report report = this->ledgerState.inquire(message, now);
+    if (report.state == RequestState::Running)
+        this->attach(link, message.id, message.attempt);
+    effects.push_back(SendToLink { link, report });
+}
+
+void AgentMachine::onMessage(LinkId link, const Heartbeat& message, TimePoint, Effects& effects)
+{
+    const std::map<LinkId, EntryLink>::iterator it = this->links.find(link);
+    if (it == this->links.end())
+        return;
+    it->second.rulesVersion = message.rulesVersion;
+    this->passRulesOn(effects);
+}
+
+void AgentMachine::onMessage(LinkId link, const RulesUpdate& message, TimePoint, Effects& effects)
+{
+    const std::map<LinkId, EntryLink>::iterator it = this->links.find(link);
+    if (it != this->links.end())
+        it->second.rulesVersion = std::max(it->second.rulesVersion, message.version);
+    if (message.version <= this->ruleSet.version())
+        return;
+    const RulesParseResult result = parseRules(message.text);
+    if (!result.ok()) {
+        effects.push_back(RecordEvent { EventId::RulesRefused, printFault("rules", result.faults.front()) });
+        return;
+    }
+    this->ruleSet = result.rules;
+    effects.push_back(RecordEvent { EventId::RulesInForce, "version " + std::to_string(message.version) });
+    this->passRulesOn(effects);
+}
+
+template <typename Other>
+void AgentMachine::onMessage(LinkId, const Other&, TimePoint, Effects& effects)
+{
+    effects.push_back(RecordEvent { EventId::FrameRefused, "a message that agents do not take" });
+}
+
+void AgentMachine::run(LinkId link, const DispatchRequest& message, TimePoint now, Effects& effects)
+{
+    const bool idempotent = isIdempotent(message.trafficClass);
+    this->ledgerState.start(message.id, message.attempt, now);
+    this->calls.emplace(message.id, Call { message.attempt, idempotent, { { link, message.attempt } } });
+    const Duration timeout = idempotent ? message.budget : std::max(message.budget, this->config.nonIdempotentLimit);
+    effects.push_back(CallUpstream { message.id, message.attempt, this->upstreamAddress, message.head, message.body, message.demand, idempotent, timeout });
+}
+
+std::optional<ErrorKind> AgentMachine::admit(const DispatchRequest& message, LedgerVerdict verdict)
+{
+    if (verdict == LedgerVerdict::AlreadyRunning || verdict == LedgerVerdict::Tombstoned)
+        return ErrorKind::Refused;
+    if (verdict == LedgerVerdict::FencedByOther)
+        return ErrorKind::KeyConflict;
+    if (verdict == LedgerVerdict::Full)
+        return ErrorKind::Busy;
+    if (this->stopping)
+        return ErrorKind::Draining;
+    if (message.budget <= Duration::zero())
+        return ErrorKind::DeadlineBeforeStart;
+    if (!this->takesClass(message.trafficClass))
+        return ErrorKind::Refused;
+    if (!isIdempotent(message.trafficClass) && !this->ledgerComplete)
+        return ErrorKind::AgentRestarted;
+    return this->admissionState.admit(message.id, message.demand, message.reserveSlots);
+}
+
+bool AgentMachine::takesClass(TrafficClass trafficClass) const noexcept
+{
+    return this->classes.empty() || std::find(this->classes.begin(), this->classes.end(), trafficClass) != this->classes.end();
+}
+
+void AgentMachine::attach(LinkId link, const RequestId& id, const AttemptId& attempt)
+{
+    const Calls::iterator it = this->calls.find(id);
+    if (it == this->calls.end())
+        return;
+    std::vector<Waiter>& waiters = it->second.waiters;
+    std::erase_if(waiters, [link, &attempt](const Waiter& waiter) { return waiter.link == link && waiter.attempt == attempt; });
+    waiters.push_back({ link, attempt });
+}
+
+void AgentMachine::repeatAnswer(LinkId link, const RequestId& id, const AttemptId& attempt, TimePoint now, Effects& effects)
+{
+    const std::shared_ptr<const Completion> kept = this->ledgerState.completionOf(id);
+    const Completion completion = kept ? *kept : Completion(FailureReason { ErrorKind::AnswerNotKept, "there was no room to keep the answer" });
+    this->sendAnswer(link, id, attempt, completion, now, effects);
+}
+
+void AgentMachine::abandon(const RequestId& id, TimePoint now, Effects& effects)
+{
+    const Calls::iterator it = this->calls.find(id);
+    if (it == this->calls.end())
+        return;
+    const Call call = std::move(it->second);
+    this->calls.erase(it);
+    this->admissionState.abandon(id);
+    this->ledgerState.finish(id, FailureReason { ErrorKind::Cancelled, "nobody waits for the answer" }, call.idempotent, now);
+    effects.push_back(AbandonCall { id, call.attempt });
+}
+
+void AgentMachine::sendAnswer(LinkId link, const RequestId& id, const AttemptId& attempt, const Completion& completion, TimePoint now, Effects& effects)
+{
+    const std::map<LinkId, EntryLink>::iterator it = this->links.find(link);
+    if (it == this->links.end())
+        return;
+    it->second.lastReport = now;
+    it->second.reported = this->load();
+    effects.push_back(SendToLink { link, Answer { id, attempt, completion, this->load() } });
+}
+
+void AgentMachine::reportIfMattering(TimePoint now, Effects& effects)
+{
+    const Load present = this->load();
+    for (std::map<LinkId, EntryLink>::value_type& item : this->links) {
+        if (mattersToRouting(item.second.reported, present))
+            this->reportOn(item.first, item.second, now, effects);
+    }
+}
+
+void AgentMachine::reportOn(LinkId link, EntryLink& entry, TimePoint now, Effects& effects)
+{
+    entry.lastReport = now;
+    entry.reported = this->load();
+    effects.push_back(SendToLink { link, LoadReport { entry.reported, this->ruleSet.version() } });
+}
+
+void AgentMachine::passRulesOn(Effects& effects)
+{
+    for (std::map<LinkId, EntryLink>::value_type& item : this->links) {
+        if (item.second.rulesVersion >= this->ruleSet.version())
+            continue;
+        item.second.rulesVersion = this->ruleSet.version();
+        effects.push_back(SendToLink { item.first, RulesUpdate { this->ruleSet.version(), this->ruleSet.text() } });
+    }
+}
+
+void AgentMachine::finishDrain(Effects& effects)
+{
+    if (!this->stopping || this->drainedSent || !this->calls.empty())
+        return;
+    this->drainedSent = true;
+    effects.push_back(RecordEvent { EventId::DrainFinished, "no call in progress" });
+    effects.push_back(Drained {});
+}
+
+void AgentMachine::learnFinished(const Announcement& announcement, TimePoint now)
+{
+    if (!announcement.remembersFinished || this->ledgerComplete)
+        return;
+    for (const RequestId& id : announcement.finished)
+        this->ledgerState.recall(id, FailureReason { ErrorKind::AnswerNotKept, "the request ran before the agent restarted" }, now);
+    for (const RunningWork& work : announcement.running)
+        this->ledgerState.recall(work.id, FailureReason { ErrorKind::AgentRestarted, "the request was running when the agent restarted" }, now);
+    this->ledgerRecalled = true;
+    this->updateLedgerComplete(now);
+}
+
+void AgentMachine::updateLedgerComplete(TimePoint now) noexcept
+{
+    if (this->ledgerComplete || !this->admissionState.ready())
+        return;
+    this->ledgerComplete = this->ledgerRecalled || (this->ledgerCompleteFrom && now >= *this->ledgerCompleteFrom);
+}
+
+}
--- /dev/null
+++ b/libs/core/src/EntryMachine.cpp
@@ -0,0 +1,631 @@
+#include "cowslipdoor/core/EntryMachine.h"
+#include "cowslipdoor/core/Rendezvous.h"
+#include "cowslipdoor/core/RulesText.h"
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace cowslipdoor {
+
+namespace {
+
+    constexpr std::string_view keyHeader = "Idempotency-Key";
+    constexpr std::string_view deadlineHeader = "Cowslipdoor-Deadline-Ms";
+    constexpr std::size_t mostSkippedInQueue = 32;
+    constexpr std::uint32_t reportBytes = 160;
+    constexpr Duration refusedDelay = std::chrono::milliseconds(5);
+
+    /// Order in which queues get room.
+    constexpr std::array queueOrder { TrafficClass::Quick, TrafficClass::Tally, TrafficClass::Watch, TrafficClass::Batch };
+
+    std::uint64_t fingerprintOf(const RequestHead& head, const Bytes& body)
+    {
+        const std::string text = head.method + ' ' + head.target;
+        const XXH64_hash_t headHash = XXH3_64bits(text.data(), text.size());
+        return XXH3_64bits_withSeed(body.view().data(), body.size(), headHash);
+    }
+
+    Duration callerDeadline(const RequestHead& head, Duration longest)
+    {
+        const std::string_view value = head.header(deadlineHeader);
+        std::uint32_t milliseconds = 0;
+        const std::from_chars_result parsed = std::from_chars(value.data(), value.data() + value.size(), milliseconds);
+        if (value.empty() || parsed.ec != std::errc() || parsed.ptr != value.data() + value.size())
+            return longest;
+        return std::min<Duration>(std::chrono::milliseconds(milliseconds), longest);
+    }
+
+    struct OutcomeOf {
+        Outcome operator()(const Response&) const noexcept { return Outcome::Ran; }
+        Outcome operator()(const FailureReason& reason) const noexcept { return answerOf(reason.kind).outcome; }
+    };
+
+}
+
+EntryMachine::EntryMachine(EntryConfig config)
+    : config(std::move(config))
+    , random(this->config.randomSeed)
+    , routerState(this->config.router)
+    , retryBudgets(trafficClassCount, RetryBudget(this->config.retryBudget))
+{
+}
+
+std::vector<EntryEffect> EntryMachine::step(const EntryEvent& event, TimePoint now)
+{
+    Effects effects;
+    if (!this->startedAt) {
+        this->startedAt = now;
+        this->nextHeartbeat = now + this->heartbeatInterval();
+    }
+    std::visit([this, now, &effects](const auto& alternative) { this->on(alternative, now, effects); }, event);
+    this->pump(now, effects);
+    return effects;
+}
+
+std::optional<TimePoint> EntryMachine::nextWakeup() const
+{
+    if (!this->startedAt)
+        return std::nullopt;
+    return this->wakeups.empty() ? this->nextHeartbeat : std::min(this->nextHeartbeat, this->wakeups.begin()->first);
+}
+
+std::size_t EntryMachine::queued() const noexcept
+{
+    std::size_t sum = 0;
+    for (const std::deque<RequestId>& queue : this->queues)
+        sum += queue.size();
+    return sum;
+}
+
+bool EntryMachine::ready() const noexcept
+{
+    return !this->stopRequested && this->ruleSet.version() > 0 && this->routerState.size() > 0;
+}
+
+void EntryMachine::on(const RequestArrived& event, TimePoint now, Effects& effects)
+{
+    ++this->counts.arrived;
+    const Rule* const rule = this->ruleSet.match(event.head);
+    if (!rule)
+        return this->refuseCaller(event, {}, ErrorKind::NoRule, event.head.method + ' ' + std::string(event.head.path()), effects);
+    const std::string_view key = event.head.header(keyHeader);
+    const bool keyed = !isIdempotent(rule->trafficClass);
+    if (keyed && key.empty())
+        return this->refuseCaller(event, {}, ErrorKind::KeyMissing, "rule " + rule->name + " is for non-idempotent requests", effects);
+    const RequestId id = keyed ? keyedRequestId(event.head.user, key) : this->newRequestId();
+    const Requests::iterator it = this->requests.find(id);
+    if (it != this->requests.end())
+        return this->join(event, id, it->second, effects);
+    this->admit(event, id, *rule, now, effects);
+}
+
+void EntryMachine::admit(const RequestArrived& event, const RequestId& id, const Rule& rule, TimePoint now, Effects& effects)
+{
+    if (this->quotaUsedUp(rule))
+        return this->refuseCaller(event, id, ErrorKind::QuotaExceeded, "team " + rule.team, effects);
+    if (this->queued() >= this->config.maximumQueued)
+        return this->refuseCaller(event, id, ErrorKind::QueueFull, std::to_string(this->config.maximumQueued) + " requests wait", effects);
+    const TimePoint deadline = now + callerDeadline(event.head, rule.deadline);
+    const Requests::iterator it = this->requests.emplace(id, Request {
+        .callers = { event.caller },
+        .head = event.head,
+        .body = event.body,
+        .fingerprint = fingerprintOf(event.head, event.body),
+        .rule = rule,
+        .keyed = !isIdempotent(rule.trafficClass),
+        .arrivedAt = now,
+        .deadline = deadline,
+        .retriesLeft = rule.retries,
+    }).first;
+    this->requestOfCaller.emplace(event.caller, id);
+    ++this->inFlightOfTeam[rule.team];
+    this->wakeups.emplace(deadline, id);
+    this->enqueue(id, it->second);
+}
+
+void EntryMachine::join(const RequestArrived& event, const RequestId& id, Request& request, Effects& effects)
+{
+    if (request.fingerprint != fingerprintOf(event.head, event.body))
+        return this->refuseCaller(event, id, ErrorKind::KeyReused, "the other request has another method, target or body", effects);
+    request.callers.push_back(event.caller);
+    this->requestOfCaller.emplace(event.caller, id);
+}
+
+void EntryMachine::on(const CallerGone& event, TimePoint now, Effects& effects)
+{
+    const std::map<CallerId, RequestId>::iterator caller = this->requestOfCaller.find(event.caller);
+    if (caller == this->requestOfCaller.end())
+        return;
+    const RequestId id = caller->second;
+    this->requestOfCaller.erase(caller);
+    Request& request = this->requests.at(id);
+    std::erase(request.callers, event.caller);
+    if (!request.callers.empty())
+        return;
+    ++this->counts.cancelled;
+    if (request.keyed && !std::holds_alternative<Queued>(request.phase))
+        return;
+    this->cancelAttempt(id, request, effects);
+    this->releaseAttempt(request, AttemptHealth::Neutral, now, effects);
+    this->forget(id);
+}
+
+void EntryMachine::on(const AgentLinkOpened& event, TimePoint now, Effects& effects)
+{
+    const Hello& hello = event.hello;
+    const std::map<std::string, KnownAgent>::const_iterator known = this->agents.find(hello.agent);
+    const std::optional<LinkId> replaced = known == this->agents.end() ? std::nullopt : std::optional<LinkId>(known->second.link);
+    this->routerState.add(event.link, hello, now);
+    this->agents.insert_or_assign(hello.agent, KnownAgent { hello.incarnation, event.link });
+    if (replaced) {
+        effects.push_back(CloseLink { *replaced });
+        this->on(AgentLinkClosed { *replaced }, now, effects);
+    }
+    effects.push_back(SendToLink { event.link, Welcome { this->config.name, this->config.incarnation, this->ruleSet.version(), this->heartbeatInterval() } });
+    effects.push_back(RecordEvent { EventId::LinkOpened, hello.agent + " in " + hello.failureDomain });
+    this->sendRulesIfOlder(event.link, hello.rulesVersion, effects);
+    std::vector<RequestId> inquiring;
+    for (const Requests::value_type& item : this->requests) {
+        const Inquiring* const phase = std::get_if<Inquiring>(&item.second.phase);
+        if (phase && phase->agent == hello.agent)
+            inquiring.push_back(item.first);
+    }
+    for (const RequestId& id : inquiring)
+        this->resumeInquiry(id, this->requests.at(id), event.link, hello, now, effects);
+}
+
+void EntryMachine::on(const AgentMessage& event, TimePoint now, Effects& effects)
+{
+    std::visit([this, &event, now, &effects](const auto& message) { this->onMessage(event.link, message, now, effects); }, event.message);
+}
+
+void EntryMachine::on(const AgentLinkClosed& event, TimePoint now, Effects& effects)
+{
+    std::vector<RequestId> affected;
+    for (const Requests::value_type& item : this->requests) {
+        const Dispatched* const dispatched = std::get_if<Dispatched>(&item.second.phase);
+        const Fencing* const fencing = std::get_if<Fencing>(&item.second.phase);
+        if ((dispatched && dispatched->link == event.link) || (fencing && fencing->awaited.contains(event.link)))
+            affected.push_back(item.first);
+    }
+    for (const RequestId& id : affected)
+        this->linkLostFor(id, this->requests.at(id), event.link, now, effects);
+    const std::optional<AgentView> view = this->routerState.view(event.link);
+    if (view) {
+        effects.push_back(RecordEvent { EventId::LinkClosed, view->agent });
+        const std::map<std::string, KnownAgent>::iterator it = this->agents.find(view->agent);
+        if (it != this->agents.end() && it->second.link == event.link)
+            this->agents.erase(it);
+    }
+    this->routerState.remove(event.link);
+}
+
+void EntryMachine::on(const RulesLoaded& event, TimePoint, Effects& effects)
+{
+    this->applyRules(event.rules, effects);
+}
+
+void EntryMachine::on(const StopRequested&, TimePoint, Effects& effects)
+{
+    if (this->stopRequested)
+        return;
+    this->stopRequested = true;
+    effects.push_back(RecordEvent { EventId::DrainStarted, std::to_string(this->requests.size()) + " requests in progress" });
+}
+
+void EntryMachine::on(const TimePassed&, TimePoint now, Effects& effects)
+{
+    while (!this->wakeups.empty() && this->wakeups.begin()->first <= now) {
+        const RequestId id = this->wakeups.begin()->second;
+        this->wakeups.erase(this->wakeups.begin());
+        const Requests::iterator it = this->requests.find(id);
+        if (it != this->requests.end())
+            this->wake(id, it->second, now, effects);
+    }
+    if (now >= this->nextHeartbeat)
+        this->sendHeartbeats(now, effects);
+}
+
+void EntryMachine::sendHeartbeats(TimePoint now, Effects& effects)
+{
+    this->nextHeartbeat = now + this->heartbeatInterval();
+    for (const std::map<std::string, KnownAgent>::value_type& item : this->agents)
+        effects.push_back(SendToLink { item.second.link, Heartbeat { this->ruleSet.version() } });
+}
+
+void EntryMachine::onMessage(LinkId link, const Answer& message, TimePoint now, Effects& effects)
+{
+    this->routerState.update(link, message.load);
+    const Requests::iterator it = this->requests.find(message.id);
+    const Dispatched* const dispatched = it == this->requests.end() ? nullptr : std::get_if<Dispatched>(&it->second.phase);
+    if (!dispatched || dispatched->link != link || message.attempt != this->currentAttempt(it->second)) {
+        ++this->counts.lateAnswersDropped;
+        effects.push_back(RecordEvent { EventId::LateAnswerDropped, toString(message.id) });
+        return;
+    }
+    this->completeAttempt(message.id, it->second, message, now, effects);
+}
+
+void EntryMachine::onMessage(LinkId link, const Report& message, TimePoint now, Effects& effects)
+{
+    const Requests::iterator it = this->requests.find(message.id);
+    if (it == this->requests.end() || message.attempt != this->currentAttempt(it->second))
+        return;
+    Request& request = it->second;
+    const Fencing* const fencing = std::get_if<Fencing>(&request.phase);
+    const Dispatched* const dispatched = std::get_if<Dispatched>(&request.phase);
+    const bool awaited = (fencing && fencing->awaited.contains(link)) || (dispatched && dispatched->link == link);
+    if (!awaited)
+        return;
+    if (message.state == RequestState::NotRun && fencing)
+        return this->witnessFenced(message.id, request, link, now, effects);
+    if (message.state == RequestState::NotRun)
+        return this->attemptRefused(message.id, request, { ErrorKind::Refused, "the agent never ran the attempt" }, now, effects);
+    if (message.state == RequestState::Finished) {
+        this->releaseAttempt(request, AttemptHealth::Neutral, now, effects);
+        return this->answer(message.id, message.completion.value_or(FailureReason { ErrorKind::AnswerNotKept, "there was no room to keep the answer" }), now, effects);
+    }
+    if (message.state == RequestState::Forgotten && fencing)
+        return this->enqueue(message.id, request);
+    if (message.state == RequestState::Running && fencing) {
+        const std::optional<AgentView> view = this->routerState.view(link);
+        const std::string agent = view ? view->agent : std::string();
+        const Incarnation incarnation = this->agents.contains(agent) ? this->agents.at(agent).incarnation : Incarnation {};
+        request.phase = Dispatched { link, agent, incarnation, now, request.deadline };
+        this->routerState.started(link, request.rule.demand);
+    }
+}
+
+void EntryMachine::onMessage(LinkId link, const LoadReport& message, TimePoint, Effects& effects)
+{
+    this->routerState.update(link, message.load);
+    this->sendRulesIfOlder(link, message.rulesVersion, effects);
+}
+
+void EntryMachine::onMessage(LinkId, const RulesUpdate& message, TimePoint, Effects& effects)
+{
+    if (message.version <= this->ruleSet.version())
+        return;
+    const RulesParseResult result = parseRules(message.text);
+    if (result.ok())
+        this->applyRules(result.rules, effects);
+    else
+        effects.push_back(RecordEvent { EventId::RulesRefused, printFault("rules", result.faults.front()) });
+}
+
+template <typename Other>
+void EntryMachine::onMessage(LinkId, const Other&, TimePoint, Effects& effects)
+{
+    effects.push_back(RecordEvent { EventId::FrameRefused, "a message that entries do not take" });
+}
+
+void EntryMachine::enqueue(const RequestId& id, Request& request)
+{
+    request.phase = Queued {};
+    this->queues[static_cast<std::size_t>(request.rule.trafficClass)].push_back(id);
+}
+
+void EntryMachine::pump(TimePoint now, Effects& effects)
+{
+    for (const TrafficClass trafficClass : queueOrder)
+        this->pumpQueue(this->queues[static_cast<std::size_t>(trafficClass)], now, effects);
+}
+
+void EntryMachine::pumpQueue(std::deque<RequestId>& queue, TimePoint now, Effects& effects)
+{
+    std::size_t skipped = 0;
+    std::size_t index = 0;
+    std::optional<Capacity> tooMuch;
+    while (index < queue.size() && skipped < mostSkippedInQueue) {
+        const RequestId id = queue[index];
+        const Requests::iterator it = this->requests.find(id);
+        const bool waits = it != this->requests.end() && std::holds_alternative<Queued>(it->second.phase);
+        const bool hopeless = waits && !it->second.keyed && tooMuch && it->second.rule.demand.covers(*tooMuch);
+        if (!waits || (!hopeless && this->tryDispatch(id, it->second, now, effects))) {
+            queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(index));
+            continue;
+        }
+        if (!it->second.keyed && !hopeless)
+            tooMuch = it->second.rule.demand;
+        ++skipped;
+        ++index;
+    }
+}
+
+bool EntryMachine::tryDispatch(const RequestId& id, Request& request, TimePoint now, Effects& effects)
+{
+    if (request.keyed)
+        return this->tryKeyed(id, request, now, effects);
+    const TrafficClass trafficClass = request.rule.trafficClass;
+    const std::uint32_t reserve = trafficClass == TrafficClass::Batch ? this->ruleSet.reserveSlots() : 0;
+    const std::optional<LinkId> link = this->routerState.choose(request.rule.demand, reserve, trafficClass, request.failedOn, now, this->random);
+    if (!link)
+        return false;
+    this->send(id, request, *link, now, effects);
+    return true;
+}
+
+bool EntryMachine::tryKeyed(const RequestId& id, Request& request, TimePoint now, Effects& effects)
+{
+    if (now < *this->startedAt + this->config.keySettle) {
+        this->wakeups.emplace(*this->startedAt + this->config.keySettle, id);
+        return false;
+    }
+    const std::vector<std::string> ranked = chooseNodes(toString(id), this->keyedCandidates(), 1 + this->config.keyWitnesses);
+    if (ranked.empty() || !this->routerState.hasRoom(this->agents.at(ranked.front()).link, request.rule.demand, now))
+        return false;
+    ++request.attempts;
+    Fencing fencing { ranked.front(), {} };
+    for (std::size_t index = 1; index < ranked.size(); ++index) {
+        const LinkId link = this->agents.at(ranked[index]).link;
+        fencing.awaited.insert(link);
+        effects.push_back(SendToLink { link, Inquiry { id, this->currentAttempt(request), true } });
+    }
+    this->counts.inquiries += fencing.awaited.size();
+    const bool noWitness = fencing.awaited.empty();
+    request.phase = std::move(fencing);
+    if (noWitness)
+        this->send(id, request, this->agents.at(ranked.front()).link, now, effects);
+    return true;
+}
+
+void EntryMachine::witnessFenced(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects)
+{
+    Fencing& fencing = std::get<Fencing>(request.phase);
+    fencing.awaited.erase(link);
+    if (!fencing.awaited.empty())
+        return;
+    const std::map<std::string, KnownAgent>::const_iterator home = this->agents.find(fencing.home);
+    if (home == this->agents.end() || !this->routerState.hasRoom(home->second.link, request.rule.demand, now))
+        return this->enqueue(id, request);
+    this->send(id, request, home->second.link, now, effects);
+}
+
+void EntryMachine::send(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects)
+{
+    const Rule& rule = request.rule;
+    if (!request.keyed)
+        ++request.attempts;
+    if (request.attempts == 1)
+        this->retryBudgets[static_cast<std::size_t>(rule.trafficClass)].recordFirstAttempt();
+    const bool mayMoveOn = !request.keyed && request.retriesLeft > 0;
+    const TimePoint giveUpAt = mayMoveOn ? now + (request.deadline - now) / 2 : request.deadline;
+    const std::string agent = this->routerState.view(link)->agent;
+    request.phase = Dispatched { link, agent, this->agents.at(agent).incarnation, now, giveUpAt };
+    this->routerState.started(link, rule.demand);
+    this->wakeups.emplace(giveUpAt, id);
+    const std::uint32_t reserve = rule.trafficClass == TrafficClass::Batch ? this->ruleSet.reserveSlots() : 0;
+    effects.push_back(SendToLink { link,
+        DispatchRequest { id, this->currentAttempt(request), rule.trafficClass, request.deadline - now, rule.demand, reserve, request.head, request.body } });
+}
+
+std::vector<std::string> EntryMachine::keyedCandidates() const
+{
+    std::vector<std::string> names;
+    for (const std::map<std::string, KnownAgent>::value_type& item : this->agents) {
+        const std::optional<AgentView> view = this->routerState.view(item.second.link);
+        if (view && view->load.ready && !view->load.draining && view->load.ledgerComplete)
+            names.push_back(item.first);
+    }
+    return names;
+}
+
+void EntryMachine::completeAttempt(const RequestId& id, Request& request, const Answer& message, TimePoint now, Effects& effects)
+{
+    const FailureReason* const reason = std::get_if<FailureReason>(&message.completion);
+    if (!reason) {
+        this->releaseAttempt(request, AttemptHealth::Good, now, effects);
+        return this->answer(id, message.completion, now, effects);
+    }
+    const bool upstreamDown = reason->kind == ErrorKind::UpstreamUnreachable;
+    if (answerOf(reason->kind).outcome == Outcome::NotRun && !upstreamDown)
+        return this->attemptRefused(id, request, *reason, now, effects);
+    this->releaseAttempt(request, AttemptHealth::Bad, now, effects);
+    this->attemptFailed(id, request, *reason, now, effects);
+}
+
+void EntryMachine::attemptFailed(const RequestId& id, Request& request, const FailureReason& reason, TimePoint now, Effects& effects)
+{
+    const ErrorAnswer& row = answerOf(reason.kind);
+    if (row.outcome == Outcome::Unknown)
+        request.uncertain = std::make_shared<const FailureReason>(reason);
+    const bool mayRepeat = row.mayTryAgain && (!request.keyed || row.outcome == Outcome::NotRun);
+    if (!mayRepeat || !this->scheduleRetry(id, request, now, effects))
+        this->answer(id, reason, now, effects);
+}
+
+void EntryMachine::attemptRefused(const RequestId& id, Request& request, const FailureReason& reason, TimePoint now, Effects& effects)
+{
+    ++this->counts.refusedByAgents;
+    const Dispatched dispatched = std::get<Dispatched>(request.phase);
+    this->releaseAttempt(request, AttemptHealth::Neutral, now, effects);
+    request.phase = Queued {};
+    request.knownNotRun = request.keyed;
+    if (reason.kind == ErrorKind::Busy)
+        this->routerState.markFull(dispatched.link);
+    if (reason.kind == ErrorKind::DeadlineBeforeStart)
+        return this->expire(id, request, now, effects);
+    if (reason.kind != ErrorKind::Refused)
+        return this->enqueue(id, request);
+    request.failedOn.insert(dispatched.agent);
+    request.phase = Delayed { now + refusedDelay };
+    this->wakeups.emplace(now + refusedDelay, id);
+}
+
+bool EntryMachine::scheduleRetry(const RequestId& id, Request& request, TimePoint now, Effects& effects)
+{
+    RetryBudget& budget = this->retryBudgets[static_cast<std::size_t>(request.rule.trafficClass)];
+    if (request.retriesLeft == 0 || !budget.take())
+        return false;
+    --request.retriesLeft;
+    ++this->counts.retried;
+    const Duration delay = retryDelay(request.rule.retries - request.retriesLeft, this->random);
+    request.phase = Delayed { now + delay };
+    this->wakeups.emplace(now + delay, id);
+    effects.push_back(RecordEvent { EventId::RetryScheduled, toString(id) });
+    return true;
+}
+
+void EntryMachine::linkLostFor(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects)
+{
+    if (std::holds_alternative<Fencing>(request.phase))
+        return this->enqueue(id, request);
+    const Dispatched dispatched = std::get<Dispatched>(request.phase);
+    this->releaseAttempt(request, AttemptHealth::Bad, now, effects);
+    if (request.keyed) {
+        request.phase = Inquiring { dispatched.agent, dispatched.incarnation };
+        const std::map<std::string, KnownAgent>::const_iterator it = this->agents.find(dispatched.agent);
+        if (it != this->agents.end() && it->second.link != link)
+            this->resumeInquiry(id, request, it->second.link, Hello { .agent = it->first, .incarnation = it->second.incarnation }, now, effects);
+        return;
+    }
+    this->attemptFailed(id, request, { ErrorKind::LinkLost, "the link to " + dispatched.agent + " was lost" }, now, effects);
+}
+
+void EntryMachine::resumeInquiry(const RequestId& id, Request& request, LinkId link, const Hello& hello, TimePoint now, Effects& effects)
+{
+    const Inquiring inquiring = std::get<Inquiring>(request.phase);
+    if (inquiring.incarnation != hello.incarnation)
+        return this->fail(id, ErrorKind::AgentRestarted, hello.agent + " restarted while the request was in progress", now, effects);
+    ++this->counts.inquiries;
+    request.phase = Dispatched { link, hello.agent, hello.incarnation, now, request.deadline };
+    this->routerState.started(link, request.rule.demand);
+    effects.push_back(SendToLink { link, Inquiry { id, this->currentAttempt(request), false } });
+}
+
+void EntryMachine::releaseAttempt(Request& request, AttemptHealth health, TimePoint now, Effects& effects)
+{
+    const Dispatched* const dispatched = std::get_if<Dispatched>(&request.phase);
+    if (!dispatched)
+        return;
+    if (health == AttemptHealth::Bad)
+        request.failedOn.insert(dispatched->agent);
+    const HealthChange change = this->routerState.finished(dispatched->link, request.rule.demand, request.rule.trafficClass, now - dispatched->sentAt, health, now);
+    if (change == HealthChange::Ejected)
+        effects.push_back(RecordEvent { EventId::UpstreamEjected, dispatched->agent });
+    if (change == HealthChange::Readmitted)
+        effects.push_back(RecordEvent { EventId::UpstreamReadmitted, dispatched->agent });
+}
+
+void EntryMachine::cancelAttempt(const RequestId& id, const Request& request, Effects& effects)
+{
+    const Dispatched* const dispatched = std::get_if<Dispatched>(&request.phase);
+    if (dispatched && !request.keyed)
+        effects.push_back(SendToLink { dispatched->link, Cancel { id, this->currentAttempt(request) } });
+}
+
+void EntryMachine::wake(const RequestId& id, Request& request, TimePoint now, Effects& effects)
+{
+    if (now >= request.deadline)
+        return this->expire(id, request, now, effects);
+    const Delayed* const delayed = std::get_if<Delayed>(&request.phase);
+    if (delayed && now >= delayed->until)
+        return this->enqueue(id, request);
+    const Dispatched* const dispatched = std::get_if<Dispatched>(&request.phase);
+    if (!dispatched || now < dispatched->giveUpAt)
+        return;
+    const std::string agent = dispatched->agent;
+    this->cancelAttempt(id, request, effects);
+    this->releaseAttempt(request, AttemptHealth::Bad, now, effects);
+    this->attemptFailed(id, request, { ErrorKind::UpstreamTimeout, agent + " did not answer within half of the time left" }, now, effects);
+}
+
+void EntryMachine::expire(const RequestId& id, Request& request, TimePoint now, Effects& effects)
+{
+    const bool sent = std::holds_alternative<Dispatched>(request.phase);
+    this->cancelAttempt(id, request, effects);
+    this->releaseAttempt(request, request.keyed ? AttemptHealth::Neutral : AttemptHealth::Bad, now, effects);
+    if (sent || std::holds_alternative<Inquiring>(request.phase))
+        return this->fail(id, ErrorKind::OutcomeUnknown, "no answer within the deadline", now, effects);
+    if (request.uncertain)
+        return this->answer(id, *request.uncertain, now, effects);
+    if (request.keyed && !request.knownNotRun)
+        return this->fail(id, ErrorKind::KeyedUnavailable, "no agent was there to ask within the deadline", now, effects);
+    this->fail(id, ErrorKind::DeadlineBeforeStart, "no VM had room within the deadline", now, effects);
+}
+
+void EntryMachine::answer(const RequestId& id, const Completion& completion, TimePoint now, Effects& effects)
+{
+    const Request& request = this->requests.at(id);
+    const Outcome outcome = std::visit(OutcomeOf {}, completion);
+    if (outcome == Outcome::Unknown)
+        effects.push_back(RecordEvent { EventId::OutcomeUnknown, toString(id) + " " + std::get<FailureReason>(completion).detail });
+    for (const CallerId caller : request.callers) {
+        ++this->counts.answered;
+        effects.push_back(ReplyToCaller { caller, id, completion });
+        effects.push_back(ObserveRequest { request.rule.name, request.rule.trafficClass, outcome, now - request.arrivedAt });
+    }
+    this->forget(id);
+}
+
+void EntryMachine::fail(const RequestId& id, ErrorKind kind, const std::string& detail, TimePoint now, Effects& effects)
+{
+    this->answer(id, FailureReason { kind, detail }, now, effects);
+}
+
+void EntryMachine::refuseCaller(const RequestArrived& event, const RequestId& id, ErrorKind kind, const std::string& detail, Effects& effects)
+{
+    ++this->counts.answered;
+    effects.push_back(RecordEvent { EventId::RequestRefused, std::string(answerOf(kind).name) + " " + detail });
+    effects.push_back(ReplyToCaller { event.caller, id, FailureReason { kind, detail } });
+}
+
+void EntryMachine::forget(const RequestId& id)
+{
+    const Requests::iterator it = this->requests.find(id);
+    for (const CallerId caller : it->second.callers)
+        this->requestOfCaller.erase(caller);
+    const std::map<std::string, std::uint32_t>::iterator team = this->inFlightOfTeam.find(it->second.rule.team);
+    if (--team->second == 0)
+        this->inFlightOfTeam.erase(team);
+    this->requests.erase(it);
+}
+
+void EntryMachine::applyRules(const RuleSet& rules, Effects& effects)
+{
+    const bool sameVersion = rules.version() == this->ruleSet.version();
+    if (sameVersion && rules.text() != this->ruleSet.text())
+        effects.push_back(RecordEvent { EventId::RulesConflict, "version " + std::to_string(rules.version()) + " is in force with another text" });
+    else if (!sameVersion && rules.version() < this->ruleSet.version())
+        effects.push_back(RecordEvent { EventId::RulesRefused, "version " + std::to_string(rules.version()) + " is older than version " + std::to_string(this->ruleSet.version()) + " in force" });
+    if (rules.version() <= this->ruleSet.version())
+        return;
+    this->ruleSet = rules;
+    effects.push_back(RecordEvent { EventId::RulesInForce, "version " + std::to_string(rules.version()) });
+    for (const std::map<std::string, KnownAgent>::value_type& item : this->agents)
+        effects.push_back(SendToLink { item.second.link, RulesUpdate { rules.version(), rules.text() } });
+}
+
+void EntryMachine::sendRulesIfOlder(LinkId link, std::uint64_t version, Effects& effects)
+{
+    if (version < this->ruleSet.version())
+        effects.push_back(SendToLink { link, RulesUpdate { this->ruleSet.version(), this->ruleSet.text() } });
+}
+
+RequestId EntryMachine::newRequestId() noexcept
+{
+    return { static_cast<std::uint64_t>(this->config.incarnation), ++this->requestNumber };
+}
+
+bool EntryMachine::quotaUsedUp(const Rule& rule) const
+{
+    const std::map<std::string, std::uint32_t>::const_iterator it = this->inFlightOfTeam.find(rule.team);
+    return rule.quota && it != this->inFlightOfTeam.end() && it->second >= *rule.quota;
+}
+
+AttemptId EntryMachine::currentAttempt(const Request& request) const noexcept
+{
+    return { this->config.incarnation, request.attempts };
+}
+
+Duration EntryMachine::heartbeatInterval() const noexcept
+{
+    const std::size_t bytesOfRound = (this->routerState.size() + 1) * reportBytes;
+    const Duration interval = std::chrono::seconds(bytesOfRound / this->config.reportBytesPerSecond);
+    return std::clamp(interval, this->config.shortestHeartbeat, this->config.longestHeartbeat);
+}
+
+}
--- /dev/null
+++ b/libs/core/src/Error.cpp
@@ -0,0 +1,72 @@
+#include "cowslipdoor/core/Error.h"
+
+namespace cowslipdoor {
+
+namespace {
+
+    using ErrorTable = std::array<ErrorAnswer, static_cast<std::size_t>(ErrorKind::Internal) + 1>;
+
+    constexpr ErrorTable table { {
+        { ErrorKind::BadRequest, "bad_request", 400, Outcome::NotRun, false, "The request is not valid HTTP or has a field that cannot be read." },
+        { ErrorKind::HeaderTooLarge, "header_too_large", 431, Outcome::NotRun, false, "The request's header is over the limit." },
+        { ErrorKind::BodyTooLarge, "body_too_large", 413, Outcome::NotRun, false, "The request's body is over the limit." },
+        { ErrorKind::NoRule, "no_rule", 404, Outcome::NotRun, false, "No rule in force selects the request." },
+        { ErrorKind::KeyMissing, "key_missing", 400, Outcome::NotRun, false, "A non-idempotent request came without an Idempotency-Key header." },
+        { ErrorKind::KeyReused, "key_reused", 422, Outcome::Unknown, false, "The idempotency key belongs to another request that is still in progress." },
+        { ErrorKind::KeyConflict, "key_conflict", 409, Outcome::Unknown, true, "Another entry has a claim on the idempotency key; its copy may have run." },
+        { ErrorKind::KeyedUnavailable, "keyed_unavailable", 503, Outcome::Unknown, true, "No agent could tell whether an earlier copy of the request ran; this copy was not sent." },
+        { ErrorKind::QuotaExceeded, "quota_exceeded", 429, Outcome::NotRun, true, "The team has as many requests in progress as its quota allows." },
+        { ErrorKind::QueueFull, "queue_full", 503, Outcome::NotRun, true, "The entry's queue is full." },
+        { ErrorKind::DeadlineBeforeStart, "deadline_before_start", 504, Outcome::NotRun, true, "The deadline came before any upstream had room." },
+        { ErrorKind::Busy, "busy", 503, Outcome::NotRun, true, "The VM has no room for the request." },
+        { ErrorKind::NotReady, "not_ready", 503, Outcome::NotRun, true, "The agent does not know yet what its VM holds." },
+        { ErrorKind::Draining, "draining", 503, Outcome::NotRun, true, "The agent or its upstream is leaving." },
+        { ErrorKind::Refused, "refused", 503, Outcome::NotRun, true, "The agent holds a tombstone or unfinished work for the request and refused the attempt." },
+        { ErrorKind::UpstreamUnreachable, "upstream_unreachable", 502, Outcome::NotRun, true, "The upstream accepted no connection." },
+        { ErrorKind::UpstreamTruncated, "upstream_truncated", 502, Outcome::Unknown, true, "The upstream closed the connection before its answer was whole." },
+        { ErrorKind::UpstreamBadAnswer, "upstream_bad_answer", 502, Outcome::Unknown, true, "The upstream's answer is not valid HTTP." },
+        { ErrorKind::UpstreamTimeout, "upstream_timeout", 504, Outcome::Unknown, true, "The upstream did not answer in time." },
+        { ErrorKind::AnswerTooLarge, "answer_too_large", 502, Outcome::Ran, false, "The upstream's answer is over the limit." },
+        { ErrorKind::AnswerNotKept, "answer_not_kept", 502, Outcome::Ran, false, "The request ran before, and its answer is no longer kept." },
+        { ErrorKind::LinkLost, "link_lost", 502, Outcome::Unknown, true, "The link to the agent was lost while the request was in progress." },
+        { ErrorKind::AgentRestarted, "agent_restarted", 502, Outcome::Unknown, true, "The agent restarted and cannot tell whether the request ran." },
+        { ErrorKind::OutcomeUnknown, "outcome_unknown", 504, Outcome::Unknown, true, "The deadline came while the request may have been running." },
+        { ErrorKind::Cancelled, "cancelled", 499, Outcome::Unknown, false, "The caller hung up before the answer." },
+        { ErrorKind::BadFrame, "bad_frame", 400, Outcome::NotRun, false, "A frame on a link cannot be decoded." },
+        { ErrorKind::BadSetting, "bad_setting", 400, Outcome::NotRun, false, "A setting is not acceptable." },
+        { ErrorKind::BadRules, "bad_rules", 400, Outcome::NotRun, false, "A rules file has faults." },
+        { ErrorKind::Internal, "internal", 500, Outcome::Unknown, false, "A fault of the program." },
+    } };
+
+}
+
+const ErrorTable& errorTable() noexcept
+{
+    return table;
+}
+
+const ErrorAnswer& answerOf(ErrorKind kind) noexcept
+{
+    return table[static_cast<std::size_t>(kind)];
+}
+
+std::string_view toString(Outcome outcome) noexcept
+{
+    switch (outcome) {
+    case Outcome::NotRun:
+        return "not run";
+    case Outcome::Ran:
+        return "ran";
+    case Outcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+Error::Error(ErrorKind kind, const std::string& detail)
+    : std::runtime_error(detail)
+    , errorKind(kind)
+{
+}
+
+}
--- /dev/null
+++ b/libs/core/src/RetryBudget.cpp
@@ -0,0 +1,41 @@
+#include "cowslipdoor/core/RetryBudget.h"
+#include <algorithm>
+
+namespace cowslipdoor {
+
+namespace {
+
+    constexpr Duration firstRetryDelay = std::chrono::milliseconds(5);
+    constexpr Duration longestRetryDelay = std::chrono::milliseconds(500);
+    constexpr std::uint32_t mostDoublings = 10;
+
+}
+
+RetryBudget::RetryBudget(RetryBudgetLimits limits) noexcept
+    : limits(limits)
+    , milliTokens(limits.maximumSaved * milliPerToken)
+{
+}
+
+void RetryBudget::recordFirstAttempt() noexcept
+{
+    this->milliTokens = std::min(this->milliTokens + this->limits.perMilleOfFirstAttempts, this->limits.maximumSaved * milliPerToken);
+}
+
+bool RetryBudget::take() noexcept
+{
+    if (this->milliTokens < milliPerToken)
+        return false;
+    this->milliTokens -= milliPerToken;
+    return true;
+}
+
+Duration retryDelay(std::uint32_t retry, std::mt19937_64& random)
+{
+    const std::uint32_t doublings = std::min(retry > 0 ? retry - 1 : 0, mostDoublings);
+    const Duration whole = std::min(firstRetryDelay * (1 << doublings), longestRetryDelay);
+    std::uniform_int_distribution<Duration::rep> distribution(whole.count() / 2, whole.count());
+    return Duration(distribution(random));
+}
+
+}
--- /dev/null
+++ b/libs/runtime/include/cowslipdoor/runtime/Asio.h
@@ -0,0 +1,77 @@
+#pragma once
+
+/// @file
+/// @brief Names of Asio and Beast that the runtime uses, and the channel on which tasks talk.
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/experimental/channel.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <tuple>
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// @brief Completion token that gives errors as values.
+inline constexpr asio::as_tuple_t<asio::use_awaitable_t<>> asTuple {};
+
+/// @brief Bounded queue of messages to one task.
+template <typename Message>
+using Channel = asio::experimental::channel<void(error_code, Message)>;
+
+/// @brief Shared handle of a channel, held by the task that reads and by those that write.
+template <typename Message>
+using Mailbox = std::shared_ptr<Channel<Message>>;
+
+/// @brief Makes a channel.
+/// @param executor the executor of the tasks
+/// @param capacity messages that wait at most
+/// @return its handle
+template <typename Message>
+[[nodiscard]] Mailbox<Message> makeMailbox(const asio::any_io_executor& executor, std::size_t capacity)
+{
+    return std::make_shared<Channel<Message>>(executor, capacity);
+}
+
+/// @brief Sends a message without waiting.
+/// @param mailbox the receiver
+/// @param message the message
+/// @return whether there was room
+template <typename Message>
+bool trySend(Channel<Message>& mailbox, Message message)
+{
+    return mailbox.try_send(error_code(), std::move(message));
+}
+
+/// @brief Sends a message, waiting for room.
+/// @param mailbox the receiver
+/// @param message the message
+/// @return whether the receiver still reads
+template <typename Message>
+[[nodiscard]] asio::awaitable<bool> send(Mailbox<Message> mailbox, Message message)
+{
+    if (mailbox->try_send(error_code(), message))
+        co_return true;
+    const std::tuple<error_code> result = co_await mailbox->async_send(error_code(), std::move(message), asTuple);
+    co_return !std::get<0>(result);
+}
+
+}
--- /dev/null
+++ b/libs/runtime/include/cowslipdoor/runtime/Clock.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// @file
+/// @brief The process's monotonic clock.
+
+#include <chrono>
+#include <cowslipdoor/core/Time.h>
+
+namespace cowslipdoor::runtime {
+
+/// @brief Reads the monotonic clock.
+/// @return the present as the core counts it
+[[nodiscard]] inline TimePoint monotonicNow() noexcept
+{
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/// @brief Converts an instant of the core for a timer.
+/// @param instant the instant
+/// @return the same instant of the steady clock
+[[nodiscard]] inline std::chrono::steady_clock::time_point toSteady(TimePoint instant) noexcept
+{
+    return std::chrono::steady_clock::time_point(instant.time_since_epoch());
+}
+
+}
--- /dev/null
+++ b/libs/runtime/include/cowslipdoor/runtime/FramedStream.h
@@ -0,0 +1,76 @@
+#pragma once
+
+/// @file
+/// @brief Link messages on a TCP connection.
+
+#include "Asio.h"
+#include "Clock.h"
+#include <cowslipdoor/core/Messages.h>
+#include <cowslipdoor/wire/Frame.h>
+#include <functional>
+#include <optional>
+
+namespace cowslipdoor::runtime {
+
+/// @brief Messages that wait at most to be written on one link; a reader slower than that loses its link.
+constexpr std::size_t maximumOutboxMessages = 4096;
+
+/// @brief Counts the bytes of messages written; called with the message and its bytes on the wire.
+using WriteObserver = std::function<void(const LinkMessage&, std::size_t)>;
+
+/// @brief One end of a link; belongs to one task, which reads, and whose writer empties the outbox.
+/// @code
+/// const std::shared_ptr<FramedStream> stream = std::make_shared<FramedStream>(std::move(socket), observer);
+/// stream->startWriter();
+/// const LinkMessage message = co_await stream->receive();
+/// @endcode
+class FramedStream : public std::enable_shared_from_this<FramedStream> {
+public:
+    /// @param socket the connected socket
+    /// @param observer told of each message written
+    FramedStream(tcp::socket socket, WriteObserver observer);
+
+    /// @brief Starts writing what comes to the outbox, and watching for silence.
+    void startWriter();
+
+    /// @brief Reads the next message.
+    /// @return the message
+    /// @throws boost::system::system_error when the connection ends
+    /// @throws Error with ErrorKind::BadFrame when the bytes are not a message
+    [[nodiscard]] asio::awaitable<LinkMessage> receive();
+
+    /// @return where to send messages for the peer; closing it ends the link once what it holds is written
+    [[nodiscard]] const Mailbox<LinkMessage>& outbox() const noexcept { return this->messages; }
+
+    /// @brief Sets how long the peer may be silent before the connection is closed.
+    /// @param limit the longest silence
+    void setSilenceLimit(Duration limit) noexcept { this->silenceLimit = limit; }
+
+    /// @return whether the connection was closed for silence
+    [[nodiscard]] bool fellSilent() const noexcept { return this->silent; }
+
+    /// @brief Closes the connection; the reader and the writer end.
+    void close() noexcept;
+
+private:
+    asio::awaitable<void> writeAll();
+    asio::awaitable<void> watchSilence();
+
+    tcp::socket socket;
+    WriteObserver observer;
+    Mailbox<LinkMessage> messages;
+    asio::steady_timer watchdog;
+    wire::FrameDecoder decoder;
+    std::array<char, 64 * 1024> buffer {};
+    TimePoint lastHeard;
+    Duration silenceLimit = std::chrono::seconds(4);
+    bool silent = false;
+    bool closed = false;
+};
+
+/// @brief Tells whether a message belongs to control rather than to a request.
+/// @param message the message
+/// @return whether it is counted as control traffic
+[[nodiscard]] bool isControl(const LinkMessage& message) noexcept;
+
+}
--- /dev/null
+++ b/libs/runtime/include/cowslipdoor/runtime/UpstreamCaller.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/// @file
+/// @brief Calls of the agent to its upstream over HTTP.
+
+#include "Asio.h"
+#include <cowslipdoor/core/AgentMachine.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace cowslipdoor::runtime {
+
+/// @brief Settings of calls to the upstream.
+struct UpstreamCallerConfig {
+    Incarnation incarnation {};
+    std::size_t headerBytes = 16 * 1024;
+    std::size_t bodyBytes = 4 * 1024 * 1024;
+    Duration connectTime = std::chrono::milliseconds(500);
+    std::size_t idleConnections = 16;
+
+    bool operator==(const UpstreamCallerConfig&) const = default;
+};
+
+/// @brief Takes the end of a call.
+using CallEnd = std::function<asio::awaitable<void>(UpstreamCallEnded)>;
+
+/// @brief Runs each call as a task that owns its connection; idle connections are used again for idempotent calls.
+/// @code
+/// UpstreamCaller caller(executor, config, onEnd);
+/// caller.start(callUpstream);
+/// @endcode
+class UpstreamCaller {
+public:
+    /// @param executor executor of the tasks
+    /// @param config settings
+    /// @param onEnd told of the end of each call
+    UpstreamCaller(asio::any_io_executor executor, UpstreamCallerConfig config, CallEnd onEnd);
+
+    /// @brief Starts a call.
+    /// @param call the call
+    void start(const CallUpstream& call);
+
+    /// @brief Closes the connection of a call.
+    /// @param call which one
+    void abandon(const AbandonCall& call);
+
+private:
+    struct Connection {
+        explicit Connection(const asio::any_io_executor& executor);
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+    };
+
+    using ConnectionHandle = std::shared_ptr<Connection>;
+    using CallKey = std::pair<RequestId, AttemptId>;
+
+    struct CallResult {
+        Completion completion;
+        bool reusable = false;
+        /// Whether the connection had been used before and ended before any byte of an answer.
+        bool staleConnection = false;
+    };
+
+    asio::awaitable<void> run(CallUpstream call);
+    asio::awaitable<CallResult> callOnce(const CallUpstream& call, bool reuse);
+    asio::awaitable<std::optional<FailureReason>> connect(Connection& connection, const std::string& address);
+    asio::awaitable<CallResult> exchange(Connection& connection, const CallUpstream& call, bool reused);
+    [[nodiscard]] http::request<http::string_body> makeRequest(const CallUpstream& call) const;
+    [[nodiscard]] ConnectionHandle takeIdle(const std::string& address);
+
+    asio::any_io_executor executor;
+    UpstreamCallerConfig config;
+    CallEnd onEnd;
+    std::string idleAddress;
+    std::vector<ConnectionHandle> idle;
+    std::map<CallKey, ConnectionHandle> active;
+};
+
+}
--- /dev/null
+++ b/libs/runtime/src/FramedStream.cpp
@@ -0,0 +1,112 @@
+#include "cowslipdoor/runtime/FramedStream.h"
+#include <boost/asio/write.hpp>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/wire/Codec.h>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    constexpr Duration silenceCheckInterval = std::chrono::milliseconds(250);
+    constexpr std::size_t writeBatchBytes = 256 * 1024;
+
+    struct IsControl {
+        bool operator()(const DispatchRequest&) const noexcept { return false; }
+        bool operator()(const Answer&) const noexcept { return false; }
+        bool operator()(const Cancel&) const noexcept { return false; }
+        bool operator()(const Inquiry&) const noexcept { return false; }
+        bool operator()(const Report&) const noexcept { return false; }
+        template <typename Control>
+        bool operator()(const Control&) const noexcept { return true; }
+    };
+
+}
+
+bool isControl(const LinkMessage& message) noexcept
+{
+    return std::visit(IsControl {}, message);
+}
+
+FramedStream::FramedStream(tcp::socket socket, WriteObserver observer)
+    : socket(std::move(socket))
+    , observer(std::move(observer))
+    , messages(makeMailbox<LinkMessage>(this->socket.get_executor(), maximumOutboxMessages))
+    , watchdog(this->socket.get_executor())
+    , lastHeard(monotonicNow())
+{
+    error_code ignored;
+    this->socket.set_option(tcp::no_delay(true), ignored);
+}
+
+void FramedStream::startWriter()
+{
+    const std::shared_ptr<FramedStream> self = this->shared_from_this();
+    asio::co_spawn(
+        this->socket.get_executor(), [self]() { return self->writeAll(); }, asio::detached);
+    asio::co_spawn(
+        this->socket.get_executor(), [self]() { return self->watchSilence(); }, asio::detached);
+}
+
+asio::awaitable<LinkMessage> FramedStream::receive()
+{
+    while (true) {
+        const std::optional<std::string> payload = this->decoder.next();
+        if (payload)
+            co_return wire::decode(*payload);
+        const std::size_t count = co_await this->socket.async_read_some(asio::buffer(this->buffer), asio::use_awaitable);
+        this->lastHeard = monotonicNow();
+        this->decoder.append({ this->buffer.data(), count });
+    }
+}
+
+void FramedStream::close() noexcept
+{
+    if (this->closed)
+        return;
+    this->closed = true;
+    error_code ignored;
+    this->socket.close(ignored);
+    this->messages->close();
+    this->watchdog.cancel();
+}
+
+asio::awaitable<void> FramedStream::writeAll()
+{
+    std::string batch;
+    while (!this->closed) {
+        std::tuple<error_code, LinkMessage> received = co_await this->messages->async_receive(asTuple);
+        if (std::get<0>(received)) {
+            error_code ignored;
+            this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+            co_return;
+        }
+        const auto append = [this, &batch](const LinkMessage& message) {
+            const std::string bytes = wire::frame(wire::encode(message));
+            this->observer(message, bytes.size());
+            batch += bytes;
+        };
+        append(std::get<1>(received));
+        bool more = true;
+        while (more && batch.size() < writeBatchBytes)
+            more = this->messages->try_receive([&append](error_code, const LinkMessage& message) { append(message); });
+        const std::tuple<error_code, std::size_t> written = co_await asio::async_write(this->socket, asio::buffer(batch), asTuple);
+        if (std::get<0>(written))
+            this->close();
+        batch.clear();
+    }
+}
+
+asio::awaitable<void> FramedStream::watchSilence()
+{
+    while (!this->closed) {
+        this->watchdog.expires_after(silenceCheckInterval);
+        const std::tuple<error_code> waited = co_await this->watchdog.async_wait(asTuple);
+        if (std::get<0>(waited) || this->closed)
+            co_return;
+        this->silent = monotonicNow() - this->lastHeard > this->silenceLimit;
+        if (this->silent)
+            this->close();
+    }
+}
+
+}
--- /dev/null
+++ b/libs/runtime/src/HttpServer.cpp
@@ -0,0 +1,118 @@
+#include "cowslipdoor/runtime/HttpServer.h"
+#include <algorithm>
+#include <array>
+#include <cowslipdoor/core/Error.h>
+#include <nlohmann/json.hpp>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    HttpReadFailure failureOf(error_code error, bool begun)
+    {
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            return { ErrorKind::HeaderTooLarge, "the header is over the limit" };
+        if (error == http::error::body_limit)
+            return { ErrorKind::BodyTooLarge, "the body is over the limit" };
+        if (error == beast::error::timeout && begun)
+            return { ErrorKind::BadRequest, "the request did not come whole in time" };
+        if (error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message)
+            return { ErrorKind::BadRequest, error.message() };
+        return { std::nullopt, error.message() };
+    }
+
+    HttpRequest toRequest(const http::request<http::string_body>& message)
+    {
+        std::vector<Header> headers;
+        for (const http::fields::value_type& field : message)
+            headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        return { std::string(message.method_string()), std::string(message.target()), headers, Bytes(message.body()), message.keep_alive() };
+    }
+
+}
+
+std::string_view HttpRequest::header(std::string_view name) const noexcept
+{
+    for (const Header& header : this->headers) {
+        if (equalIgnoringCase(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    parser.eager(false);
+    if (buffer.size() == 0) {
+        stream.expires_after(limits.idle);
+        const std::tuple<error_code, std::size_t> first = co_await stream.async_read_some(buffer.prepare(limits.headerBytes), asTuple);
+        if (std::get<0>(first))
+            co_return failureOf(std::get<0>(first), false);
+        buffer.commit(std::get<1>(first));
+    }
+    stream.expires_after(limits.headerTime);
+    const std::tuple<error_code, std::size_t> header = co_await http::async_read_header(stream, buffer, parser, asTuple);
+    if (std::get<0>(header))
+        co_return failureOf(std::get<0>(header), true);
+    stream.expires_after(limits.bodyTime);
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> goOn(http::status::continue_, parser.get().version());
+        const std::tuple<error_code, std::size_t> written = co_await http::async_write(stream, goOn, asTuple);
+        if (std::get<0>(written))
+            co_return failureOf(std::get<0>(written), true);
+    }
+    const std::tuple<error_code, std::size_t> body = co_await http::async_read(stream, buffer, parser, asTuple);
+    if (std::get<0>(body))
+        co_return failureOf(std::get<0>(body), true);
+    stream.expires_never();
+    co_return toRequest(parser.get());
+}
+
+asio::awaitable<bool> writeHttpResponse(beast::tcp_stream& stream, const Response& response, bool keepAlive, const HttpLimits& limits)
+{
+    http::response<http::span_body<const char>> message(static_cast<http::status>(response.status), 11);
+    for (const Header& header : response.headers)
+        message.insert(header.name, header.value);
+    const std::string_view body = response.body.view();
+    message.body() = { body.data(), body.size() };
+    message.keep_alive(keepAlive);
+    message.prepare_payload();
+    stream.expires_after(limits.writeTime);
+    const std::tuple<error_code, std::size_t> written = co_await http::async_write(stream, message, asTuple);
+    stream.expires_never();
+    co_return !std::get<0>(written);
+}
+
+Response errorResponse(ErrorKind kind, const std::string& detail, const std::string& requestId)
+{
+    const ErrorAnswer& row = answerOf(kind);
+    const nlohmann::ordered_json body {
+        { "error", row.name },
+        { "outcome", toString(row.outcome) },
+        { "meaning", row.meaning },
+        { "detail", detail },
+        { "request_id", requestId },
+    };
+    return {
+        row.httpStatus,
+        { { "Content-Type", "application/json" }, { "Cowslipdoor-Error", std::string(row.name) }, { "Cowslipdoor-Outcome", std::string(toString(row.outcome)) } },
+        Bytes(body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n"),
+    };
+}
+
+Response plainResponse(std::uint16_t status, const std::string& contentType, std::string body)
+{
+    return { status, { { "Content-Type", contentType } }, Bytes(std::move(body)) };
+}
+
+bool isHopByHop(std::string_view name) noexcept
+{
+    constexpr std::array<std::string_view, 10> names { "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+        "Transfer-Encoding", "Upgrade", "Content-Length", "Expect" };
+    return std::any_of(names.begin(), names.end(), [name](std::string_view known) { return equalIgnoringCase(name, known); });
+}
+
+}
--- /dev/null
+++ b/libs/runtime/src/LinkServer.cpp
@@ -0,0 +1,71 @@
+#include "cowslipdoor/runtime/LinkServer.h"
+#include <algorithm>
+#include <cowslipdoor/core/Error.h>
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    constexpr Duration helloLimit = std::chrono::seconds(5);
+    constexpr int heartbeatsOfSilence = 3;
+
+}
+
+LinkServer::LinkServer(asio::any_io_executor executor, const std::string& address, Mailbox<EntryInput> entry, Duration silenceLimit, const Log& log, Metrics& metrics)
+    : entry(std::move(entry))
+    , silenceLimit(silenceLimit)
+    , log(log)
+    , metrics(metrics)
+    , listener(std::move(executor), address, [this](tcp::socket socket) { return this->serve(std::move(socket)); })
+{
+}
+
+void LinkServer::start()
+{
+    this->listener.start();
+}
+
+asio::awaitable<void> LinkServer::serve(tcp::socket socket)
+{
+    const Duration shortest = this->silenceLimit;
+    const std::shared_ptr<Duration> heartbeat = std::make_shared<Duration>();
+    const std::shared_ptr<FramedStream> stream = std::make_shared<FramedStream>(std::move(socket), [this, heartbeat](const LinkMessage& message, std::size_t bytes) {
+        const Welcome* const welcome = std::get_if<Welcome>(&message);
+        if (welcome)
+            *heartbeat = welcome->heartbeatInterval;
+        if (isControl(message))
+            this->metrics.countControlBytes(bytes);
+    });
+    stream->setSilenceLimit(helloLimit);
+    stream->startWriter();
+    const LinkId link { ++this->lastLink };
+    bool attached = false;
+    try {
+        const LinkMessage first = co_await stream->receive();
+        const Hello* const hello = std::get_if<Hello>(&first);
+        if (!hello || hello->agent.empty())
+            throw Error(ErrorKind::BadFrame, "the first message is not a hello with a name");
+        const EntryInput agentAttached(AgentAttached { link, *hello, stream->outbox() });
+        attached = co_await send(this->entry, agentAttached);
+        while (attached) {
+            const LinkMessage message = co_await stream->receive();
+            stream->setSilenceLimit(std::max(shortest, *heartbeat * heartbeatsOfSilence));
+            const EntryInput agentMessage(EntryEvent(AgentMessage { link, message }));
+            co_await send(this->entry, agentMessage);
+        }
+    } catch (const Error& error) {
+        this->metrics.countEvent(attached ? EventId::FrameRefused : EventId::LinkRefused);
+        this->log.record(attached ? EventId::FrameRefused : EventId::LinkRefused, error.what());
+    } catch (const boost::system::system_error&) {
+        if (stream->fellSilent())
+            this->log.record(EventId::LinkSilent, "an agent's link");
+    }
+    stream->close();
+    if (!attached)
+        co_return;
+    const EntryInput agentLinkClosed(EntryEvent(AgentLinkClosed { link }));
+    co_await send(this->entry, agentLinkClosed);
+}
+
+}
--- /dev/null
+++ b/libs/runtime/src/Process.cpp
@@ -0,0 +1,96 @@
+#include "cowslipdoor/runtime/Process.h"
+#include "cowslipdoor/runtime/Clock.h"
+#include <chrono>
+#include <iostream>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    constexpr Duration conditionInterval = std::chrono::milliseconds(10);
+    constexpr std::uint64_t largestBody = 7 * 1024 * 1024;
+
+}
+
+std::vector<SettingSpec> commonSettings()
+{
+    return {
+        { "name", TextSetting {}, std::nullopt, "Name of this process, different from that of every other process." },
+        { "failure-domain", TextSetting {}, std::nullopt, "Failure domain that the VM is in." },
+        { "admin-listen", AddressSetting {}, std::nullopt, "Address for /metrics, /healthz, /readyz and /status." },
+        { "log-form", ChoiceSetting { { "text", "json" } }, "text", "Form of the log's lines on standard error." },
+        { "log-level", ChoiceSetting { { "debug", "info", "warning", "error" } }, "info", "Events below this level are left out." },
+        { "drain-limit", DurationSetting { std::chrono::seconds(1), std::chrono::hours(1) }, "60s", "Longest planned stop; what is not finished by then is cut off." },
+    };
+}
+
+Log makeLog(const Settings& settings, const std::string& process)
+{
+    const LogForm form = settings.text("log-form") == "json" ? LogForm::Json : LogForm::Text;
+    return { process, form, eventLevelFromString(settings.text("log-level")) };
+}
+
+Incarnation newIncarnation()
+{
+    const Duration sinceEpoch = std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+    return Incarnation { static_cast<std::uint64_t>(sinceEpoch.count()) };
+}
+
+HttpLimits httpLimits(const Settings& settings)
+{
+    HttpLimits limits;
+    limits.headerBytes = settings.number("header-limit");
+    limits.bodyBytes = settings.number("body-limit");
+    limits.idle = settings.duration("idle-limit");
+    limits.headerTime = settings.duration("slow-limit");
+    limits.bodyTime = settings.duration("slow-limit");
+    return limits;
+}
+
+std::vector<SettingSpec> httpSettings()
+{
+    return {
+        { "header-limit", NumberSetting { 1024, 1024 * 1024 }, "16384", "Largest HTTP header, in bytes." },
+        { "body-limit", NumberSetting { 0, largestBody }, "1048576", "Largest HTTP body of a request, in bytes." },
+        { "idle-limit", DurationSetting { std::chrono::seconds(1), std::chrono::hours(1) }, "60s", "How long an HTTP connection may wait for its next request." },
+        { "slow-limit", DurationSetting { std::chrono::milliseconds(100), std::chrono::hours(1) }, "10s", "How long the header, and then the body, of a request may take to come." },
+    };
+}
+
+asio::awaitable<void> pauseFor(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asTuple);
+}
+
+asio::awaitable<bool> waitUntil(std::function<bool()> condition, Duration limit)
+{
+    const TimePoint end = monotonicNow() + limit;
+    while (!condition()) {
+        if (monotonicNow() >= end)
+            co_return false;
+        co_await pauseFor(conditionInterval);
+    }
+    co_return true;
+}
+
+std::vector<SettingSpec> joinSettings(std::vector<SettingSpec> first, const std::vector<SettingSpec>& second)
+{
+    first.insert(first.end(), second.begin(), second.end());
+    return first;
+}
+
+int guardedMain(const std::string& program, const std::function<int()>& body)
+{
+    try {
+        return body();
+    } catch (const Error& error) {
+        std::cerr << program << ": " << error.what() << "\n";
+        return error.kind() == ErrorKind::BadSetting || error.kind() == ErrorKind::BadRules ? exitBadUsage : exitFailure;
+    } catch (const std::exception& error) {
+        std::cerr << program << ": " << error.what() << "\n";
+        return exitFailure;
+    }
+}
+
+}
--- /dev/null
+++ b/libs/runtime/src/Settings.cpp
@@ -0,0 +1,247 @@
+#include "cowslipdoor/runtime/Settings.h"
+#include "cowslipdoor/runtime/Address.h"
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdlib>
+#include <getopt.h>
+#include <sstream>
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    constexpr int helpCode = 1000;
+    constexpr int versionCode = 1001;
+    constexpr int firstSettingCode = 2000;
+
+    std::string joined(const std::vector<std::string>& parts, std::string_view separator)
+    {
+        std::string text;
+        for (const std::string& part : parts)
+            text += (text.empty() ? "" : std::string(separator)) + part;
+        return text;
+    }
+
+    std::string printDuration(Duration duration)
+    {
+        return std::to_string(toMilliseconds(duration)) + "ms";
+    }
+
+    std::optional<std::uint64_t> parseNumber(std::string_view text) noexcept
+    {
+        std::uint64_t value = 0;
+        const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (result.ec != std::errc() || result.ptr != text.data() + text.size())
+            return std::nullopt;
+        return value;
+    }
+
+    struct AcceptedBy {
+        std::string operator()(const TextSetting&) const { return "a text that is not empty"; }
+        std::string operator()(const AddressSetting&) const { return "IP:PORT, with [] round an IPv6 number"; }
+        std::string operator()(const AddressListSetting&) const { return "IP:PORT[,IP:PORT...], with [] round an IPv6 number"; }
+        std::string operator()(const NumberSetting& form) const
+        {
+            return "a whole number from " + std::to_string(form.least) + " to " + std::to_string(form.most);
+        }
+        std::string operator()(const DurationSetting& form) const
+        {
+            return "a duration such as 300ms, 2s or 5m, from " + printDuration(form.least) + " to " + printDuration(form.most);
+        }
+        std::string operator()(const ChoiceSetting& form) const { return joined(form.words, " or "); }
+    };
+
+    struct IsAccepted {
+        const std::string& value;
+
+        bool operator()(const TextSetting&) const { return !this->value.empty(); }
+        bool operator()(const AddressSetting&) const { return this->isAddress(); }
+        bool operator()(const AddressListSetting&) const
+        {
+            try {
+                return !parseAddressList(this->value).empty();
+            } catch (const Error&) {
+                return false;
+            }
+        }
+        bool operator()(const NumberSetting& form) const
+        {
+            const std::optional<std::uint64_t> number = parseNumber(this->value);
+            return number && *number >= form.least && *number <= form.most;
+        }
+        bool operator()(const DurationSetting& form) const
+        {
+            const std::optional<Duration> duration = parseDuration(this->value);
+            return duration && *duration >= form.least && *duration <= form.most;
+        }
+        bool operator()(const ChoiceSetting& form) const
+        {
+            return std::find(form.words.begin(), form.words.end(), this->value) != form.words.end();
+        }
+
+    private:
+        [[nodiscard]] bool isAddress() const
+        {
+            try {
+                (void)parseAddress(this->value);
+                return true;
+            } catch (const Error&) {
+                return false;
+            }
+        }
+    };
+
+    using Given = std::map<std::string, std::string>;
+
+    struct Flags {
+        Given given;
+        std::vector<std::string> operands;
+        std::vector<std::string> faults;
+        bool help = false;
+        bool version = false;
+    };
+
+    std::vector<option> longOptions(const std::vector<SettingSpec>& specs)
+    {
+        std::vector<option> options;
+        options.push_back({ "help", no_argument, nullptr, helpCode });
+        options.push_back({ "version", no_argument, nullptr, versionCode });
+        int code = firstSettingCode;
+        for (const SettingSpec& spec : specs)
+            options.push_back({ spec.name.c_str(), required_argument, nullptr, code++ });
+        options.push_back({ nullptr, 0, nullptr, 0 });
+        return options;
+    }
+
+    Flags readFlags(const std::vector<SettingSpec>& specs, const std::vector<std::string>& arguments)
+    {
+        Flags flags;
+        std::vector<std::string> copies { "program" };
+        copies.insert(copies.end(), arguments.begin(), arguments.end());
+        std::vector<char*> pointers;
+        for (std::string& copy : copies)
+            pointers.push_back(copy.data());
+        pointers.push_back(nullptr);
+        const std::vector<option> options = longOptions(specs);
+        const int count = static_cast<int>(copies.size());
+        optind = 0;
+        opterr = 0;
+        for (int code = 0; (code = getopt_long(count, pointers.data(), ":", options.data(), nullptr)) != -1;) {
+            if (code == helpCode)
+                flags.help = true;
+            else if (code == versionCode)
+                flags.version = true;
+            else if (code == ':')
+                flags.faults.push_back(std::string(pointers[static_cast<std::size_t>(optind - 1)]) + ": needs a value");
+            else if (code == '?')
+                flags.faults.push_back(std::string(pointers[static_cast<std::size_t>(optind - 1)]) + ": no such flag; --help lists all");
+            else
+                flags.given[specs[static_cast<std::size_t>(code - firstSettingCode)].name] = optarg;
+        }
+        for (int index = optind; index < count; ++index)
+            flags.operands.push_back(copies[static_cast<std::size_t>(index)]);
+        return flags;
+    }
+
+}
+
+SettingsError::SettingsError(const std::vector<std::string>& faults)
+    : Error(ErrorKind::BadSetting, joined(faults, "\n"))
+{
+}
+
+Settings::Settings(std::map<std::string, std::string> values)
+    : values(std::move(values))
+{
+}
+
+const std::string& Settings::text(const std::string& name) const
+{
+    return this->values.at(name);
+}
+
+std::uint64_t Settings::number(const std::string& name) const
+{
+    return parseNumber(this->text(name)).value();
+}
+
+Duration Settings::duration(const std::string& name) const
+{
+    return parseDuration(this->text(name)).value();
+}
+
+std::optional<std::string> processEnvironment(const std::string& name)
+{
+    const char* const value = std::getenv(name.c_str());
+    return value ? std::optional<std::string>(value) : std::nullopt;
+}
+
+std::string environmentName(const std::string& setting)
+{
+    std::string name = "COWSLIPDOOR_" + setting;
+    std::transform(name.begin(), name.end(), name.begin(), [](char character) {
+        return character == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(character)));
+    });
+    return name;
+}
+
+CommandLine readCommandLine(const std::vector<SettingSpec>& specs, const std::vector<std::string>& arguments, const EnvironmentLookup& environment)
+{
+    const Flags flags = readFlags(specs, arguments);
+    if (flags.help || flags.version)
+        return { Settings({}), flags.operands, flags.help, flags.version };
+    std::vector<std::string> faults = flags.faults;
+    std::map<std::string, std::string> values;
+    for (const SettingSpec& spec : specs) {
+        const Given::const_iterator flag = flags.given.find(spec.name);
+        const std::string variable = environmentName(spec.name);
+        const bool fromFlag = flag != flags.given.end();
+        const std::optional<std::string> given = fromFlag ? std::optional<std::string>(flag->second) : environment(variable);
+        const std::string accepted = std::visit(AcceptedBy {}, spec.form);
+        if (given && !std::visit(IsAccepted { *given }, spec.form))
+            faults.push_back((fromFlag ? "--" + spec.name : variable) + ": '" + *given + "' is not accepted; accepted is " + accepted);
+        else if (!given && !spec.fallback)
+            faults.push_back("--" + spec.name + " (or " + variable + ") must be given; accepted is " + accepted);
+        else
+            values[spec.name] = given ? *given : *spec.fallback;
+    }
+    if (!faults.empty())
+        throw SettingsError(faults);
+    return { Settings(std::move(values)), flags.operands, false, false };
+}
+
+std::string describeSettings(const std::vector<SettingSpec>& specs)
+{
+    std::ostringstream text;
+    for (const SettingSpec& spec : specs) {
+        text << "  --" << spec.name << " VALUE\n      " << spec.help << "\n      accepted: " << std::visit(AcceptedBy {}, spec.form);
+        if (spec.fallback)
+            text << "; default: " << (spec.fallback->empty() ? "none" : *spec.fallback);
+        else
+            text << "; must be given";
+        text << "; variable: " << environmentName(spec.name) << "\n";
+    }
+    return text.str();
+}
+
+std::optional<Duration> parseDuration(std::string_view text) noexcept
+{
+    constexpr std::array<std::pair<std::string_view, Duration>, 4> units { {
+        { "ms", std::chrono::milliseconds(1) },
+        { "s", std::chrono::seconds(1) },
+        { "m", std::chrono::minutes(1) },
+        { "h", std::chrono::hours(1) },
+    } };
+    std::uint32_t count = 0;
+    const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), count);
+    const std::string_view suffix(result.ptr, static_cast<std::size_t>(text.data() + text.size() - result.ptr));
+    for (const std::pair<std::string_view, Duration>& unit : units) {
+        if (result.ec == std::errc() && suffix == unit.first)
+            return count * unit.second;
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/libs/runtime/src/UpstreamCaller.cpp
@@ -0,0 +1,165 @@
+#include "cowslipdoor/runtime/UpstreamCaller.h"
+#include "cowslipdoor/runtime/Address.h"
+#include "cowslipdoor/runtime/HttpServer.h"
+#include <cowslipdoor/core/Error.h>
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    FailureReason failureOf(error_code error, const std::string& address)
+    {
+        if (error == beast::error::timeout)
+            return { ErrorKind::UpstreamTimeout, address + " did not answer in time" };
+        if (error == http::error::body_limit || error == http::error::header_limit || error == http::error::buffer_overflow)
+            return { ErrorKind::AnswerTooLarge, "the answer of " + address + " is over the limit" };
+        if (error == http::error::partial_message || error == http::error::end_of_stream)
+            return { ErrorKind::UpstreamTruncated, address + " closed the connection before its answer was whole" };
+        if (error.category() == make_error_code(http::error::bad_status).category())
+            return { ErrorKind::UpstreamBadAnswer, address + ": " + error.message() };
+        return { ErrorKind::UpstreamTruncated, address + ": " + error.message() };
+    }
+
+    Response toResponse(const http::response<http::string_body>& message)
+    {
+        std::vector<Header> headers;
+        for (const http::fields::value_type& field : message) {
+            if (!isHopByHop(field.name_string()))
+                headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        }
+        return { static_cast<std::uint16_t>(message.result_int()), headers, Bytes(message.body()) };
+    }
+
+    std::string printDemand(const Capacity& demand)
+    {
+        return "slots=" + std::to_string(demand.slots) + ";connections=" + std::to_string(demand.connections)
+            + ";milli_cores=" + std::to_string(demand.milliCores) + ";memory_mb=" + std::to_string(demand.memoryMb);
+    }
+
+}
+
+UpstreamCaller::Connection::Connection(const asio::any_io_executor& executor)
+    : stream(executor)
+{
+}
+
+UpstreamCaller::UpstreamCaller(asio::any_io_executor executor, UpstreamCallerConfig config, CallEnd onEnd)
+    : executor(std::move(executor))
+    , config(config)
+    , onEnd(std::move(onEnd))
+{
+}
+
+void UpstreamCaller::start(const CallUpstream& call)
+{
+    asio::co_spawn(this->executor, this->run(call), asio::detached);
+}
+
+void UpstreamCaller::abandon(const AbandonCall& call)
+{
+    const std::map<CallKey, ConnectionHandle>::iterator it = this->active.find({ call.id, call.attempt });
+    if (it != this->active.end())
+        it->second->stream.close();
+}
+
+asio::awaitable<void> UpstreamCaller::run(CallUpstream call)
+{
+    const CallResult first = co_await this->callOnce(call, call.idempotent);
+    if (!first.staleConnection) {
+        const UpstreamCallEnded ended { call.id, call.attempt, first.completion };
+        co_await this->onEnd(ended);
+        co_return;
+    }
+    const CallResult second = co_await this->callOnce(call, false);
+    const UpstreamCallEnded ended { call.id, call.attempt, second.completion };
+    co_await this->onEnd(ended);
+}
+
+asio::awaitable<UpstreamCaller::CallResult> UpstreamCaller::callOnce(const CallUpstream& call, bool reuse)
+{
+    ConnectionHandle connection = reuse ? this->takeIdle(call.address) : nullptr;
+    const bool reused = connection != nullptr;
+    if (!reused)
+        connection = std::make_shared<Connection>(this->executor);
+    const CallKey key { call.id, call.attempt };
+    this->active.insert_or_assign(key, connection);
+    const CallResult result = co_await this->exchange(*connection, call, reused);
+    const std::map<CallKey, ConnectionHandle>::iterator it = this->active.find(key);
+    if (it != this->active.end() && it->second == connection)
+        this->active.erase(it);
+    if (result.reusable && this->idle.size() < this->config.idleConnections && this->idleAddress == call.address)
+        this->idle.push_back(connection);
+    co_return result;
+}
+
+asio::awaitable<std::optional<FailureReason>> UpstreamCaller::connect(Connection& connection, const std::string& address)
+{
+    connection.stream.expires_after(this->config.connectTime);
+    const std::tuple<error_code> connected = co_await connection.stream.async_connect(parseAddress(address), asTuple);
+    if (std::get<0>(connected))
+        co_return FailureReason { ErrorKind::UpstreamUnreachable, address + ": " + std::get<0>(connected).message() };
+    error_code ignored;
+    connection.stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return std::nullopt;
+}
+
+asio::awaitable<UpstreamCaller::CallResult> UpstreamCaller::exchange(Connection& connection, const CallUpstream& call, bool reused)
+{
+    if (!reused) {
+        const std::optional<FailureReason> failure = co_await this->connect(connection, call.address);
+        if (failure)
+            co_return CallResult { *failure };
+    }
+    const http::request<http::string_body> request = this->makeRequest(call);
+    connection.stream.expires_after(call.timeout);
+    const std::tuple<error_code, std::size_t> written = co_await http::async_write(connection.stream, request, asTuple);
+    if (std::get<0>(written))
+        co_return CallResult { failureOf(std::get<0>(written), call.address), false, reused && std::get<0>(written) != beast::error::timeout };
+    http::response_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(this->config.headerBytes));
+    parser.body_limit(this->config.bodyBytes);
+    parser.skip(call.head.method == "HEAD");
+    const std::tuple<error_code, std::size_t> read = co_await http::async_read(connection.stream, connection.buffer, parser, asTuple);
+    const error_code error = std::get<0>(read);
+    const bool nothingCame = !parser.got_some() && error != beast::error::timeout && error != asio::error::operation_aborted;
+    if (error)
+        co_return CallResult { failureOf(error, call.address), false, reused && nothingCame };
+    connection.stream.expires_never();
+    co_return CallResult { toResponse(parser.get()), parser.get().keep_alive() };
+}
+
+http::request<http::string_body> UpstreamCaller::makeRequest(const CallUpstream& call) const
+{
+    http::request<http::string_body> request;
+    request.version(11);
+    request.method_string(call.head.method);
+    request.target(call.head.target);
+    for (const Header& header : call.head.headers)
+        request.insert(header.name, header.value);
+    if (call.head.header("Host").empty())
+        request.set(http::field::host, call.address);
+    request.set("Cowslipdoor-Request-Id", toString(call.id));
+    request.set("Cowslipdoor-Agent", std::to_string(static_cast<std::uint64_t>(this->config.incarnation)));
+    request.set("Cowslipdoor-Demand", printDemand(call.demand));
+    request.set("Cowslipdoor-Idempotent", call.idempotent ? "yes" : "no");
+    request.body() = std::string(call.body.view());
+    request.keep_alive(call.idempotent);
+    request.prepare_payload();
+    return request;
+}
+
+UpstreamCaller::ConnectionHandle UpstreamCaller::takeIdle(const std::string& address)
+{
+    if (this->idleAddress != address) {
+        this->idle.clear();
+        this->idleAddress = address;
+    }
+    if (this->idle.empty())
+        return nullptr;
+    const ConnectionHandle connection = this->idle.back();
+    this->idle.pop_back();
+    return connection;
+}
+
+}
