--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# cowslipdoor: every target installs what it needs and builds first.
+
+SHELL := /bin/bash
+PRESET ?= release
+BUILD := build/$(PRESET)
+STEPS ?= 20000
+SEED ?= 7
+PACKAGES := g++ cmake ninja-build ccache clang-format clang-tidy libboost1.81-dev libflatbuffers-dev \
+	flatbuffers-compiler prometheus-cpp-dev libspdlog-dev libfmt-dev catch2 librapidcheck-dev \
+	nlohmann-json3-dev libxxhash-dev
+
+.PHONY: install build test demo bench lint format fuzz sanitize clean
+
+install:
+	@dpkg-query -W $(PACKAGES) >/dev/null 2>&1 || \
+		{ apt-get update && apt-get install -y --no-install-recommends $(PACKAGES); }
+
+build: install
+	cmake --preset $(PRESET) > build-configure.log || { cat build-configure.log; exit 1; }
+	@rm -f build-configure.log
+	cmake --build --preset $(PRESET)
+
+test: build
+	bash tools/run-tests.sh $(BUILD)
+
+demo: build
+	$(BUILD)/standins/demo
+
+bench: build
+	$(BUILD)/bench/bench
+
+lint: build
+	bash tools/lint.sh $(BUILD)
+
+format:
+	git ls-files '*.h' '*.cpp' | grep -v /generated/ | xargs clang-format -i
+
+fuzz: build
+	RC_PARAMS="seed=$(SEED) max_success=$$(( ($(STEPS) + 99) / 100 )) max_size=100" \
+		$(BUILD)/libs/core/tests/cowslipdoor-core-tests "[fuzz]"
+
+sanitize:
+	$(MAKE) test PRESET=sanitize
+
+clean:
+	rm -rf build
--- a/apps/agent/AgentProcess.cpp
+++ b/apps/agent/AgentProcess.cpp
@@ -136,7 +136,7 @@
     const Mailbox<Drained> drained = this->task.drained();
     const bool inTime = co_await waitUntil(
         [&finished, &drained]() {
-            finished = finished || drained->try_receive([](error_code, const Drained&) { });
+            finished = finished || drained->try_receive([](error_code, const Drained&) {});
             return finished;
         },
         this->settings.duration("drain-limit"));
--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -45,7 +45,8 @@
     bool helped(const CommandLine& line, const std::string& synopsis, const std::vector<SettingSpec>& specs)
     {
         if (line.helpWanted)
-            std::cout << "usage: cowslipdoor " << synopsis << "\n\nsettings (a flag wins over its variable):\n" << describeSettings(specs);
+            std::cout << "usage: cowslipdoor " << synopsis << "\n\nsettings (a flag wins over its variable):\n"
+                      << describeSettings(specs);
         return line.helpWanted;
     }
 
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -24,6 +24,7 @@
         config.maximumQueued = settings.number("queue-limit");
         config.keyWitnesses = static_cast<std::uint32_t>(settings.number("key-witnesses"));
         config.keySettle = settings.duration("key-settle");
+        config.repeatWindow = settings.duration("repeat-window");
         return config;
     }
 
@@ -44,8 +45,9 @@
         { "queue-limit", NumberSetting { 1, 1'000'000 }, "4096", "Requests that wait for room at most." },
         { "connection-limit", NumberSetting { 1, 1'000'000 }, "4096", "Callers' connections at most." },
         { "silence-limit", DurationSetting { std::chrono::milliseconds(500), std::chrono::minutes(10) }, "4s", "Shortest silence that closes a link." },
-        { "key-witnesses", NumberSetting { 0, 8 }, "1", "Agents that fence a non-idempotent request before its home agent runs it." },
-        { "key-settle", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(1) }, "1s", "How long after its start an entry awaits agents before it sends non-idempotent requests." },
+        { "key-witnesses", NumberSetting { 0, 8 }, "2", "Agents at most that fence a non-idempotent request before its home agent runs it." },
+        { "key-settle", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(1) }, "2s", "How long after its first agent an entry awaits others before it sends non-idempotent requests." },
+        { "repeat-window", DurationSetting { std::chrono::seconds(1), std::chrono::hours(1) }, "30s", "Longest time in which a balancer or caller repeats a non-idempotent request." },
         { "drain-grace", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(10) }, "3s", "How long a stopping entry still accepts, until the balancer has seen /readyz change." },
     };
     return joinSettings(commonSettings(), joinSettings(httpSettings(), own));
--- a/libs/core/include/cowslipdoor/core/AgentMachine.h
+++ b/libs/core/include/cowslipdoor/core/AgentMachine.h
@@ -200,6 +200,7 @@
     void onMessage(LinkId link, const Inquiry& message, TimePoint now, Effects& effects);
     void onMessage(LinkId link, const Heartbeat& message, TimePoint now, Effects& effects);
     void onMessage(LinkId link, const RulesUpdate& message, TimePoint now, Effects& effects);
+    void onMessage(LinkId link, const Release& message, TimePoint now, Effects& effects);
     template <typename Other>
     void onMessage(LinkId link, const Other& message, TimePoint now, Effects& effects);
 
@@ -223,6 +224,7 @@
     RuleSet ruleSet;
     Calls calls;
     std::map<LinkId, EntryLink> links;
+    std::uint32_t agentsKnown = 0;
     std::string upstreamAddress;
     std::vector<TrafficClass> classes;
     std::optional<TimePoint> ledgerCompleteFrom;
--- a/libs/core/include/cowslipdoor/core/EntryMachine.h
+++ b/libs/core/include/cowslipdoor/core/EntryMachine.h
@@ -35,9 +35,11 @@
     /// Requests that wait for room at most, over all classes.
     std::size_t maximumQueued = 4096;
     /// Agents that refuse a keyed request to other entries before its home agent runs it.
-    std::uint32_t keyWitnesses = 1;
-    /// Time after the start in which agents are awaited before a keyed request gets its home.
-    Duration keySettle = std::chrono::seconds(1);
+    std::uint32_t keyWitnesses = 2;
+    /// Time after the start, and after the first agent, in which agents are awaited before a keyed request gets its home.
+    Duration keySettle = std::chrono::seconds(2);
+    /// How long an agent counts as known after its link is gone.
+    Duration repeatWindow = std::chrono::seconds(30);
     /// Bytes a second that all agents together may report to this entry.
     std::uint32_t reportBytesPerSecond = 5000;
     Duration shortestHeartbeat = std::chrono::seconds(1);
@@ -179,6 +181,7 @@
     struct Fencing {
         std::string home;
         std::set<LinkId> awaited;
+        bool conflict = false;
     };
 
     /// Sent to an agent.
@@ -188,6 +191,8 @@
         Incarnation incarnation {};
         TimePoint sentAt;
         TimePoint giveUpAt;
+        /// Whether the agent was only asked what it knows of another entry's copy.
+        bool onlyAsked = false;
     };
 
     /// Sent to an agent that cannot be reached now; its word is awaited.
@@ -205,16 +210,21 @@
         std::uint64_t fingerprint = 0;
         Rule rule;
         bool keyed = false;
+        std::uint32_t claim = 0;
         TimePoint arrivedAt;
         TimePoint deadline;
         std::uint32_t attempts = 0;
         std::uint32_t retriesLeft = 0;
         std::set<std::string> failedOn;
         Phase phase;
+        /// Links of agents that hold a fence of the current attempt.
+        std::set<LinkId> fencedAt;
         /// Why the last attempt failed, when that leaves open whether the request ran.
         std::shared_ptr<const FailureReason> uncertain;
         /// Whether a home agent and its witnesses have said that no copy of the keyed request ran.
         bool knownNotRun = false;
+        /// Whether another entry was last found to have a claim on the key.
+        bool conflict = false;
     };
 
     struct KnownAgent {
@@ -250,7 +260,12 @@
     [[nodiscard]] bool tryKeyed(const RequestId& id, Request& request, TimePoint now, Effects& effects);
     void send(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<std::string> keyedCandidates() const;
-    void witnessFenced(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects);
+    void witnessAnswered(const RequestId& id, Request& request, const Report& message, LinkId link, TimePoint now, Effects& effects);
+    void askHome(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects);
+    void releaseFences(const RequestId& id, Request& request, Effects& effects);
+    void delay(const RequestId& id, Request& request, Duration duration, TimePoint now);
+    [[nodiscard]] std::uint32_t agentsKnown(TimePoint now);
+    [[nodiscard]] bool settled(TimePoint now) const noexcept;
 
     void completeAttempt(const RequestId& id, Request& request, const Answer& message, TimePoint now, Effects& effects);
     void attemptFailed(const RequestId& id, Request& request, const FailureReason& reason, TimePoint now, Effects& effects);
@@ -284,11 +299,16 @@
     Requests requests;
     std::map<CallerId, RequestId> requestOfCaller;
     std::map<std::string, KnownAgent> agents;
+    std::map<std::string, TimePoint> agentsSeen;
+    std::uint32_t agentsToldOf = 0;
+    TimePoint agentsToldOfUntil;
+    std::optional<TimePoint> firstAgentAt;
     std::map<std::string, std::uint32_t> inFlightOfTeam;
     std::set<std::pair<TimePoint, RequestId>> wakeups;
     EntryCounters counts;
     std::optional<TimePoint> startedAt;
     std::uint64_t requestNumber = 0;
+    std::uint32_t lastClaim = 0;
     TimePoint nextHeartbeat;
     bool stopRequested = false;
 };
--- a/libs/core/include/cowslipdoor/core/Ids.h
+++ b/libs/core/include/cowslipdoor/core/Ids.h
@@ -12,13 +12,13 @@
 namespace cowslipdoor {
 
 /// @brief Number that tells apart two runs of a process; greater means later.
-enum class Incarnation : std::uint64_t { };
+enum class Incarnation : std::uint64_t {};
 
 /// @brief Caller's connection as the entry's tasks number it.
-enum class CallerId : std::uint64_t { };
+enum class CallerId : std::uint64_t {};
 
 /// @brief Connection between an entry and an agent, numbered by the process that uses it.
-enum class LinkId : std::uint64_t { };
+enum class LinkId : std::uint64_t {};
 
 /// @brief 128-bit identifier of a request; equal for every copy of a keyed request.
 /// @code
@@ -31,11 +31,19 @@
     std::strong_ordering operator<=>(const RequestId&) const = default;
 };
 
-/// @brief One sending of a request by one run of an entry.
-struct AttemptId {
+/// @brief One caller's request as one run of an entry handles it; copies of a keyed request have claims of their own.
+struct ClaimId {
     Incarnation entry {};
     std::uint32_t number = 0;
 
+    std::strong_ordering operator<=>(const ClaimId&) const = default;
+};
+
+/// @brief One sending of a request under a claim.
+struct AttemptId {
+    ClaimId claim;
+    std::uint32_t number = 0;
+
     std::strong_ordering operator<=>(const AttemptId&) const = default;
 };
 
--- a/libs/core/include/cowslipdoor/core/Ledger.h
+++ b/libs/core/include/cowslipdoor/core/Ledger.h
@@ -9,6 +9,7 @@
 #include "Time.h"
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -46,10 +47,11 @@
     bool operator==(const FinishedRecord&) const = default;
 };
 
-/// @brief The request has not run; the listed attempts never will, nor any of another entry once fenced.
+/// @brief The request has not run; the listed attempts never will, nor any of another claim while it is fenced.
 struct RefusedRecord {
     std::set<AttemptId> attempts;
-    std::set<Incarnation> fencedFor;
+    /// For each claim that has a fence, the number of the attempt that set it.
+    std::map<ClaimId, std::uint32_t> fences;
 
     bool operator==(const RefusedRecord&) const = default;
 };
@@ -67,7 +69,7 @@
     AlreadyFinished,
     /// A tombstone stands against this attempt: it has not run and will not.
     Tombstoned,
-    /// Another entry has a claim on the request.
+    /// Another claim has a fence on the request.
     FencedByOther,
     /// There is no room to record it.
     Full,
@@ -122,6 +124,10 @@
     /// @return what is known, never "not run" for something that may still run
     [[nodiscard]] Report inquire(const Inquiry& inquiry, TimePoint now);
 
+    /// @brief Takes back a fence; any other fence, also a later one of the same claim, stays.
+    /// @param release which one
+    void release(const Release& release);
+
     /// @brief Forgets records past their time.
     /// @param now the present
     void expire(TimePoint now);
--- a/libs/core/include/cowslipdoor/core/Messages.h
+++ b/libs/core/include/cowslipdoor/core/Messages.h
@@ -37,6 +37,8 @@
     const std::string failureDomain;
     const std::uint64_t rulesVersion = 0;
     const Load load;
+    /// Number of agents that entries have lately told this agent of.
+    const std::uint32_t agentsKnown = 0;
 
     bool operator==(const Hello&) const = default;
 };
@@ -48,6 +50,8 @@
     const std::uint64_t rulesVersion = 0;
     /// How often the agent reports, chosen by the entry from its number of links.
     const Duration heartbeatInterval {};
+    /// Number of agents that the entry knows of.
+    const std::uint32_t agentsKnown = 0;
 
     bool operator==(const Welcome&) const = default;
 };
@@ -90,7 +94,7 @@
 struct Inquiry {
     const RequestId id;
     const AttemptId attempt;
-    /// Whether the agent must refuse the request to every other entry from now on.
+    /// Whether the agent must refuse the request to every other claim from now on.
     const bool fence = false;
 
     bool operator==(const Inquiry&) const = default;
@@ -101,6 +105,9 @@
     NotRun,
     Running,
     Finished,
+    /// It has not run here, and another claim has a fence here.
+    FencedByOther,
+    /// The agent cannot tell.
     Forgotten,
 };
 
@@ -115,6 +122,15 @@
     bool operator==(const Report&) const = default;
 };
 
+/// @brief Takes back a fence, because the request that it was for did not run and will not.
+struct Release {
+    const RequestId id;
+    /// The attempt whose inquiry set the fence.
+    const AttemptId attempt;
+
+    bool operator==(const Release&) const = default;
+};
+
 /// @brief Periodic report of an agent, also sent at once when what it says matters to routing.
 struct LoadReport {
     const Load load;
@@ -126,6 +142,8 @@
 /// @brief Periodic sign of life of an entry.
 struct Heartbeat {
     const std::uint64_t rulesVersion = 0;
+    /// Number of agents that the entry knows of.
+    const std::uint32_t agentsKnown = 0;
 
     bool operator==(const Heartbeat&) const = default;
 };
@@ -139,6 +157,6 @@
 };
 
 /// @brief Every message of a link.
-using LinkMessage = std::variant<Hello, Welcome, DispatchRequest, Answer, Cancel, Inquiry, Report, LoadReport, Heartbeat, RulesUpdate>;
+using LinkMessage = std::variant<Hello, Welcome, DispatchRequest, Answer, Cancel, Inquiry, Report, LoadReport, Heartbeat, RulesUpdate, Release>;
 
 }
--- a/libs/core/src/AgentMachine.cpp
+++ b/libs/core/src/AgentMachine.cpp
@@ -54,7 +54,7 @@
 
 Hello AgentMachine::hello() const
 {
-    return { this->config.name, this->config.incarnation, this->config.failureDomain, this->ruleSet.version(), this->load() };
+    return { this->config.name, this->config.incarnation, this->config.failureDomain, this->ruleSet.version(), this->load(), this->agentsKnown };
 }
 
 void AgentMachine::on(const UpstreamAnnounced& event, TimePoint now, Effects& effects)
@@ -80,6 +80,7 @@
 void AgentMachine::on(const EntryLinkOpened& event, TimePoint now, Effects& effects)
 {
     const Welcome& welcome = event.welcome;
+    this->agentsKnown = std::max(this->agentsKnown, welcome.agentsKnown);
     this->links.insert_or_assign(event.link, EntryLink { welcome.entry, welcome.rulesVersion, welcome.heartbeatInterval, now, {} });
     this->passRulesOn(effects);
 }
@@ -190,9 +191,15 @@
     if (it == this->links.end())
         return;
     it->second.rulesVersion = message.rulesVersion;
+    this->agentsKnown = message.agentsKnown;
     this->passRulesOn(effects);
 }
 
+void AgentMachine::onMessage(LinkId, const Release& message, TimePoint, Effects&)
+{
+    this->ledgerState.release(message);
+}
+
 void AgentMachine::onMessage(LinkId link, const RulesUpdate& message, TimePoint, Effects& effects)
 {
     const std::map<LinkId, EntryLink>::iterator it = this->links.find(link);
--- a/libs/core/src/EntryMachine.cpp
+++ b/libs/core/src/EntryMachine.cpp
@@ -17,6 +17,7 @@
     constexpr std::size_t mostSkippedInQueue = 32;
     constexpr std::uint32_t reportBytes = 160;
     constexpr Duration refusedDelay = std::chrono::milliseconds(5);
+    constexpr std::uint32_t conflictDelayDoublings = 3;
 
     /// Order in which queues get room.
     constexpr std::array queueOrder { TrafficClass::Quick, TrafficClass::Tally, TrafficClass::Watch, TrafficClass::Batch };
@@ -110,16 +111,18 @@
         return this->refuseCaller(event, id, ErrorKind::QueueFull, std::to_string(this->config.maximumQueued) + " requests wait", effects);
     const TimePoint deadline = now + callerDeadline(event.head, rule.deadline);
     const Requests::iterator it = this->requests.emplace(id, Request {
-        .callers = { event.caller },
-        .head = event.head,
-        .body = event.body,
-        .fingerprint = fingerprintOf(event.head, event.body),
-        .rule = rule,
-        .keyed = !isIdempotent(rule.trafficClass),
-        .arrivedAt = now,
-        .deadline = deadline,
-        .retriesLeft = rule.retries,
-    }).first;
+                                                                 .callers = { event.caller },
+                                                                 .head = event.head,
+                                                                 .body = event.body,
+                                                                 .fingerprint = fingerprintOf(event.head, event.body),
+                                                                 .rule = rule,
+                                                                 .keyed = !isIdempotent(rule.trafficClass),
+                                                                 .claim = ++this->lastClaim,
+                                                                 .arrivedAt = now,
+                                                                 .deadline = deadline,
+                                                                 .retriesLeft = rule.retries,
+                                                             })
+                                      .first;
     this->requestOfCaller.emplace(event.caller, id);
     ++this->inFlightOfTeam[rule.team];
     this->wakeups.emplace(deadline, id);
@@ -150,6 +153,7 @@
         return;
     this->cancelAttempt(id, request, effects);
     this->releaseAttempt(request, AttemptHealth::Neutral, now, effects);
+    this->releaseFences(id, request, effects);
     this->forget(id);
 }
 
@@ -160,11 +164,16 @@
     const std::optional<LinkId> replaced = known == this->agents.end() ? std::nullopt : std::optional<LinkId>(known->second.link);
     this->routerState.add(event.link, hello, now);
     this->agents.insert_or_assign(hello.agent, KnownAgent { hello.incarnation, event.link });
+    this->agentsSeen.insert_or_assign(hello.agent, now);
+    this->agentsToldOf = std::max(this->agentsToldOf, hello.agentsKnown);
+    this->agentsToldOfUntil = now + this->config.repeatWindow;
+    if (!this->firstAgentAt)
+        this->firstAgentAt = now;
     if (replaced) {
         effects.push_back(CloseLink { *replaced });
         this->on(AgentLinkClosed { *replaced }, now, effects);
     }
-    effects.push_back(SendToLink { event.link, Welcome { this->config.name, this->config.incarnation, this->ruleSet.version(), this->heartbeatInterval() } });
+    effects.push_back(SendToLink { event.link, Welcome { this->config.name, this->config.incarnation, this->ruleSet.version(), this->heartbeatInterval(), this->agentsKnown(now) } });
     effects.push_back(RecordEvent { EventId::LinkOpened, hello.agent + " in " + hello.failureDomain });
     this->sendRulesIfOlder(event.link, hello.rulesVersion, effects);
     std::vector<RequestId> inquiring;
@@ -197,8 +206,10 @@
     if (view) {
         effects.push_back(RecordEvent { EventId::LinkClosed, view->agent });
         const std::map<std::string, KnownAgent>::iterator it = this->agents.find(view->agent);
-        if (it != this->agents.end() && it->second.link == event.link)
+        if (it != this->agents.end() && it->second.link == event.link) {
+            this->agentsSeen.insert_or_assign(view->agent, now);
             this->agents.erase(it);
+        }
     }
     this->routerState.remove(event.link);
 }
@@ -232,8 +243,9 @@
 void EntryMachine::sendHeartbeats(TimePoint now, Effects& effects)
 {
     this->nextHeartbeat = now + this->heartbeatInterval();
+    const std::uint32_t known = this->agentsKnown(now);
     for (const std::map<std::string, KnownAgent>::value_type& item : this->agents)
-        effects.push_back(SendToLink { item.second.link, Heartbeat { this->ruleSet.version() } });
+        effects.push_back(SendToLink { item.second.link, Heartbeat { this->ruleSet.version(), known } });
 }
 
 void EntryMachine::onMessage(LinkId link, const Answer& message, TimePoint now, Effects& effects)
@@ -257,26 +269,18 @@
     Request& request = it->second;
     const Fencing* const fencing = std::get_if<Fencing>(&request.phase);
     const Dispatched* const dispatched = std::get_if<Dispatched>(&request.phase);
-    const bool awaited = (fencing && fencing->awaited.contains(link)) || (dispatched && dispatched->link == link);
-    if (!awaited)
+    if (fencing && fencing->awaited.contains(link))
+        return this->witnessAnswered(message.id, request, message, link, now, effects);
+    if (!dispatched || dispatched->link != link)
         return;
-    if (message.state == RequestState::NotRun && fencing)
-        return this->witnessFenced(message.id, request, link, now, effects);
     if (message.state == RequestState::NotRun)
         return this->attemptRefused(message.id, request, { ErrorKind::Refused, "the agent never ran the attempt" }, now, effects);
-    if (message.state == RequestState::Finished) {
-        this->releaseAttempt(request, AttemptHealth::Neutral, now, effects);
-        return this->answer(message.id, message.completion.value_or(FailureReason { ErrorKind::AnswerNotKept, "there was no room to keep the answer" }), now, effects);
-    }
-    if (message.state == RequestState::Forgotten && fencing)
-        return this->enqueue(message.id, request);
-    if (message.state == RequestState::Running && fencing) {
-        const std::optional<AgentView> view = this->routerState.view(link);
-        const std::string agent = view ? view->agent : std::string();
-        const Incarnation incarnation = this->agents.contains(agent) ? this->agents.at(agent).incarnation : Incarnation {};
-        request.phase = Dispatched { link, agent, incarnation, now, request.deadline };
-        this->routerState.started(link, request.rule.demand);
-    }
+    if (message.state == RequestState::Running)
+        return;
+    this->releaseAttempt(request, AttemptHealth::Neutral, now, effects);
+    if (message.state == RequestState::Forgotten)
+        return this->fail(message.id, ErrorKind::AgentRestarted, "the agent cannot tell what became of the request", now, effects);
+    this->answer(message.id, message.completion.value_or(FailureReason { ErrorKind::AnswerNotKept, "there was no room to keep the answer" }), now, effects);
 }
 
 void EntryMachine::onMessage(LinkId link, const LoadReport& message, TimePoint, Effects& effects)
@@ -350,12 +354,17 @@
 
 bool EntryMachine::tryKeyed(const RequestId& id, Request& request, TimePoint now, Effects& effects)
 {
-    if (now < *this->startedAt + this->config.keySettle) {
-        this->wakeups.emplace(*this->startedAt + this->config.keySettle, id);
+    if (!this->settled(now)) {
+        this->wakeups.emplace(now + this->config.keySettle, id);
         return false;
     }
-    const std::vector<std::string> ranked = chooseNodes(toString(id), this->keyedCandidates(), 1 + this->config.keyWitnesses);
-    if (ranked.empty() || !this->routerState.hasRoom(this->agents.at(ranked.front()).link, request.rule.demand, now))
+    const std::uint32_t known = this->agentsKnown(now);
+    const std::uint32_t witnesses = std::min(this->config.keyWitnesses, (known - 1) / 2);
+    const std::vector<std::string> candidates = this->keyedCandidates();
+    if (candidates.size() + witnesses < known)
+        return false;
+    const std::vector<std::string> ranked = chooseNodes(toString(id), candidates, 1 + witnesses);
+    if (!this->routerState.hasRoom(this->agents.at(ranked.front()).link, request.rule.demand, now))
         return false;
     ++request.attempts;
     Fencing fencing { ranked.front(), {} };
@@ -372,18 +381,70 @@
     return true;
 }
 
-void EntryMachine::witnessFenced(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects)
+void EntryMachine::witnessAnswered(const RequestId& id, Request& request, const Report& message, LinkId link, TimePoint now, Effects& effects)
 {
     Fencing& fencing = std::get<Fencing>(request.phase);
+    if (message.state == RequestState::Finished)
+        return this->answer(id, message.completion.value_or(FailureReason { ErrorKind::AnswerNotKept, "there was no room to keep the answer" }), now, effects);
+    if (message.state == RequestState::Running)
+        return this->askHome(id, request, link, now, effects);
+    if (message.state == RequestState::NotRun)
+        request.fencedAt.insert(link);
     fencing.awaited.erase(link);
+    fencing.conflict = fencing.conflict || message.state != RequestState::NotRun;
     if (!fencing.awaited.empty())
         return;
     const std::map<std::string, KnownAgent>::const_iterator home = this->agents.find(fencing.home);
-    if (home == this->agents.end() || !this->routerState.hasRoom(home->second.link, request.rule.demand, now))
-        return this->enqueue(id, request);
+    const bool reachable = home != this->agents.end();
+    if (reachable && fencing.conflict)
+        return this->askHome(id, request, home->second.link, now, effects);
+    if (!reachable || !this->routerState.hasRoom(home->second.link, request.rule.demand, now)) {
+        this->releaseFences(id, request, effects);
+        return this->delay(id, request, refusedDelay, now);
+    }
     this->send(id, request, home->second.link, now, effects);
 }
 
+void EntryMachine::askHome(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects)
+{
+    this->releaseFences(id, request, effects);
+    const std::optional<AgentView> view = this->routerState.view(link);
+    const std::map<std::string, KnownAgent>::const_iterator agent = view ? this->agents.find(view->agent) : this->agents.end();
+    if (agent == this->agents.end())
+        return this->delay(id, request, refusedDelay, now);
+    ++this->counts.inquiries;
+    request.phase = Dispatched { link, agent->first, agent->second.incarnation, now, request.deadline, true };
+    this->routerState.started(link, request.rule.demand);
+    effects.push_back(SendToLink { link, Inquiry { id, this->currentAttempt(request), false } });
+}
+
+void EntryMachine::releaseFences(const RequestId& id, Request& request, Effects& effects)
+{
+    for (const LinkId link : request.fencedAt)
+        effects.push_back(SendToLink { link, Release { id, this->currentAttempt(request) } });
+    request.fencedAt.clear();
+}
+
+void EntryMachine::delay(const RequestId& id, Request& request, Duration duration, TimePoint now)
+{
+    request.phase = Delayed { now + duration };
+    this->wakeups.emplace(now + duration, id);
+}
+
+std::uint32_t EntryMachine::agentsKnown(TimePoint now)
+{
+    std::erase_if(this->agentsSeen, [this, now](const std::map<std::string, TimePoint>::value_type& item) {
+        return !this->agents.contains(item.first) && now - item.second >= this->config.repeatWindow;
+    });
+    const std::uint32_t told = now < this->agentsToldOfUntil ? this->agentsToldOf : 0;
+    return std::max(told, static_cast<std::uint32_t>(this->agentsSeen.size()));
+}
+
+bool EntryMachine::settled(TimePoint now) const noexcept
+{
+    return this->firstAgentAt && now >= *this->firstAgentAt + this->config.keySettle;
+}
+
 void EntryMachine::send(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects)
 {
     const Rule& rule = request.rule;
@@ -395,6 +456,7 @@
     const TimePoint giveUpAt = mayMoveOn ? now + (request.deadline - now) / 2 : request.deadline;
     const std::string agent = this->routerState.view(link)->agent;
     request.phase = Dispatched { link, agent, this->agents.at(agent).incarnation, now, giveUpAt };
+    request.conflict = false;
     this->routerState.started(link, rule.demand);
     this->wakeups.emplace(giveUpAt, id);
     const std::uint32_t reserve = rule.trafficClass == TrafficClass::Batch ? this->ruleSet.reserveSlots() : 0;
@@ -442,8 +504,12 @@
     ++this->counts.refusedByAgents;
     const Dispatched dispatched = std::get<Dispatched>(request.phase);
     this->releaseAttempt(request, AttemptHealth::Neutral, now, effects);
+    this->releaseFences(id, request, effects);
     request.phase = Queued {};
-    request.knownNotRun = request.keyed;
+    request.conflict = dispatched.onlyAsked;
+    request.knownNotRun = request.keyed && !dispatched.onlyAsked;
+    if (dispatched.onlyAsked)
+        return this->delay(id, request, retryDelay(conflictDelayDoublings, this->random), now);
     if (reason.kind == ErrorKind::Busy)
         this->routerState.markFull(dispatched.link);
     if (reason.kind == ErrorKind::DeadlineBeforeStart)
@@ -451,8 +517,7 @@
     if (reason.kind != ErrorKind::Refused)
         return this->enqueue(id, request);
     request.failedOn.insert(dispatched.agent);
-    request.phase = Delayed { now + refusedDelay };
-    this->wakeups.emplace(now + refusedDelay, id);
+    this->delay(id, request, refusedDelay, now);
 }
 
 bool EntryMachine::scheduleRetry(const RequestId& id, Request& request, TimePoint now, Effects& effects)
@@ -463,16 +528,18 @@
     --request.retriesLeft;
     ++this->counts.retried;
     const Duration delay = retryDelay(request.rule.retries - request.retriesLeft, this->random);
-    request.phase = Delayed { now + delay };
-    this->wakeups.emplace(now + delay, id);
+    this->releaseFences(id, request, effects);
+    this->delay(id, request, delay, now);
     effects.push_back(RecordEvent { EventId::RetryScheduled, toString(id) });
     return true;
 }
 
 void EntryMachine::linkLostFor(const RequestId& id, Request& request, LinkId link, TimePoint now, Effects& effects)
 {
-    if (std::holds_alternative<Fencing>(request.phase))
+    if (std::holds_alternative<Fencing>(request.phase)) {
+        this->releaseFences(id, request, effects);
         return this->enqueue(id, request);
+    }
     const Dispatched dispatched = std::get<Dispatched>(request.phase);
     this->releaseAttempt(request, AttemptHealth::Bad, now, effects);
     if (request.keyed) {
@@ -540,8 +607,11 @@
     this->releaseAttempt(request, request.keyed ? AttemptHealth::Neutral : AttemptHealth::Bad, now, effects);
     if (sent || std::holds_alternative<Inquiring>(request.phase))
         return this->fail(id, ErrorKind::OutcomeUnknown, "no answer within the deadline", now, effects);
+    this->releaseFences(id, request, effects);
     if (request.uncertain)
         return this->answer(id, *request.uncertain, now, effects);
+    if (request.conflict)
+        return this->fail(id, ErrorKind::KeyConflict, "another entry holds the key", now, effects);
     if (request.keyed && !request.knownNotRun)
         return this->fail(id, ErrorKind::KeyedUnavailable, "no agent was there to ask within the deadline", now, effects);
     this->fail(id, ErrorKind::DeadlineBeforeStart, "no VM had room within the deadline", now, effects);
@@ -618,7 +688,7 @@
 
 AttemptId EntryMachine::currentAttempt(const Request& request) const noexcept
 {
-    return { this->config.incarnation, request.attempts };
+    return { { this->config.incarnation, request.claim }, request.attempts };
 }
 
 Duration EntryMachine::heartbeatInterval() const noexcept
--- a/libs/core/src/Ledger.cpp
+++ b/libs/core/src/Ledger.cpp
@@ -19,8 +19,7 @@
         {
             if (record.attempts.contains(this->attempt))
                 return LedgerVerdict::Tombstoned;
-            const bool onlyOwnFence = record.fencedFor.empty()
-                || (record.fencedFor.size() == 1 && record.fencedFor.contains(this->attempt.entry));
+            const bool onlyOwnFence = record.fences.size() == record.fences.count(this->attempt.claim);
             return onlyOwnFence ? LedgerVerdict::New : LedgerVerdict::FencedByOther;
         }
     };
@@ -86,11 +85,24 @@
         return { inquiry.id, inquiry.attempt, RequestState::Forgotten, std::nullopt };
     RefusedRecord& record = this->refusedRecord(inquiry.id, false, now);
     record.attempts.insert(inquiry.attempt);
+    if (inquiry.fence && verdict == LedgerVerdict::FencedByOther)
+        return { inquiry.id, inquiry.attempt, RequestState::FencedByOther, std::nullopt };
     if (inquiry.fence)
-        record.fencedFor.insert(inquiry.attempt.entry);
+        record.fences.insert_or_assign(inquiry.attempt.claim, inquiry.attempt.number);
     return { inquiry.id, inquiry.attempt, RequestState::NotRun, std::nullopt };
 }
 
+void Ledger::release(const Release& release)
+{
+    const Records::iterator it = this->records.find(release.id);
+    RefusedRecord* const record = it == this->records.end() ? nullptr : std::get_if<RefusedRecord>(&it->second.record);
+    if (!record)
+        return;
+    const std::map<ClaimId, std::uint32_t>::const_iterator fence = record->fences.find(release.attempt.claim);
+    if (fence != record->fences.end() && fence->second == release.attempt.number)
+        record->fences.erase(fence);
+}
+
 void Ledger::expire(TimePoint now)
 {
     this->expireQueue(this->longExpiries, now);
--- /dev/null
+++ b/libs/core/tests/AgentMachineTests.cpp
@@ -0,0 +1,178 @@
+#include "Values.h"
+#include <catch2/catch.hpp>
+#include <cowslipdoor/core/AgentMachine.h>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::tests;
+
+namespace {
+
+constexpr LinkId entryLink { 1 };
+constexpr LinkId otherLink { 2 };
+constexpr ClaimId ourClaim { Incarnation { 50 }, 1 };
+constexpr ClaimId otherClaim { Incarnation { 60 }, 1 };
+
+/// An agent with two entries that has learned what its VM holds.
+class ReadyAgent {
+public:
+    explicit ReadyAgent(Capacity capacity = eightSlots, bool remembers = true)
+        : machine({ .name = "agent", .failureDomain = "chuping", .incarnation = Incarnation { 9 } })
+    {
+        (void)this->step(EntryLinkOpened { entryLink, { "entry", ourClaim.entry, 0, std::chrono::seconds(1) } });
+        (void)this->step(EntryLinkOpened { otherLink, { "other", otherClaim.entry, 0, std::chrono::seconds(1) } });
+        AnnouncementToken echo;
+        for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+            const Announcement announcement { .instance = 1, .sequence = sequence, .echo = echo, .address = "127.0.0.1:1", .capacity = capacity, .remembersFinished = remembers };
+            echo = only<ReplyToAnnouncement>(this->step(UpstreamAnnounced { CallerId { 1 }, announcement })).at(0).reply.token;
+        }
+        (void)this->step(TimePassed {});
+    }
+
+    std::vector<AgentEffect> step(const AgentEvent& event) { return this->machine.step(event, this->now); }
+
+    std::vector<AgentEffect> dispatch(LinkId from, const RequestId& id, const AttemptId& attempt, TrafficClass trafficClass)
+    {
+        return this->step(EntryMessage { from, DispatchRequest { id, attempt, trafficClass, std::chrono::seconds(1), defaultDemand, 0, headOf("/x"), Bytes() } });
+    }
+
+    AgentMachine machine;
+    TimePoint now = origin;
+};
+
+const Completion done = Response { 200, {}, Bytes("done") };
+
+ErrorKind refusalIn(const std::vector<AgentEffect>& effects)
+{
+    return std::get<FailureReason>(sent<Answer>(effects).at(0).completion).kind;
+}
+
+}
+
+TEST_CASE("agent: a request runs once and its answer carries the load", "[agent]")
+{
+    ReadyAgent agent;
+    CHECK(only<CallUpstream>(agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Quick)).size() == 1);
+    CHECK(agent.machine.load().free.slots == 7);
+    const std::vector<Answer> answers = sent<Answer>(agent.step(UpstreamCallEnded { { 1, 1 }, { ourClaim, 1 }, done }));
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].completion == done);
+    CHECK(answers[0].load.free.slots == 8);
+}
+
+TEST_CASE("agent: a repeated non-idempotent request joins the run or gets the recorded end", "[agent]")
+{
+    ReadyAgent agent;
+    (void)agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Tally);
+    CHECK(only<CallUpstream>(agent.dispatch(otherLink, { 1, 1 }, { otherClaim, 1 }, TrafficClass::Tally)).empty());
+    CHECK(sent<Answer>(agent.step(UpstreamCallEnded { { 1, 1 }, { ourClaim, 1 }, done })).size() == 2);
+    const std::vector<AgentEffect> again = agent.dispatch(otherLink, { 1, 1 }, { otherClaim, 2 }, TrafficClass::Tally);
+    CHECK(only<CallUpstream>(again).empty());
+    CHECK(sent<Answer>(again).at(0).completion == done);
+}
+
+TEST_CASE("agent: an inquiry before the attempt arrives makes the late attempt refused", "[agent]")
+{
+    ReadyAgent agent;
+    const std::vector<Report> reports = sent<Report>(agent.step(EntryMessage { entryLink, Inquiry { { 1, 1 }, { ourClaim, 1 }, false } }));
+    CHECK(reports.at(0).state == RequestState::NotRun);
+    const std::vector<AgentEffect> late = agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Tally);
+    CHECK(only<CallUpstream>(late).empty());
+    CHECK(refusalIn(late) == ErrorKind::Refused);
+}
+
+TEST_CASE("agent: a fenced request is refused to other entries as unknown", "[agent]")
+{
+    ReadyAgent agent;
+    (void)agent.step(EntryMessage { entryLink, Inquiry { { 1, 1 }, { ourClaim, 1 }, true } });
+    const std::vector<AgentEffect> effects = agent.dispatch(otherLink, { 1, 1 }, { otherClaim, 1 }, TrafficClass::Tally);
+    CHECK(only<CallUpstream>(effects).empty());
+    CHECK(refusalIn(effects) == ErrorKind::KeyConflict);
+}
+
+TEST_CASE("agent: after a restart without memory, non-idempotent work waits for the repeat window", "[agent]")
+{
+    ReadyAgent agent(eightSlots, false);
+    CHECK_FALSE(agent.machine.load().ledgerComplete);
+    CHECK(refusalIn(agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Tally)) == ErrorKind::AgentRestarted);
+    CHECK(sent<Report>(agent.step(EntryMessage { entryLink, Inquiry { { 1, 2 }, { ourClaim, 1 }, true } })).at(0).state == RequestState::Forgotten);
+    CHECK(only<CallUpstream>(agent.dispatch(entryLink, { 1, 3 }, { ourClaim, 1 }, TrafficClass::Quick)).size() == 1);
+    agent.now += LedgerLimits {}.repeatWindow;
+    (void)agent.step(TimePassed {});
+    CHECK(only<CallUpstream>(agent.dispatch(entryLink, { 1, 4 }, { ourClaim, 1 }, TrafficClass::Tally)).size() == 1);
+}
+
+TEST_CASE("agent: a lost link abandons idempotent work and keeps non-idempotent work", "[agent]")
+{
+    ReadyAgent agent;
+    (void)agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Quick);
+    (void)agent.dispatch(entryLink, { 1, 2 }, { ourClaim, 1 }, TrafficClass::Tally);
+    const std::vector<AbandonCall> abandoned = only<AbandonCall>(agent.step(EntryLinkClosed { entryLink }));
+    REQUIRE(abandoned.size() == 1);
+    CHECK(abandoned[0].id == RequestId { 1, 1 });
+    CHECK(agent.machine.load().free.slots == 6);
+    (void)agent.step(EntryLinkOpened { LinkId { 3 }, { "entry", ourClaim.entry, 0, std::chrono::seconds(1) } });
+    const std::vector<Report> reports = sent<Report>(agent.step(EntryMessage { LinkId { 3 }, Inquiry { { 1, 2 }, { ourClaim, 1 }, false } }));
+    CHECK(reports.at(0).state == RequestState::Running);
+    CHECK(sent<Answer>(agent.step(UpstreamCallEnded { { 1, 2 }, { ourClaim, 1 }, done })).size() == 1);
+}
+
+TEST_CASE("agent: cancelling frees the connection, and the slot only when the upstream shows the end", "[agent]")
+{
+    ReadyAgent agent;
+    (void)agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Quick);
+    CHECK(only<AbandonCall>(agent.step(EntryMessage { entryLink, Cancel { { 1, 1 }, { ourClaim, 1 } } })).size() == 1);
+    CHECK(agent.machine.load().free.slots == 7);
+    CHECK(only<AbandonCall>(agent.step(EntryMessage { entryLink, Cancel { { 1, 1 }, { ourClaim, 1 } } })).empty());
+}
+
+TEST_CASE("agent: an unreachable upstream means not run, and the request may come again", "[agent]")
+{
+    ReadyAgent agent;
+    (void)agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Tally);
+    const FailureReason unreachable { ErrorKind::UpstreamUnreachable, "refused" };
+    CHECK(refusalIn(agent.step(UpstreamCallEnded { { 1, 1 }, { ourClaim, 1 }, unreachable })) == ErrorKind::UpstreamUnreachable);
+    CHECK(agent.machine.load().free.slots == 8);
+    CHECK(only<CallUpstream>(agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 2 }, TrafficClass::Tally)).size() == 1);
+}
+
+TEST_CASE("agent: a planned stop refuses at once, tells entries at once, and ends after the last call", "[agent]")
+{
+    ReadyAgent agent;
+    (void)agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Quick);
+    const std::vector<AgentEffect> stopping = agent.step(StopRequested {});
+    CHECK(sent<LoadReport>(stopping).size() == 2);
+    CHECK(sent<LoadReport>(stopping).at(0).load.draining);
+    CHECK(only<Drained>(stopping).empty());
+    CHECK(refusalIn(agent.dispatch(entryLink, { 1, 2 }, { ourClaim, 1 }, TrafficClass::Quick)) == ErrorKind::Draining);
+    CHECK(only<Drained>(agent.step(UpstreamCallEnded { { 1, 1 }, { ourClaim, 1 }, done })).size() == 1);
+}
+
+TEST_CASE("agent: a leaving upstream is told to entries at once", "[agent]")
+{
+    ReadyAgent agent;
+    const Announcement leaving { .instance = 1, .sequence = 9, .address = "127.0.0.1:1", .capacity = eightSlots, .leaving = true };
+    CHECK(sent<LoadReport>(agent.step(UpstreamAnnounced { CallerId { 1 }, leaving })).size() == 2);
+    CHECK(refusalIn(agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Quick)) == ErrorKind::Draining);
+}
+
+TEST_CASE("agent: greater rules are passed on, smaller and bad ones are not", "[agent]")
+{
+    ReadyAgent agent;
+    const std::string two = "version 2\nrule a class=quick # x: y\n";
+    const std::vector<AgentEffect> first = agent.step(EntryMessage { entryLink, RulesUpdate { 2, two } });
+    REQUIRE(sent<RulesUpdate>(first).size() == 1);
+    CHECK(only<SendToLink>(first).at(0).link == otherLink);
+    CHECK(sent<RulesUpdate>(agent.step(EntryMessage { otherLink, RulesUpdate { 1, "version 1\n" } })).empty());
+    CHECK(only<RecordEvent>(agent.step(EntryMessage { otherLink, RulesUpdate { 3, "version 3\nrule" } })).at(0).event == EventId::RulesRefused);
+    CHECK(agent.machine.rules().version() == 2);
+    const std::vector<AgentEffect> opened = agent.step(EntryLinkOpened { LinkId { 3 }, { "late", Incarnation { 70 }, 1, std::chrono::seconds(1) } });
+    CHECK(sent<RulesUpdate>(opened).size() == 1);
+}
+
+TEST_CASE("agent: a class that the upstream does not take is refused", "[agent]")
+{
+    ReadyAgent agent;
+    const Announcement quickOnly { .instance = 1, .sequence = 9, .address = "127.0.0.1:1", .capacity = eightSlots, .classes = { TrafficClass::Quick } };
+    (void)agent.step(UpstreamAnnounced { CallerId { 1 }, quickOnly });
+    CHECK(refusalIn(agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Batch)) == ErrorKind::Refused);
+}
--- /dev/null
+++ b/libs/core/tests/RouterTests.cpp
@@ -0,0 +1,141 @@
+#include "Values.h"
+#include <catch2/catch.hpp>
+#include <cowslipdoor/core/Rendezvous.h>
+#include <cowslipdoor/core/Router.h>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::tests;
+
+namespace {
+
+constexpr TimePoint warm = origin + std::chrono::seconds(10);
+
+Hello helloOf(const std::string& agent, const std::string& failureDomain = "chuping", std::uint32_t freeSlots = 8)
+{
+    Capacity free = eightSlots;
+    free.slots = freeSlots;
+    return { agent, Incarnation { 1 }, failureDomain, 0, { eightSlots, free, true, false, true } };
+}
+
+std::map<LinkId, int> chosenOf(Router& router, std::mt19937_64& random, TimePoint now, int rounds)
+{
+    std::map<LinkId, int> counts;
+    for (int round = 0; round < rounds; ++round) {
+        const std::optional<LinkId> link = router.choose(defaultDemand, 0, TrafficClass::Quick, {}, now, random);
+        if (link)
+            ++counts[*link];
+    }
+    return counts;
+}
+
+void fail(Router& router, LinkId link, TimePoint now, int times)
+{
+    for (int time = 0; time < times; ++time) {
+        router.started(link, defaultDemand);
+        (void)router.finished(link, defaultDemand, TrafficClass::Quick, Duration(1), AttemptHealth::Bad, now);
+    }
+}
+
+}
+
+TEST_CASE("router: a full, draining or unready agent is not chosen", "[router]")
+{
+    std::mt19937_64 random(1);
+    Router router(RouterConfig { .failureDomain = "chuping" });
+    router.add(LinkId { 1 }, helloOf("a", "chuping", 0), origin);
+    router.add(LinkId { 2 }, helloOf("b"), origin);
+    router.add(LinkId { 3 }, helloOf("c"), origin);
+    router.update(LinkId { 2 }, { eightSlots, eightSlots, true, true, true });
+    router.update(LinkId { 3 }, { eightSlots, eightSlots, false, false, true });
+    CHECK(chosenOf(router, random, warm, 50).empty());
+    router.update(LinkId { 1 }, { eightSlots, eightSlots, true, false, true });
+    CHECK(chosenOf(router, random, warm, 50) == std::map<LinkId, int> { { LinkId { 1 }, 50 } });
+}
+
+TEST_CASE("router: of two choices the nearer and the faster is taken", "[router]")
+{
+    std::mt19937_64 random(1);
+    Router router(RouterConfig { .failureDomain = "chuping" });
+    router.add(LinkId { 1 }, helloOf("near", "chuping"), origin);
+    router.add(LinkId { 2 }, helloOf("far", "kangar"), origin);
+    const std::map<LinkId, int> byDomain = chosenOf(router, random, warm, 400);
+    CHECK(byDomain.at(LinkId { 1 }) > byDomain.at(LinkId { 2 }));
+    router.started(LinkId { 1 }, defaultDemand);
+    (void)router.finished(LinkId { 1 }, defaultDemand, TrafficClass::Quick, std::chrono::milliseconds(50), AttemptHealth::Good, warm);
+    router.started(LinkId { 2 }, defaultDemand);
+    (void)router.finished(LinkId { 2 }, defaultDemand, TrafficClass::Quick, std::chrono::milliseconds(5), AttemptHealth::Good, warm);
+    const std::map<LinkId, int> byLatency = chosenOf(router, random, warm, 400);
+    CHECK(byLatency.at(LinkId { 2 }) > byLatency.at(LinkId { 1 }));
+}
+
+TEST_CASE("router: failures in a row eject, a probe brings back slowly", "[router]")
+{
+    std::mt19937_64 random(1);
+    const RouterConfig config { .failureDomain = "chuping" };
+    Router router(config);
+    for (std::uint64_t link = 1; link <= 4; ++link)
+        router.add(LinkId { link }, helloOf("agent-" + std::to_string(link)), origin);
+    fail(router, LinkId { 1 }, warm, 3);
+    CHECK(router.ejected(LinkId { 1 }, warm));
+    CHECK_FALSE(chosenOf(router, random, warm, 200).contains(LinkId { 1 }));
+    const TimePoint due = warm + config.firstEjection;
+    CHECK(chosenOf(router, random, due, 200).contains(LinkId { 1 }));
+    router.started(LinkId { 1 }, defaultDemand);
+    CHECK_FALSE(chosenOf(router, random, due, 200).contains(LinkId { 1 }));
+    CHECK(router.finished(LinkId { 1 }, defaultDemand, TrafficClass::Quick, Duration(1), AttemptHealth::Good, due) == HealthChange::Readmitted);
+    router.started(LinkId { 1 }, defaultDemand);
+    CHECK_FALSE(chosenOf(router, random, due, 200).contains(LinkId { 1 }));
+    CHECK(chosenOf(router, random, due + config.slowStart, 200).contains(LinkId { 1 }));
+}
+
+TEST_CASE("router: never more than half of the agents are out", "[router]")
+{
+    Router router(RouterConfig { .failureDomain = "chuping" });
+    for (std::uint64_t link = 1; link <= 4; ++link)
+        router.add(LinkId { link }, helloOf("agent-" + std::to_string(link)), origin);
+    for (std::uint64_t link = 1; link <= 4; ++link)
+        fail(router, LinkId { link }, warm, 10);
+    int out = 0;
+    for (std::uint64_t link = 1; link <= 4; ++link)
+        out += router.ejected(LinkId { link }, warm) ? 1 : 0;
+    CHECK(out == 2);
+}
+
+TEST_CASE("router: an agent that comes back on a new link stays ejected", "[router]")
+{
+    Router router(RouterConfig { .failureDomain = "chuping" });
+    router.add(LinkId { 1 }, helloOf("a"), origin);
+    router.add(LinkId { 2 }, helloOf("b"), origin);
+    fail(router, LinkId { 1 }, warm, 3);
+    router.remove(LinkId { 1 });
+    router.add(LinkId { 3 }, helloOf("a"), warm);
+    CHECK(router.ejected(LinkId { 3 }, warm));
+}
+
+TEST_CASE("router: views survive removal in the middle", "[router]")
+{
+    Router router(RouterConfig {});
+    for (std::uint64_t link = 1; link <= 3; ++link)
+        router.add(LinkId { link }, helloOf("agent-" + std::to_string(link)), origin);
+    router.remove(LinkId { 1 });
+    CHECK_FALSE(router.view(LinkId { 1 }).has_value());
+    CHECK(router.view(LinkId { 3 })->agent == "agent-3");
+    CHECK(router.size() == 2);
+}
+
+TEST_CASE("rendezvous: a lost node moves only its own keys", "[router]")
+{
+    const std::vector<std::string> nodes { "a", "b", "c", "d" };
+    const std::vector<std::string> fewer { "a", "b", "c" };
+    int moved = 0;
+    for (int key = 0; key < 400; ++key) {
+        const std::string before = chooseNodes(std::to_string(key), nodes, 1).front();
+        const std::string after = chooseNodes(std::to_string(key), fewer, 1).front();
+        if (before != after)
+            ++moved;
+        CHECK((before == after || before == "d"));
+    }
+    CHECK(moved > 50);
+    CHECK(moved < 150);
+    CHECK(chooseNodes("key", nodes, 9).size() == 4);
+}
--- /dev/null
+++ b/libs/core/tests/World.cpp
@@ -0,0 +1,428 @@
+#include "World.h"
+#include <algorithm>
+#include <utility>
+
+namespace cowslipdoor::tests {
+
+namespace {
+
+    constexpr std::size_t mostRememberedDeliveries = 64;
+    constexpr Duration repeatWindow = std::chrono::seconds(30);
+    constexpr Duration redialTime = std::chrono::seconds(1);
+
+    AgentConfig agentConfig(std::size_t agent, Incarnation incarnation)
+    {
+        AgentConfig config;
+        config.name = "agent-" + std::to_string(agent);
+        config.failureDomain = "chuping";
+        config.incarnation = incarnation;
+        config.ledger.repeatWindow = repeatWindow;
+        config.nonIdempotentLimit = std::chrono::seconds(10);
+        return config;
+    }
+
+    EntryConfig entryConfig(std::size_t entry, Incarnation incarnation)
+    {
+        EntryConfig config;
+        config.name = "entry-" + std::to_string(entry);
+        config.incarnation = incarnation;
+        config.randomSeed = static_cast<std::uint64_t>(incarnation);
+        config.router.failureDomain = "chuping";
+        return config;
+    }
+
+}
+
+World::World(WorldConfig config)
+    : config(config)
+    , entries(config.entries)
+    , entryRuns(config.entries)
+    , agents(config.agents)
+    , agentRuns(config.agents)
+    , upstreams(config.agents)
+{
+    for (std::size_t entry = 0; entry < config.entries; ++entry)
+        this->startEntry(entry);
+    for (std::size_t agent = 0; agent < config.agents; ++agent)
+        this->startAgent(agent);
+    for (std::size_t entry = 0; entry < config.entries; ++entry) {
+        for (std::size_t agent = 0; agent < config.agents; ++agent)
+            this->linkStates.push_back({ .entry = entry, .agent = agent });
+    }
+    this->settle();
+    this->advance(repeatWindow);
+    this->settle();
+}
+
+void World::ask(std::size_t entry, const std::string& target, const std::string& key)
+{
+    const std::uint64_t number = ++this->lastCaller;
+    Caller caller { .entry = entry, .entryRun = this->entryRuns[entry], .target = target, .arrival = number };
+    if (!key.empty())
+        caller.keyed = keyedRequestId("siti", key);
+    this->callers.emplace(number, caller);
+    this->stepEntry(entry, RequestArrived { CallerId { number }, headOf(target, key), Bytes() });
+}
+
+void World::hangUp(std::size_t which)
+{
+    std::vector<std::uint64_t> waiting;
+    for (const std::map<std::uint64_t, Caller>::value_type& item : this->callers) {
+        if (!item.second.answered && !item.second.gone)
+            waiting.push_back(item.first);
+    }
+    if (waiting.empty())
+        return;
+    const std::uint64_t number = waiting[which % waiting.size()];
+    this->callers.at(number).gone = true;
+    this->stepEntry(this->callers.at(number).entry, CallerGone { CallerId { number } });
+}
+
+void World::deliver(std::size_t linkIndex, bool toAgent)
+{
+    Link& link = this->linkStates[linkIndex];
+    std::deque<LinkMessage>& queue = toAgent ? link.toAgent : link.toEntry;
+    const bool receiverOpen = toAgent ? link.agentOpen : link.entryOpen;
+    const bool senderOpen = toAgent ? link.entryOpen : link.agentOpen;
+    if (!receiverOpen)
+        return queue.clear();
+    if (queue.empty()) {
+        if (senderOpen)
+            return;
+        return toAgent ? this->closeAgentEnd(link) : this->closeEntryEnd(link);
+    }
+    const LinkMessage message = queue.front();
+    queue.pop_front();
+    this->delivered.push_back({ linkIndex, toAgent ? link.agentEnd : link.entryEnd, toAgent, message });
+    if (this->delivered.size() > mostRememberedDeliveries)
+        this->delivered.pop_front();
+    if (toAgent)
+        this->stepAgent(link.agent, EntryMessage { link.agentEnd, message });
+    else
+        this->stepEntry(link.entry, AgentMessage { link.entryEnd, message });
+}
+
+void World::deliverAgain(std::size_t which)
+{
+    if (this->delivered.empty())
+        return;
+    const Delivered again = this->delivered[which % this->delivered.size()];
+    const Link& link = this->linkStates[again.link];
+    if (again.toAgent && link.agentOpen && link.agentEnd == again.end)
+        this->stepAgent(link.agent, EntryMessage { again.end, again.message });
+    if (!again.toAgent && link.entryOpen && link.entryEnd == again.end)
+        this->stepEntry(link.entry, AgentMessage { again.end, again.message });
+}
+
+void World::upstreamReads(std::size_t agent)
+{
+    const std::vector<Call> arriving = std::move(this->upstreams[agent].arriving);
+    this->upstreams[agent].arriving.clear();
+    for (const Call& call : arriving)
+        this->begin(agent, call);
+}
+
+void World::upstreamEnds(std::size_t agent, std::size_t which)
+{
+    Upstream& upstream = this->upstreams[agent];
+    if (upstream.running.empty())
+        return;
+    const std::vector<Call>::iterator it = upstream.running.begin() + static_cast<std::ptrdiff_t>(which % upstream.running.size());
+    const Call call = *it;
+    upstream.running.erase(it);
+    upstream.used = upstream.used.minus(call.demand);
+    if (!call.idempotent)
+        upstream.finishedKeyed.push_back(call.id);
+    if (call.agent == this->agentRuns[agent])
+        this->stepAgent(agent, UpstreamCallEnded { call.id, call.attempt, this->endOf(call) });
+}
+
+void World::upstreamBreaksOff(std::size_t agent, std::size_t which)
+{
+    const Upstream& upstream = this->upstreams[agent];
+    if (upstream.running.empty())
+        return;
+    const Call call = upstream.running[which % upstream.running.size()];
+    if (call.agent == this->agentRuns[agent])
+        this->stepAgent(agent, UpstreamCallEnded { call.id, call.attempt, FailureReason { ErrorKind::UpstreamTruncated, "broken off" } });
+}
+
+void World::upstreamAnnounces(std::size_t agent)
+{
+    this->upstreamReads(agent);
+    Upstream& upstream = this->upstreams[agent];
+    std::vector<RunningWork> running;
+    for (const Call& call : upstream.running)
+        running.push_back({ call.id, call.demand });
+    const Announcement announcement {
+        .instance = 1,
+        .sequence = ++upstream.sequence,
+        .echo = upstream.echo,
+        .address = "127.0.0.1:1",
+        .failureDomain = "chuping",
+        .capacity = { .slots = this->config.slots, .connections = 64, .milliCores = 1000, .memoryMb = 1000 },
+        .classes = {},
+        .running = running,
+        .remembersFinished = this->config.upstreamsRemember,
+        .finished = upstream.finishedKeyed,
+    };
+    this->stepAgent(agent, UpstreamAnnounced { CallerId { 1 }, announcement });
+}
+
+void World::cutLink(std::size_t linkIndex, std::size_t kept)
+{
+    Link& link = this->linkStates[linkIndex];
+    if (!link.entryOpen || !link.agentOpen || !this->mayDisturb(link.agent))
+        return;
+    while (link.toAgent.size() > kept)
+        link.toAgent.pop_back();
+    while (link.toEntry.size() > kept)
+        link.toEntry.pop_back();
+    this->closeEntryEnd(link);
+}
+
+void World::openLink(std::size_t linkIndex)
+{
+    Link& link = this->linkStates[linkIndex];
+    if (link.agentOpen)
+        return;
+    const LinkId replacedEnd = link.entryEnd;
+    const bool halfOpen = link.entryOpen;
+    link.toAgent.clear();
+    link.toEntry.clear();
+    link.entryEnd = LinkId { ++this->lastLink };
+    link.agentEnd = LinkId { ++this->lastLink };
+    link.entryOpen = true;
+    this->stepEntry(link.entry, AgentLinkOpened { link.entryEnd, this->agents[link.agent]->hello() });
+    if (halfOpen)
+        this->stepEntry(link.entry, AgentLinkClosed { replacedEnd });
+    const EntryMachine& entry = *this->entries[link.entry];
+    const Welcome welcome { "entry-" + std::to_string(link.entry), this->entryRuns[link.entry], entry.rules().version(), std::chrono::seconds(1), 0 };
+    link.agentOpen = true;
+    this->stepAgent(link.agent, EntryLinkOpened { link.agentEnd, welcome });
+}
+
+void World::redial()
+{
+    for (std::size_t index = 0; index < this->linkStates.size(); ++index) {
+        Link& link = this->linkStates[index];
+        if (this->disturbedUntil.contains(link.agent))
+            continue;
+        if (!link.entryOpen)
+            this->closeAgentEnd(link);
+        this->openLink(index);
+    }
+}
+
+void World::restartAgent(std::size_t agent)
+{
+    if (!this->mayDisturb(agent))
+        return;
+    this->startAgent(agent);
+    for (Link& link : this->linkStates) {
+        if (link.agent == agent)
+            link.agentOpen = false;
+    }
+}
+
+void World::restartEntry(std::size_t entry)
+{
+    for (std::map<std::uint64_t, Caller>::value_type& item : this->callers) {
+        if (item.second.entry == entry)
+            item.second.gone = true;
+    }
+    this->startEntry(entry);
+    for (Link& link : this->linkStates) {
+        if (link.entry == entry)
+            link.entryOpen = false;
+    }
+}
+
+void World::advance(Duration duration)
+{
+    if (duration >= redialTime)
+        this->redial();
+    this->now += duration;
+    for (std::size_t entry = 0; entry < this->entries.size(); ++entry)
+        this->stepEntry(entry, TimePassed {});
+    for (std::size_t agent = 0; agent < this->agents.size(); ++agent)
+        this->stepAgent(agent, TimePassed {});
+}
+
+void World::settle()
+{
+    constexpr int rounds = 80;
+    for (int round = 0; round < rounds; ++round) {
+        for (std::size_t link = 0; link < this->linkStates.size(); ++link) {
+            for (int message = 0; message < 8; ++message) {
+                this->deliver(link, true);
+                this->deliver(link, false);
+            }
+            this->openLink(link);
+        }
+        for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
+            this->upstreamAnnounces(agent);
+            this->upstreamEnds(agent, 0);
+        }
+        this->advance(std::chrono::milliseconds(50));
+    }
+    for (const std::map<std::uint64_t, Caller>::value_type& item : this->callers) {
+        if (!item.second.answered && !item.second.gone)
+            this->breakPromise("the caller of " + item.second.target + " got no answer");
+    }
+}
+
+void World::startAgent(std::size_t agent)
+{
+    this->agentRuns[agent] = Incarnation { ++this->lastIncarnation };
+    this->agents[agent] = std::make_unique<AgentMachine>(agentConfig(agent, this->agentRuns[agent]));
+    this->stepAgent(agent, TimePassed {});
+}
+
+void World::startEntry(std::size_t entry)
+{
+    this->entryRuns[entry] = Incarnation { ++this->lastIncarnation };
+    this->entries[entry] = std::make_unique<EntryMachine>(entryConfig(entry, this->entryRuns[entry]));
+    this->stepEntry(entry, RulesLoaded { rulesOf(threeRules) });
+}
+
+void World::stepEntry(std::size_t entry, const EntryEvent& event)
+{
+    for (const EntryEffect& effect : this->entries[entry]->step(event, this->now))
+        this->carryOut(entry, effect);
+}
+
+void World::stepAgent(std::size_t agent, const AgentEvent& event)
+{
+    for (const AgentEffect& effect : this->agents[agent]->step(event, this->now))
+        this->carryOut(agent, effect);
+}
+
+void World::carryOut(std::size_t entry, const EntryEffect& effect)
+{
+    const SendToLink* const message = std::get_if<SendToLink>(&effect);
+    const CloseLink* const close = std::get_if<CloseLink>(&effect);
+    const ReplyToCaller* const answer = std::get_if<ReplyToCaller>(&effect);
+    Link* const link = message ? this->byEntryEnd(entry, message->link) : nullptr;
+    if (link)
+        link->toAgent.push_back(message->message);
+    if (close && this->byEntryEnd(entry, close->link))
+        this->byEntryEnd(entry, close->link)->entryOpen = false;
+    if (answer)
+        this->reply(*answer);
+}
+
+void World::carryOut(std::size_t agent, const AgentEffect& effect)
+{
+    Upstream& upstream = this->upstreams[agent];
+    const SendToLink* const message = std::get_if<SendToLink>(&effect);
+    const CallUpstream* const call = std::get_if<CallUpstream>(&effect);
+    const ReplyToAnnouncement* const reply = std::get_if<ReplyToAnnouncement>(&effect);
+    Link* const link = message ? this->byAgentEnd(agent, message->link) : nullptr;
+    if (link)
+        link->toEntry.push_back(message->message);
+    if (call)
+        upstream.arriving.push_back({ call->id, call->attempt, this->agentRuns[agent], call->demand, call->head.target, call->idempotent });
+    if (reply)
+        upstream.echo = reply->reply.token;
+}
+
+void World::reply(const ReplyToCaller& effect)
+{
+    Caller& caller = this->callers.at(static_cast<std::uint64_t>(effect.caller));
+    if (caller.answered)
+        this->breakPromise("the caller of " + caller.target + " got two answers");
+    if (caller.gone)
+        return;
+    caller.answered = true;
+    ++this->answeredCallers;
+    const Response* const response = std::get_if<Response>(&effect.completion);
+    if (response && response->body.view() != caller.target)
+        this->breakPromise("the caller of " + caller.target + " got the answer of " + std::string(response->body.view()));
+    const FailureReason* const reason = std::get_if<FailureReason>(&effect.completion);
+    if (!reason || answerOf(reason->kind).outcome != Outcome::NotRun)
+        return;
+    if (!caller.keyed && this->targetRuns.contains(caller.target))
+        this->breakPromise(caller.target + " ran, and its caller was told that it did not: " + reason->detail);
+    if (!caller.keyed)
+        this->toldNotRun.insert(caller.target);
+    if (caller.keyed && this->keyedRuns.contains(*caller.keyed) && !this->copyOutstanding(*caller.keyed, caller.arrival))
+        this->breakPromise(caller.target + " ran, and the caller of its copy was told that it did not: " + reason->detail);
+}
+
+void World::begin(std::size_t agent, const Call& call)
+{
+    Upstream& upstream = this->upstreams[agent];
+    if (call.agent != upstream.echo.agent)
+        return;
+    ++this->runCount;
+    upstream.running.push_back(call);
+    upstream.used = upstream.used.plus(call.demand);
+    if (upstream.used.slots > this->config.slots)
+        this->breakPromise("agent " + std::to_string(agent) + " gave its VM more work than it holds");
+    ++this->targetRuns[call.target];
+    if (this->toldNotRun.contains(call.target))
+        this->breakPromise(call.target + " ran after its caller was told that it did not");
+    if (!call.idempotent && ++this->keyedRuns[call.id] > 1)
+        this->breakPromise(call.target + " is not idempotent and ran twice");
+}
+
+void World::closeEntryEnd(Link& link)
+{
+    if (!std::exchange(link.entryOpen, false))
+        return;
+    this->stepEntry(link.entry, AgentLinkClosed { link.entryEnd });
+}
+
+void World::closeAgentEnd(Link& link)
+{
+    if (!std::exchange(link.agentOpen, false))
+        return;
+    this->stepAgent(link.agent, EntryLinkClosed { link.agentEnd });
+}
+
+bool World::mayDisturb(std::size_t agent)
+{
+    std::erase_if(this->disturbedUntil, [this](const std::map<std::size_t, TimePoint>::value_type& item) { return item.second <= this->now; });
+    if (!this->disturbedUntil.contains(agent) && this->disturbedUntil.size() >= this->config.disturbedAtOnce)
+        return false;
+    this->disturbedUntil[agent] = this->now + repeatWindow;
+    return true;
+}
+
+World::Link* World::byEntryEnd(std::size_t entry, LinkId end)
+{
+    for (Link& link : this->linkStates) {
+        if (link.entry == entry && link.entryEnd == end && link.entryOpen)
+            return &link;
+    }
+    return nullptr;
+}
+
+World::Link* World::byAgentEnd(std::size_t agent, LinkId end)
+{
+    for (Link& link : this->linkStates) {
+        if (link.agent == agent && link.agentEnd == end && link.agentOpen)
+            return &link;
+    }
+    return nullptr;
+}
+
+Completion World::endOf(const Call& call) const
+{
+    return Response { 200, {}, Bytes(call.target) };
+}
+
+void World::breakPromise(const std::string& what)
+{
+    this->broken.push_back(what);
+}
+
+bool World::copyOutstanding(const RequestId& id, std::uint64_t otherThan) const
+{
+    return std::any_of(this->callers.begin(), this->callers.end(), [&id, otherThan](const std::map<std::uint64_t, Caller>::value_type& item) {
+        return item.second.keyed == id && item.first != otherThan && (item.first > otherThan || !item.second.answered || item.second.gone);
+    });
+}
+
+}
--- /dev/null
+++ b/libs/core/tests/World.h
@@ -0,0 +1,161 @@
+#pragma once
+
+/// @file
+/// @brief Entries, agents and fake upstreams joined by message queues in virtual time, with an oracle.
+
+#include "Values.h"
+#include <cowslipdoor/core/AgentMachine.h>
+#include <cowslipdoor/core/EntryMachine.h>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cowslipdoor::tests {
+
+/// @brief Sizes of a world.
+struct WorldConfig {
+    std::size_t agents = 5;
+    std::size_t entries = 2;
+    std::uint32_t slots = 3;
+    bool upstreamsRemember = true;
+    /// Agents that may be restarted or cut off within one repeat window.
+    std::size_t disturbedAtOnce = 2;
+
+    bool operator==(const WorldConfig&) const = default;
+};
+
+/// @brief Runs the real machines against each other; every broken promise becomes a text in violations().
+class World {
+public:
+    explicit World(WorldConfig config);
+
+    /// @brief A caller asks; copies of one keyed request share `key`.
+    void ask(std::size_t entry, const std::string& target, const std::string& key);
+
+    /// @brief A caller of an entry hangs up.
+    void hangUp(std::size_t which);
+
+    /// @brief Delivers the oldest message of a link in one direction.
+    void deliver(std::size_t link, bool toAgent);
+
+    /// @brief Delivers a message once more that was delivered before.
+    void deliverAgain(std::size_t which);
+
+    /// @brief The upstream reads what has reached its sockets, or ends a piece of work.
+    void upstreamReads(std::size_t agent);
+    void upstreamEnds(std::size_t agent, std::size_t which);
+    void upstreamBreaksOff(std::size_t agent, std::size_t which);
+    void upstreamAnnounces(std::size_t agent);
+
+    /// @brief Faults.
+    void cutLink(std::size_t link, std::size_t kept);
+    void openLink(std::size_t link);
+    void restartAgent(std::size_t agent);
+    void restartEntry(std::size_t entry);
+
+    /// @brief Time passes for all.
+    void advance(Duration duration);
+
+    /// @brief Heals everything and lets time pass until every caller must have its answer.
+    void settle();
+
+    /// @return promises that were broken
+    [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return this->broken; }
+
+    [[nodiscard]] std::size_t links() const noexcept { return this->linkStates.size(); }
+    [[nodiscard]] const WorldConfig& size() const noexcept { return this->config; }
+    [[nodiscard]] std::size_t answered() const noexcept { return this->answeredCallers; }
+    [[nodiscard]] std::size_t ran() const noexcept { return this->runCount; }
+
+private:
+    struct Link {
+        std::size_t entry = 0;
+        std::size_t agent = 0;
+        LinkId entryEnd {};
+        LinkId agentEnd {};
+        bool entryOpen = false;
+        bool agentOpen = false;
+        std::deque<LinkMessage> toAgent;
+        std::deque<LinkMessage> toEntry;
+    };
+
+    struct Call {
+        RequestId id;
+        AttemptId attempt;
+        Incarnation agent {};
+        Capacity demand;
+        std::string target;
+        bool idempotent = true;
+    };
+
+    struct Upstream {
+        std::uint64_t sequence = 0;
+        AnnouncementToken echo;
+        std::vector<Call> arriving;
+        std::vector<Call> running;
+        std::vector<RequestId> finishedKeyed;
+        Capacity used;
+    };
+
+    struct Caller {
+        std::size_t entry = 0;
+        Incarnation entryRun {};
+        std::string target;
+        std::optional<RequestId> keyed;
+        std::uint64_t arrival = 0;
+        bool answered = false;
+        bool gone = false;
+    };
+
+    struct Delivered {
+        std::size_t link = 0;
+        LinkId end {};
+        bool toAgent = false;
+        LinkMessage message;
+    };
+
+    void startAgent(std::size_t agent);
+    void startEntry(std::size_t entry);
+    void stepEntry(std::size_t entry, const EntryEvent& event);
+    void stepAgent(std::size_t agent, const AgentEvent& event);
+    void carryOut(std::size_t entry, const EntryEffect& effect);
+    void carryOut(std::size_t agent, const AgentEffect& effect);
+    void reply(const ReplyToCaller& effect);
+    void begin(std::size_t agent, const Call& call);
+    void redial();
+    void closeEntryEnd(Link& link);
+    void closeAgentEnd(Link& link);
+    [[nodiscard]] bool mayDisturb(std::size_t agent);
+    [[nodiscard]] Link* byEntryEnd(std::size_t entry, LinkId end);
+    [[nodiscard]] Link* byAgentEnd(std::size_t agent, LinkId end);
+    [[nodiscard]] Completion endOf(const Call& call) const;
+    void breakPromise(const std::string& what);
+    [[nodiscard]] bool copyOutstanding(const RequestId& id, std::uint64_t otherThan) const;
+
+    WorldConfig config;
+    TimePoint now = origin;
+    std::uint64_t lastIncarnation = 0;
+    std::uint64_t lastLink = 0;
+    std::uint64_t lastCaller = 0;
+    std::vector<std::unique_ptr<EntryMachine>> entries;
+    std::vector<Incarnation> entryRuns;
+    std::vector<std::unique_ptr<AgentMachine>> agents;
+    std::vector<Incarnation> agentRuns;
+    std::vector<Upstream> upstreams;
+    std::vector<Link> linkStates;
+    std::map<std::uint64_t, Caller> callers;
+    std::map<std::size_t, TimePoint> disturbedUntil;
+    std::map<RequestId, std::uint32_t> keyedRuns;
+    std::map<std::string, std::uint32_t> targetRuns;
+    std::set<std::string> toldNotRun;
+    std::deque<Delivered> delivered;
+    std::vector<std::string> broken;
+    std::size_t answeredCallers = 0;
+    std::size_t runCount = 0;
+};
+
+}
--- a/libs/runtime/src/CallerServer.cpp
+++ b/libs/runtime/src/CallerServer.cpp
@@ -125,7 +125,7 @@
         const bool keepAlive = request.keepAlive && !reply->closeAfter;
         const Response response = std::visit(ToResponse { reply->id }, reply->completion);
         const bool written = co_await writeHttpResponse(stream, response, keepAlive, this->config.limits);
-        co_return written && keepAlive;
+        co_return written&& keepAlive;
     }
 }
 
--- a/libs/runtime/src/FramedStream.cpp
+++ b/libs/runtime/src/FramedStream.cpp
@@ -16,6 +16,7 @@
         bool operator()(const Cancel&) const noexcept { return false; }
         bool operator()(const Inquiry&) const noexcept { return false; }
         bool operator()(const Report&) const noexcept { return false; }
+        bool operator()(const Release&) const noexcept { return false; }
         template <typename Control>
         bool operator()(const Control&) const noexcept { return true; }
     };
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -25,7 +25,7 @@
 
     fbs::AttemptId pack(const AttemptId& attempt)
     {
-        return { static_cast<std::uint64_t>(attempt.entry), attempt.number };
+        return { static_cast<std::uint64_t>(attempt.claim.entry), attempt.claim.number, attempt.number };
     }
 
     fbs::Capacity pack(const Capacity& capacity)
@@ -45,7 +45,7 @@
 
     AttemptId unpack(const fbs::AttemptId& attempt)
     {
-        return { Incarnation { attempt.entry() }, attempt.number() };
+        return { { Incarnation { attempt.entry() }, attempt.claim() }, attempt.number() };
     }
 
     Capacity unpack(const fbs::Capacity& capacity)
@@ -150,7 +150,7 @@
             const Offset<flatbuffers::String> failureDomain = this->builder.CreateString(message.failureDomain);
             const fbs::Load load = pack(message.load);
             const std::uint64_t incarnation = static_cast<std::uint64_t>(message.incarnation);
-            return { fbs::Message::Hello, fbs::CreateHello(this->builder, agent, incarnation, failureDomain, message.rulesVersion, &load).Union() };
+            return { fbs::Message::Hello, fbs::CreateHello(this->builder, agent, incarnation, failureDomain, message.rulesVersion, &load, message.agentsKnown).Union() };
         }
 
         PackedMessage operator()(const Welcome& message) const
@@ -158,7 +158,7 @@
             const Offset<flatbuffers::String> entry = this->builder.CreateString(message.entry);
             const std::uint64_t incarnation = static_cast<std::uint64_t>(message.incarnation);
             const std::uint64_t heartbeat = static_cast<std::uint64_t>(message.heartbeatInterval.count());
-            return { fbs::Message::Welcome, fbs::CreateWelcome(this->builder, entry, incarnation, message.rulesVersion, heartbeat).Union() };
+            return { fbs::Message::Welcome, fbs::CreateWelcome(this->builder, entry, incarnation, message.rulesVersion, heartbeat, message.agentsKnown).Union() };
         }
 
         PackedMessage operator()(const DispatchRequest& message) const
@@ -212,6 +212,13 @@
             return { fbs::Message::Report, fbs::CreateReport(this->builder, &id, &attempt, state, completion.first, completion.second).Union() };
         }
 
+        PackedMessage operator()(const Release& message) const
+        {
+            const fbs::RequestId id = pack(message.id);
+            const fbs::AttemptId attempt = pack(message.attempt);
+            return { fbs::Message::Release, fbs::CreateRelease(this->builder, &id, &attempt).Union() };
+        }
+
         PackedMessage operator()(const LoadReport& message) const
         {
             const fbs::Load load = pack(message.load);
@@ -220,7 +227,7 @@
 
         PackedMessage operator()(const Heartbeat& message) const
         {
-            return { fbs::Message::Heartbeat, fbs::CreateHeartbeat(this->builder, message.rulesVersion).Union() };
+            return { fbs::Message::Heartbeat, fbs::CreateHeartbeat(this->builder, message.rulesVersion, message.agentsKnown).Union() };
         }
 
         PackedMessage operator()(const RulesUpdate& message) const
@@ -232,12 +239,12 @@
 
     LinkMessage unpack(const fbs::Hello& message)
     {
-        return Hello { message.agent()->str(), Incarnation { message.incarnation() }, message.failure_domain()->str(), message.rules_version(), unpack(*message.load()) };
+        return Hello { message.agent()->str(), Incarnation { message.incarnation() }, message.failure_domain()->str(), message.rules_version(), unpack(*message.load()), message.agents_known() };
     }
 
     LinkMessage unpack(const fbs::Welcome& message)
     {
-        return Welcome { message.entry()->str(), Incarnation { message.incarnation() }, message.rules_version(), unpackDuration(message.heartbeat_us()) };
+        return Welcome { message.entry()->str(), Incarnation { message.incarnation() }, message.rules_version(), unpackDuration(message.heartbeat_us()), message.agents_known() };
     }
 
     LinkMessage unpack(const fbs::DispatchRequest& message)
@@ -278,6 +285,11 @@
         return Report { unpack(*message.id()), unpack(*message.attempt()), unpackEnumeration(message.state(), RequestState::Forgotten), completion };
     }
 
+    LinkMessage unpack(const fbs::Release& message)
+    {
+        return Release { unpack(*message.id()), unpack(*message.attempt()) };
+    }
+
     LinkMessage unpack(const fbs::LoadReport& message)
     {
         return LoadReport { unpack(*message.load()), message.rules_version() };
@@ -285,7 +297,7 @@
 
     LinkMessage unpack(const fbs::Heartbeat& message)
     {
-        return Heartbeat { message.rules_version() };
+        return Heartbeat { message.rules_version(), message.agents_known() };
     }
 
     LinkMessage unpack(const fbs::RulesUpdate& message)
@@ -316,6 +328,8 @@
             return unpack(*envelope.message_as_Heartbeat());
         case fbs::Message::RulesUpdate:
             return unpack(*envelope.message_as_RulesUpdate());
+        case fbs::Message::Release:
+            return unpack(*envelope.message_as_Release());
         case fbs::Message::NONE:
             break;
         }
--- a/standins/Deployment.h
+++ b/standins/Deployment.h
@@ -4,8 +4,8 @@
 /// @brief A small deployment of real processes: entries, agents and stand-in upstreams on loopback.
 
 #include "ChildProcess.h"
-#include <cowslipdoor/core/Time.h>
 #include <cowslipdoor/core/Ids.h>
+#include <cowslipdoor/core/Time.h>
 #include <functional>
 #include <map>
 #include <memory>
--- a/standins/UpstreamStandin.cpp
+++ b/standins/UpstreamStandin.cpp
@@ -91,7 +91,10 @@
     while (open) {
         const HttpReadResult result = co_await readHttpRequest(stream, buffer, this->limits);
         const HttpRequest* const request = std::get_if<HttpRequest>(&result);
-        open = request && co_await this->serveOne(stream, *request) && request->keepAlive;
+        if (!request)
+            break;
+        open = co_await this->serveOne(stream, *request);
+        open = open && request->keepAlive;
     }
 }
 
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Formatter, linter, and the house rules that neither knows.
+set -u
+build=$1
+status=0
+sources=$(git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v /generated/)
+if ! clang-format --dry-run --Werror $sources; then
+    echo "lint: format with 'make format'"
+    status=1
+fi
+# Explicit types: auto names only iterators and lambdas.
+if grep -nE '\bauto\b' $sources | grep -vE 'auto&?& ?(message|alternative)\)|auto [a-zA-Z]+ = \[|: *(///|//)'; then
+    echo "lint: auto is for iterators and lambdas only"
+    status=1
+fi
+# Members are reached through this, in source files of classes; names carry no mark.
+if grep -nE '\bm_[a-z]|\b[a-z][A-Za-z]*_\b[;, )]' $sources | grep -vE '[A-Z_]{3,}|continue_|::[a-z]+_\b'; then
+    echo "lint: names carry no mark"
+    status=1
+fi
+if ! git ls-files --cached --others --exclude-standard 'libs/core/*.h' 'libs/core/*.cpp' | grep -v tests/ | xargs grep -nE '#include <(boost/asio|boost/beast|fstream|iostream|thread|mutex|sys/|unistd)'; then
+    :
+else
+    echo "lint: the core does no input or output"
+    status=1
+fi
+units=$(git ls-files --cached --others --exclude-standard 'libs/*/src/*.cpp' 'apps/*.cpp' 'standins/*.cpp' 'bench/*.cpp')
+if ! echo "$units" | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$build" 2>/dev/null; then
+    echo "lint: clang-tidy has findings"
+    status=1
+fi
+[ "$status" -eq 0 ] && echo "lint: clean"
+exit "$status"
