--- a/libs/runtime/include/cowslipdoor/runtime/AgentTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/AgentTask.h
@@ -4,6 +4,7 @@
 /// @brief The task that owns the agent's decisions; all others talk to it by messages.
 
 #include "Asio.h"
+#include "FramedStream.h"
 #include "Log.h"
 #include "Metrics.h"
 #include "UpstreamCaller.h"
@@ -22,7 +23,7 @@
 struct EntryAttached {
     const LinkId link {};
     const Welcome welcome;
-    const Mailbox<LinkMessage> outbox;
+    const Outbox outbox;
 };
 
 /// @brief Asks what to say first on a new link.
@@ -98,7 +99,7 @@
     Mailbox<AgentInput> messages;
     Mailbox<Drained> drainedMailbox;
     UpstreamCaller caller;
-    std::map<LinkId, Mailbox<LinkMessage>> links;
+    std::map<LinkId, Outbox> links;
     std::map<CallerId, Mailbox<AnnouncementReply>> announcers;
     std::uint64_t lastAnnouncer = 0;
 };
--- a/libs/runtime/include/cowslipdoor/runtime/EntryTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/EntryTask.h
@@ -4,6 +4,7 @@
 /// @brief The task that owns the entry's decisions; all others talk to it by messages.
 
 #include "Asio.h"
+#include "FramedStream.h"
 #include "Log.h"
 #include "Metrics.h"
 #include <cowslipdoor/core/EntryMachine.h>
@@ -42,7 +43,7 @@
 struct AgentAttached {
     const LinkId link {};
     const Hello hello;
-    const Mailbox<LinkMessage> outbox;
+    const Outbox outbox;
 };
 
 /// @brief What operators see of an entry.
@@ -110,7 +111,7 @@
     Mailbox<EntryInput> messages;
     asio::steady_timer timer;
     std::map<CallerId, Mailbox<CallerMessage>> callers;
-    std::map<LinkId, Mailbox<LinkMessage>> links;
+    std::map<LinkId, Outbox> links;
 };
 
 }
--- a/libs/runtime/include/cowslipdoor/runtime/FramedStream.h
+++ b/libs/runtime/include/cowslipdoor/runtime/FramedStream.h
@@ -15,6 +15,15 @@
 /// @brief Messages that wait at most to be written on one link; a reader slower than that loses its link.
 constexpr std::size_t maximumOutboxMessages = 4096;
 
+/// @brief Ends a link once everything before it is written.
+struct EndLink { };
+
+/// @brief What waits to be written on a link.
+using OutboxMessage = std::variant<LinkMessage, EndLink>;
+
+/// @brief Where tasks put what they have for a peer.
+using Outbox = Mailbox<OutboxMessage>;
+
 /// @brief Counts the bytes of messages written; called with the message and its bytes on the wire.
 using WriteObserver = std::function<void(const LinkMessage&, std::size_t)>;
 
@@ -39,8 +48,8 @@
     /// @throws Error with ErrorKind::BadFrame when the bytes are not a message
     [[nodiscard]] asio::awaitable<LinkMessage> receive();
 
-    /// @return where to send messages for the peer; closing it ends the link once what it holds is written
-    [[nodiscard]] const Mailbox<LinkMessage>& outbox() const noexcept { return this->messages; }
+    /// @return where to send messages for the peer
+    [[nodiscard]] const Outbox& outbox() const noexcept { return this->messages; }
 
     /// @brief Sets how long the peer may be silent before the connection is closed.
     /// @param limit the longest silence
@@ -54,11 +63,12 @@
 
 private:
     asio::awaitable<void> writeAll();
+    bool takeBatch(const OutboxMessage& first, std::string& batch);
     asio::awaitable<void> watchSilence();
 
     tcp::socket socket;
     WriteObserver observer;
-    Mailbox<LinkMessage> messages;
+    Outbox messages;
     asio::steady_timer watchdog;
     wire::FrameDecoder decoder;
     std::array<char, 64 * 1024> buffer {};
--- a/libs/runtime/src/AgentTask.cpp
+++ b/libs/runtime/src/AgentTask.cpp
@@ -88,15 +88,15 @@
 
 void AgentTask::on(const CloseLinks&)
 {
-    for (const std::map<LinkId, Mailbox<LinkMessage>>::value_type& item : this->links)
-        item.second->close();
+    for (const std::map<LinkId, Outbox>::value_type& item : this->links)
+        trySend(*item.second, OutboxMessage(EndLink {}));
     this->links.clear();
 }
 
 void AgentTask::carryOut(const SendToLink& effect)
 {
-    const std::map<LinkId, Mailbox<LinkMessage>>::iterator it = this->links.find(effect.link);
-    if (it == this->links.end() || trySend(*it->second, effect.message))
+    const std::map<LinkId, Outbox>::iterator it = this->links.find(effect.link);
+    if (it == this->links.end() || trySend(*it->second, OutboxMessage(effect.message)))
         return;
     it->second->close();
     this->links.erase(it);
--- a/libs/runtime/src/EntryLinker.cpp
+++ b/libs/runtime/src/EntryLinker.cpp
@@ -63,7 +63,7 @@
         const AgentInput helloQuery(HelloQuery { reply });
         co_await send(this->agent, helloQuery);
         const std::tuple<error_code, Hello> hello = co_await reply->async_receive(asTuple);
-        trySend(*stream->outbox(), LinkMessage(std::get<1>(hello)));
+        trySend(*stream->outbox(), OutboxMessage(LinkMessage(std::get<1>(hello))));
         const LinkMessage first = co_await stream->receive();
         const Welcome* const welcome = std::get_if<Welcome>(&first);
         if (!welcome)
--- a/libs/runtime/src/EntryTask.cpp
+++ b/libs/runtime/src/EntryTask.cpp
@@ -79,8 +79,8 @@
 
 void EntryTask::carryOut(const SendToLink& effect)
 {
-    const std::map<LinkId, Mailbox<LinkMessage>>::iterator it = this->links.find(effect.link);
-    if (it == this->links.end() || trySend(*it->second, effect.message))
+    const std::map<LinkId, Outbox>::iterator it = this->links.find(effect.link);
+    if (it == this->links.end() || trySend(*it->second, OutboxMessage(effect.message)))
         return;
     it->second->close();
     this->links.erase(it);
@@ -88,10 +88,10 @@
 
 void EntryTask::carryOut(const CloseLink& effect)
 {
-    const std::map<LinkId, Mailbox<LinkMessage>>::iterator it = this->links.find(effect.link);
+    const std::map<LinkId, Outbox>::iterator it = this->links.find(effect.link);
     if (it == this->links.end())
         return;
-    it->second->close();
+    trySend(*it->second, OutboxMessage(EndLink {}));
     this->links.erase(it);
 }
 
--- a/libs/runtime/src/FramedStream.cpp
+++ b/libs/runtime/src/FramedStream.cpp
@@ -31,7 +31,7 @@
 FramedStream::FramedStream(tcp::socket socket, WriteObserver observer)
     : socket(std::move(socket))
     , observer(std::move(observer))
-    , messages(makeMailbox<LinkMessage>(this->socket.get_executor(), maximumOutboxMessages))
+    , messages(makeMailbox<OutboxMessage>(this->socket.get_executor(), maximumOutboxMessages))
     , watchdog(this->socket.get_executor())
     , lastHeard(monotonicNow())
 {
@@ -74,27 +74,38 @@
 asio::awaitable<void> FramedStream::writeAll()
 {
     std::string batch;
-    while (!this->closed) {
-        std::tuple<error_code, LinkMessage> received = co_await this->messages->async_receive(asTuple);
-        if (std::get<0>(received)) {
-            error_code ignored;
-            this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-            co_return;
-        }
-        const auto append = [this, &batch](const LinkMessage& message) {
-            const std::string bytes = wire::frame(wire::encode(message));
-            this->observer(message, bytes.size());
-            batch += bytes;
-        };
-        append(std::get<1>(received));
-        bool more = true;
-        while (more && batch.size() < writeBatchBytes)
-            more = this->messages->try_receive([&append](error_code, const LinkMessage& message) { append(message); });
+    bool more = true;
+    while (more && !this->closed) {
+        const std::tuple<error_code, OutboxMessage> received = co_await this->messages->async_receive(asTuple);
+        if (std::get<0>(received))
+            break;
+        more = this->takeBatch(std::get<1>(received), batch);
         const std::tuple<error_code, std::size_t> written = co_await asio::async_write(this->socket, asio::buffer(batch), asTuple);
         if (std::get<0>(written))
             this->close();
         batch.clear();
     }
+    error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+bool FramedStream::takeBatch(const OutboxMessage& first, std::string& batch)
+{
+    bool ended = false;
+    const auto append = [this, &batch, &ended](const OutboxMessage& item) {
+        const LinkMessage* const message = std::get_if<LinkMessage>(&item);
+        ended = !message;
+        if (ended)
+            return;
+        const std::string bytes = wire::frame(wire::encode(*message));
+        this->observer(*message, bytes.size());
+        batch += bytes;
+    };
+    append(first);
+    bool more = true;
+    while (more && !ended && batch.size() < writeBatchBytes)
+        more = this->messages->try_receive([&append](error_code, const OutboxMessage& item) { append(item); });
+    return !ended;
 }
 
 asio::awaitable<void> FramedStream::watchSilence()
--- /dev/null
+++ b/libs/runtime/tests/AnnouncementTests.cpp
@@ -0,0 +1,41 @@
+#include <catch2/catch.hpp>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/runtime/AnnouncementJson.h>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::runtime;
+
+namespace {
+
+const Announcement full {
+    .instance = 5,
+    .sequence = 6,
+    .echo = { Incarnation { 7 }, 8 },
+    .address = "[::1]:8100",
+    .failureDomain = "kangar",
+    .capacity = { 8, 64, 32000, 125000 },
+    .classes = { TrafficClass::Quick, TrafficClass::Tally },
+    .running = { { { 1, 2 }, { 2, 1, 500, 64 } } },
+    .remembersFinished = true,
+    .finished = { { 3, 4 } },
+    .leaving = true,
+};
+
+}
+
+TEST_CASE("announcement: printing and reading gives the same value", "[announcement]")
+{
+    CHECK((parseAnnouncement(printAnnouncement(full)) == full));
+    const AnnouncementReply reply { { Incarnation { 7 }, 9 }, std::chrono::milliseconds(50) };
+    CHECK((parseReply(printReply(reply)) == reply));
+}
+
+TEST_CASE("announcement: a bad field is named", "[announcement]")
+{
+    const std::string body = GENERATE(
+        R"([])", R"({"instance":1)", R"({"instance":-1})", R"({"instance":1,"sequence":1,"address":"localhost:1"})",
+        R"({"instance":1,"sequence":1,"address":"127.0.0.1:1","failure_domain":"a","slots":5000000000,"connections":1,"milli_cores":1,"memory_mb":1})",
+        R"({"instance":1,"sequence":1,"address":"127.0.0.1:1","failure_domain":"a","slots":1,"connections":1,"milli_cores":1,"memory_mb":1,"running":[{"id":"x"}]})",
+        R"({"instance":1,"sequence":1,"address":"127.0.0.1:1","failure_domain":"a","slots":1,"connections":1,"milli_cores":1,"memory_mb":1,"classes":["slow"]})");
+    CHECK_THROWS_AS(parseAnnouncement(body), Error);
+}
--- /dev/null
+++ b/libs/runtime/tests/HttpServerTests.cpp
@@ -0,0 +1,86 @@
+#include <catch2/catch.hpp>
+#include <boost/asio/write.hpp>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/runtime/AdminServer.h>
+#include <cowslipdoor/runtime/HttpServer.h>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::runtime;
+
+namespace {
+
+asio::awaitable<void> readInto(tcp::socket socket, HttpLimits limits, std::vector<HttpReadResult>& results)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open) {
+        results.push_back(co_await readHttpRequest(stream, buffer, limits));
+        open = std::holds_alternative<HttpRequest>(results.back());
+    }
+}
+
+/// Reads all requests in the bytes of one connection, which then ends or stays silent.
+std::vector<HttpReadResult> readAll(const std::string& bytes, const HttpLimits& limits, bool end)
+{
+    asio::io_context context(1);
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    tcp::socket peer(context);
+    peer.connect(acceptor.local_endpoint());
+    std::vector<HttpReadResult> results;
+    asio::co_spawn(context, readInto(acceptor.accept(), limits, results), asio::detached);
+    asio::write(peer, asio::buffer(bytes));
+    if (end)
+        peer.shutdown(tcp::socket::shutdown_send);
+    context.run_for(std::chrono::seconds(20));
+    return results;
+}
+
+std::optional<ErrorKind> answerIn(const HttpReadResult& result)
+{
+    return std::get<HttpReadFailure>(result).answer;
+}
+
+const HttpLimits small { .headerBytes = 1024, .bodyBytes = 16, .idle = std::chrono::milliseconds(50), .headerTime = std::chrono::milliseconds(50), .bodyTime = std::chrono::milliseconds(50) };
+
+}
+
+TEST_CASE("http: requests one after the other on a connection are read whole", "[http]")
+{
+    const std::vector<HttpReadResult> results = readAll("GET /a HTTP/1.1\r\nX-User: siti\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", small, true);
+    REQUIRE(results.size() == 3);
+    const HttpRequest& first = std::get<HttpRequest>(results[0]);
+    CHECK(first.target == "/a");
+    CHECK(first.header("x-user") == "siti");
+    CHECK(std::get<HttpRequest>(results[1]).body.view() == "abc");
+    CHECK(answerIn(results[2]) == std::nullopt);
+}
+
+TEST_CASE("http: bad requests get a clear answer", "[http]")
+{
+    CHECK(answerIn(readAll("no http at all\r\n\r\n", small, true).back()) == ErrorKind::BadRequest);
+    CHECK(answerIn(readAll("GET / HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n", small, true).back()) == ErrorKind::HeaderTooLarge);
+    CHECK(answerIn(readAll("POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n" + std::string(17, 'x'), small, true).back()) == ErrorKind::BodyTooLarge);
+    CHECK(answerIn(readAll("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1f\r\n" + std::string(31, 'x') + "\r\n0\r\n\r\n", small, true).back()) == ErrorKind::BodyTooLarge);
+    CHECK(answerIn(readAll("POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", small, true).back()) == ErrorKind::BadRequest);
+}
+
+TEST_CASE("http: slow senders are cut off with an answer, idle ones without", "[http]")
+{
+    CHECK(answerIn(readAll("GET / HT", small, false).back()) == ErrorKind::BadRequest);
+    CHECK(answerIn(readAll("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", small, false).back()) == ErrorKind::BadRequest);
+    CHECK(answerIn(readAll("", small, false).back()) == std::nullopt);
+}
+
+TEST_CASE("http: a request that ends halfway gets no answer", "[http]")
+{
+    CHECK(answerIn(readAll("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", small, true).back()) == std::nullopt);
+}
+
+TEST_CASE("http: an error answer says what is known", "[http]")
+{
+    const Response response = errorResponse(ErrorKind::QueueFull, "4096 requests wait", "id");
+    CHECK(response.status == 503);
+    CHECK(response.body.view().find(R"("outcome":"not run")") != std::string_view::npos);
+    CHECK(response.headers.at(2) == Header { "Cowslipdoor-Outcome", "not run" });
+}
--- /dev/null
+++ b/libs/runtime/tests/LogTests.cpp
@@ -0,0 +1,55 @@
+#include <catch2/catch.hpp>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/runtime/Log.h>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::runtime;
+
+namespace {
+
+/// Runs something and returns what it wrote to standard error.
+template <typename Body>
+std::string errorOutputOf(const Body& body)
+{
+    std::FILE* const file = std::tmpfile();
+    std::fflush(stderr);
+    const int saved = ::dup(STDERR_FILENO);
+    ::dup2(::fileno(file), STDERR_FILENO);
+    body();
+    std::fflush(stderr);
+    ::dup2(saved, STDERR_FILENO);
+    ::close(saved);
+    std::string text(static_cast<std::size_t>(std::ftell(file)), '\0');
+    std::rewind(file);
+    text.resize(std::fread(text.data(), 1, text.size(), file));
+    std::fclose(file);
+    return text;
+}
+
+}
+
+TEST_CASE("log: a JSON line has number, name, level, process and detail", "[log]")
+{
+    const std::string text = errorOutputOf([]() { Log("entry-1", LogForm::Json, EventLevel::Info).record(EventId::LinkOpened, "say \"hi\"\n"); });
+    const nlohmann::json line = nlohmann::json::parse(text);
+    CHECK(line.at("event") == 300);
+    CHECK(line.at("name") == "link_opened");
+    CHECK(line.at("level") == "info");
+    CHECK(line.at("process") == "entry-1");
+    CHECK(line.at("detail") == "say \"hi\"\n");
+}
+
+TEST_CASE("log: a text line has the number, and events below the level are left out", "[log]")
+{
+    const std::string text = errorOutputOf([]() {
+        const Log log("entry-1", LogForm::Text, EventLevel::Warning);
+        log.record(EventId::LinkOpened, "left out");
+        log.record(EventId::LinkSilent, "kept");
+    });
+    CHECK(text.find("E304 link_silent [entry-1] kept") != std::string::npos);
+    CHECK(text.find("left out") == std::string::npos);
+    CHECK_THROWS_AS(eventLevelFromString("loud"), Error);
+}
