--- a/libs/runtime/tests/FramedStreamTests.cpp
+++ b/libs/runtime/tests/FramedStreamTests.cpp
@@ -1,5 +1,5 @@
-#include <catch2/catch.hpp>
 #include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/runtime/FramedStream.h>
 #include <cowslipdoor/wire/Codec.h>
@@ -27,7 +27,7 @@
 
 std::shared_ptr<FramedStream> streamOn(tcp::socket socket)
 {
-    return std::make_shared<FramedStream>(std::move(socket), [](const LinkMessage&, std::size_t) { });
+    return std::make_shared<FramedStream>(std::move(socket), [](const LinkMessage&, std::size_t) {});
 }
 
 asio::awaitable<void> receiveInto(std::shared_ptr<FramedStream> stream, std::vector<LinkMessage>& messages, std::optional<ErrorKind>& failure)
--- a/libs/runtime/tests/HttpServerTests.cpp
+++ b/libs/runtime/tests/HttpServerTests.cpp
@@ -1,5 +1,5 @@
-#include <catch2/catch.hpp>
 #include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/runtime/AdminServer.h>
 #include <cowslipdoor/runtime/HttpServer.h>
--- a/libs/runtime/tests/UpstreamCallerTests.cpp
+++ b/libs/runtime/tests/UpstreamCallerTests.cpp
@@ -1,5 +1,5 @@
-#include <catch2/catch.hpp>
 #include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
 #include <cowslipdoor/runtime/UpstreamCaller.h>
 #include <optional>
 
--- /dev/null
+++ b/standins/CallerLoad.h
@@ -0,0 +1,121 @@
+#pragma once
+
+/// @file
+/// @brief Callers and the platform's balancer in front of the entries, with a record of every answer.
+
+#include <cowslipdoor/core/Request.h>
+#include <cowslipdoor/core/Time.h>
+#include <cowslipdoor/runtime/Asio.h>
+#include <cowslipdoor/runtime/HttpClient.h>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cowslipdoor::standins {
+
+struct UpstreamCounts;
+
+/// @brief One kind of request that is sent again and again.
+struct LoadClass {
+    std::string name;
+    std::string path;
+    bool keyed = false;
+    std::uint32_t perSecond = 0;
+    std::uint32_t milliseconds = 0;
+    std::size_t answerBytes = 0;
+    Duration patience = std::chrono::seconds(5);
+
+    bool operator==(const LoadClass&) const = default;
+};
+
+/// @brief Settings of a load.
+struct CallerLoadConfig {
+    std::vector<std::string> entries;
+    std::vector<std::string> entryAdmins;
+    std::vector<LoadClass> classes;
+    /// Tries of the balancer at most, each on another entry.
+    std::uint32_t tries = 3;
+    std::uint64_t seed = 1;
+
+    bool operator==(const CallerLoadConfig&) const = default;
+};
+
+/// @brief How one request ended for its caller.
+struct CallRecord {
+    std::string number;
+    std::string className;
+    bool keyed = false;
+    bool answered = false;
+    bool wholeAndOwn = false;
+    std::uint16_t status = 0;
+    std::string outcome;
+    std::string error;
+    Duration latency {};
+
+    bool operator==(const CallRecord&) const = default;
+};
+
+/// @brief What the counts of callers and upstreams say together.
+struct LoadVerdict {
+    std::uint64_t lost = 0;
+    std::uint64_t doubled = 0;
+    std::uint64_t overfilled = 0;
+    std::vector<std::string> reasons;
+
+    bool operator==(const LoadVerdict&) const = default;
+};
+
+/// @brief Sends requests at steady rates in a thread of its own.
+/// @code
+/// CallerLoad load(config);
+/// load.start();
+/// load.stop();
+/// const LoadVerdict verdict = judge(load.records(), deployment.counts());
+/// @endcode
+class CallerLoad {
+public:
+    /// @param config settings
+    explicit CallerLoad(CallerLoadConfig config);
+    ~CallerLoad();
+
+    CallerLoad(const CallerLoad&) = delete;
+    CallerLoad& operator=(const CallerLoad&) = delete;
+
+    /// @brief Starts sending.
+    void start();
+
+    /// @brief Stops sending and waits for every answer.
+    void stop();
+
+    /// @return how every request ended; call after stop()
+    [[nodiscard]] const std::vector<CallRecord>& records() const noexcept { return this->finished; }
+
+private:
+    runtime::asio::awaitable<void> sendClass(LoadClass loadClass);
+    runtime::asio::awaitable<void> sendOne(LoadClass loadClass, std::string number);
+    runtime::asio::awaitable<void> watchReadiness(std::size_t entry);
+    [[nodiscard]] std::size_t pickEntry(std::size_t avoided);
+
+    CallerLoadConfig config;
+    runtime::asio::io_context context;
+    std::thread thread;
+    std::vector<bool> ready;
+    std::vector<CallRecord> finished;
+    std::size_t nextEntry = 0;
+    std::size_t sent = 0;
+    bool stopping = false;
+};
+
+/// @brief Compares what callers were told with what upstreams ran.
+/// @param records ends of all requests
+/// @param counts counts of all upstreams
+/// @return requests lost, doubled and overfilled, with a reason for each
+[[nodiscard]] LoadVerdict judge(const std::vector<CallRecord>& records, const UpstreamCounts& counts);
+
+/// @brief Writes a table by class: sent, answered, not run, unknown, p50 and p99 of answers.
+/// @param records ends of all requests
+/// @return lines of text
+[[nodiscard]] std::string summarize(const std::vector<CallRecord>& records);
+
+}
--- /dev/null
+++ b/standins/DemoMain.cpp
@@ -0,0 +1,132 @@
+#include "CallerLoad.h"
+#include "Deployment.h"
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::standins;
+using std::chrono::steady_clock;
+
+const std::string firstRules = "version 1\n"
+                               "# The weekly rota of the co-operative.\n"
+                               "rule rota-today path=/rota/* class=quick deadline=1s objective=99.9%<200ms reserve=2 retry=2 # Siti, mill liaison: a gang without an answer leaves lorries idle\n"
+                               "rule tally path=/tally/* class=tally deadline=3s # Ahmad, treasurer: a doubled tally pays a member twice\n"
+                               "rule rota-rebuild path=/rebuild/* class=batch deadline=30s retry=3 team=rota quota=200 # Siti, mill liaison: rain shifts the plan\n";
+
+const std::string secondRules = "version 2\n"
+                                "# The weekly rota of the co-operative.\n"
+                                "rule rota-today path=/rota/* class=quick deadline=1s objective=99.9%<200ms reserve=3 retry=2 # Siti, mill liaison: harvest peak, one more slot for gang leaders\n"
+                                "rule tally path=/tally/* class=tally deadline=3s # Ahmad, treasurer: a doubled tally pays a member twice\n"
+                                "rule rota-rebuild path=/rebuild/* class=batch deadline=30s retry=3 team=rota quota=200 # Siti, mill liaison: rain shifts the plan\n";
+
+void say(const std::string& text)
+{
+    std::cout << "demo: " << text << std::endl;
+}
+
+void sleepFor(std::chrono::milliseconds duration)
+{
+    std::this_thread::sleep_for(duration);
+}
+
+CallerLoadConfig loadFor(const Deployment& deployment)
+{
+    return {
+        .entries = deployment.callerAddresses(),
+        .entryAdmins = deployment.entryAdmins(),
+        .classes = {
+            { .name = "quick", .path = "/rota/today", .perSecond = 150, .milliseconds = 8, .answerBytes = 2000 },
+            { .name = "tally", .path = "/tally/block-7", .keyed = true, .perSecond = 40, .milliseconds = 12, .patience = std::chrono::seconds(8) },
+            { .name = "batch", .path = "/rebuild/week", .perSecond = 12, .milliseconds = 400, .answerBytes = 100'000, .patience = std::chrono::seconds(40) },
+        },
+    };
+}
+
+bool everywhereInForce(const Deployment& deployment, std::uint64_t version)
+{
+    std::vector<std::string> admins = deployment.entryAdmins();
+    admins.insert(admins.end(), deployment.agentAdmins().begin(), deployment.agentAdmins().end());
+    for (const std::string& admin : admins) {
+        const nlohmann::json status = Deployment::status(admin);
+        if (status.is_null() || status.at("rules_version") != version)
+            return false;
+    }
+    return true;
+}
+
+void killAndReplaceAgent(Deployment& deployment)
+{
+    say("agent 1 is killed (SIGKILL)");
+    deployment.agent(1).signal(SIGKILL);
+    deployment.agent(1).wait();
+    sleepFor(std::chrono::milliseconds(700));
+    deployment.startAgent(1);
+    say("agent 1 is started again");
+}
+
+bool replaceEntry(Deployment& deployment)
+{
+    say("entry 0 is stopped (SIGTERM)");
+    deployment.entry(0).signal(SIGTERM);
+    const int code = deployment.entry(0).wait();
+    deployment.startEntry(0);
+    say("entry 0 ended with exit code " + std::to_string(code) + " and is replaced");
+    return code == 0;
+}
+
+bool changeRule(Deployment& deployment)
+{
+    deployment.writeRules(secondRules);
+    const steady_clock::time_point begun = steady_clock::now();
+    deployment.entry(1).signal(SIGHUP);
+    Deployment::await("rules in force everywhere", [&deployment]() { return everywhereInForce(deployment, 2); });
+    const std::chrono::milliseconds took = std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - begun);
+    say("rules version 2, given to entry 1 alone, is in force at all 5 processes after " + std::to_string(took.count()) + " ms");
+    return took < std::chrono::seconds(4);
+}
+
+int runDemo()
+{
+    const std::string folder = std::filesystem::temp_directory_path() / ("cowslipdoor-demo-" + std::to_string(::getpid()));
+    Deployment deployment({ .rules = firstRules, .folder = folder, .entryFlags = { "--drain-grace=1s" } });
+    say("starting 3 upstreams with agents, and 2 entries; logs are in " + folder);
+    deployment.startAll();
+    CallerLoad load(loadFor(deployment));
+    load.start();
+    say("mixed load runs: quick answers, tallies that are not idempotent, batch rebuilds");
+    sleepFor(std::chrono::seconds(4));
+    killAndReplaceAgent(deployment);
+    sleepFor(std::chrono::seconds(3));
+    const bool cleanStop = replaceEntry(deployment);
+    sleepFor(std::chrono::seconds(3));
+    const bool spread = changeRule(deployment);
+    sleepFor(std::chrono::seconds(3));
+    load.stop();
+    Deployment::await("upstreams to finish", [&deployment]() { return deployment.counts().running == 0; });
+    const LoadVerdict verdict = judge(load.records(), deployment.counts());
+    std::cout << "\n"
+              << summarize(load.records()) << "\n";
+    for (const std::string& reason : verdict.reasons)
+        say(reason);
+    const bool ok = verdict.lost == 0 && verdict.doubled == 0 && verdict.overfilled == 0 && cleanStop && spread;
+    std::cout << "demo: lost " << verdict.lost << " doubled " << verdict.doubled << " overfilled " << verdict.overfilled << (ok ? " ok" : " failed") << std::endl;
+    return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}
+
+int main()
+{
+    try {
+        return runDemo();
+    } catch (const std::exception& error) {
+        std::cerr << "demo: " << error.what() << "\n";
+        return EXIT_FAILURE;
+    }
+}
--- a/standins/Deployment.cpp
+++ b/standins/Deployment.cpp
@@ -54,12 +54,15 @@
     , entryAdmin(freeAddresses(this->config.entries))
     , agentAdmin(freeAddresses(this->config.agents))
     , upstreamListen(freeAddresses(this->config.agents))
+    , proxyListen(freeAddresses(this->config.proxied ? this->config.entries : 0))
     , entryProcesses(this->config.entries)
     , agentProcesses(this->config.agents)
     , upstreamProcesses(this->config.agents)
 {
     std::filesystem::create_directories(this->config.folder);
     this->writeRules(this->config.rules);
+    for (std::size_t index = 0; index < this->proxyListen.size(); ++index)
+        this->proxies.push_back(std::make_unique<LinkProxy>(this->proxyListen[index], this->entryLink[index], index));
 }
 
 void Deployment::startAll()
@@ -93,7 +96,7 @@
         "--name=agent-" + std::to_string(index),
         "--failure-domain=" + domainOf(index),
         "--admin-listen=" + this->agentAdmin[index],
-        "--entries=" + joined(this->entryLink),
+        "--entries=" + joined(this->config.proxied ? this->proxyListen : this->entryLink),
     };
     this->agentProcesses[index] = std::make_unique<ChildProcess>(COWSLIPDOOR_AGENT, withExtra(arguments, this->config.agentFlags), this->logPath("agent", index));
 }
--- a/standins/Deployment.h
+++ b/standins/Deployment.h
@@ -4,6 +4,7 @@
 /// @brief A small deployment of real processes: entries, agents and stand-in upstreams on loopback.
 
 #include "ChildProcess.h"
+#include "LinkProxy.h"
 #include <cowslipdoor/core/Ids.h>
 #include <cowslipdoor/core/Time.h>
 #include <functional>
@@ -24,6 +25,8 @@
     /// Folder for logs and the rules file; made if it is missing.
     std::string folder;
     bool upstreamsRemember = true;
+    /// Whether agents reach entries through proxies that can be told to fail.
+    bool proxied = false;
     std::vector<std::string> agentFlags;
     std::vector<std::string> entryFlags;
 
@@ -66,6 +69,10 @@
     [[nodiscard]] ChildProcess& agent(std::size_t index) { return *this->agentProcesses.at(index); }
     [[nodiscard]] ChildProcess& upstream(std::size_t index) { return *this->upstreamProcesses.at(index); }
 
+    /// @param index number of an entry from zero
+    /// @return the proxy in front of its link address, when the deployment is proxied
+    [[nodiscard]] LinkProxy& proxy(std::size_t index) { return *this->proxies.at(index); }
+
     /// @return addresses for callers, one for each entry
     [[nodiscard]] const std::vector<std::string>& callerAddresses() const noexcept { return this->entryListen; }
 
@@ -118,6 +125,8 @@
     std::vector<std::string> entryAdmin;
     std::vector<std::string> agentAdmin;
     std::vector<std::string> upstreamListen;
+    std::vector<std::string> proxyListen;
+    std::vector<std::unique_ptr<LinkProxy>> proxies;
     Processes entryProcesses;
     Processes agentProcesses;
     Processes upstreamProcesses;
