--- a/libs/core/tests/AgentMachineTests.cpp
+++ b/libs/core/tests/AgentMachineTests.cpp
@@ -80,6 +80,16 @@
     CHECK(refusalIn(late) == ErrorKind::Refused);
 }
 
+TEST_CASE("agent: a late copy of a refused attempt is refused, also when there is room by then", "[agent]")
+{
+    ReadyAgent agent({ .slots = 1, .connections = 1, .milliCores = 1, .memoryMb = 1 });
+    (void)agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Quick);
+    CHECK(refusalIn(agent.dispatch(entryLink, { 1, 2 }, { ourClaim, 1 }, TrafficClass::Quick)) == ErrorKind::Busy);
+    (void)agent.step(UpstreamCallEnded { { 1, 1 }, { ourClaim, 1 }, done });
+    CHECK(refusalIn(agent.dispatch(entryLink, { 1, 2 }, { ourClaim, 1 }, TrafficClass::Quick)) == ErrorKind::Refused);
+    CHECK(only<CallUpstream>(agent.dispatch(entryLink, { 1, 2 }, { ourClaim, 2 }, TrafficClass::Quick)).size() == 1);
+}
+
 TEST_CASE("agent: a fenced request is refused to other entries as unknown", "[agent]")
 {
     ReadyAgent agent;
--- a/libs/core/tests/World.cpp
+++ b/libs/core/tests/World.cpp
@@ -351,6 +351,8 @@
         this->breakPromise(caller.target + " ran, and its caller was told that it did not: " + reason->detail);
     if (!caller.keyed)
         this->toldNotRun.insert(caller.target);
+    else
+        this->keyedToldNotRun.insert_or_assign(*caller.keyed, caller.arrival);
     if (caller.keyed && this->keyedRuns.contains(*caller.keyed) && !this->copyOutstanding(*caller.keyed, caller.arrival))
         this->breakPromise(caller.target + " ran, and the caller of its copy was told that it did not: " + reason->detail);
 }
@@ -368,6 +370,9 @@
     ++this->targetRuns[call.target];
     if (this->toldNotRun.contains(call.target))
         this->breakPromise(call.target + " ran after its caller was told that it did not");
+    const std::map<RequestId, std::uint64_t>::const_iterator told = this->keyedToldNotRun.find(call.id);
+    if (told != this->keyedToldNotRun.end() && !this->copyOutstanding(call.id, told->second))
+        this->breakPromise(call.target + " ran after the caller of its last copy was told that it did not");
     if (!call.idempotent && ++this->keyedRuns[call.id] > 1)
         this->breakPromise(call.target + " is not idempotent and ran twice");
 }
--- a/libs/core/tests/World.h
+++ b/libs/core/tests/World.h
@@ -152,6 +152,7 @@
     std::map<RequestId, std::uint32_t> keyedRuns;
     std::map<std::string, std::uint32_t> targetRuns;
     std::set<std::string> toldNotRun;
+    std::map<RequestId, std::uint64_t> keyedToldNotRun;
     std::deque<Delivered> delivered;
     std::vector<std::string> broken;
     std::size_t answeredCallers = 0;
