--- a/apps/agent/AgentProcess.cpp
+++ b/apps/agent/AgentProcess.cpp
@@ -1,10 +1,8 @@
 #include "AgentProcess.h"
-#include <boost/asio/signal_set.hpp>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/runtime/Address.h>
 #include <cowslipdoor/runtime/AnnouncementJson.h>
 #include <cowslipdoor/runtime/Process.h>
-#include <csignal>
 #include <nlohmann/json.hpp>
 
 namespace cowslipdoor::agent {
@@ -72,6 +70,7 @@
     , task(this->context.get_executor(), machineConfig(settings, this->incarnation), callerConfig(settings, this->incarnation), this->log, this->metrics)
     , linker(this->context.get_executor(), linkerConfig(settings), this->task.inbox(), this->log, this->metrics)
     , admin(this->context.get_executor(), settings.text("admin-listen"), httpLimits(settings))
+    , stop(this->context, this->log, { [this]() { return this->drain(); }, [this]() { return this->describeHeld(); } })
 {
     this->addPages();
 }
@@ -81,12 +80,11 @@
     this->task.start();
     this->linker.start();
     this->admin.start();
-    asio::co_spawn(
-        this->context, [this]() { return this->awaitStop(); }, asio::detached);
+    this->stop.start();
     this->log.record(EventId::ProcessStarted, "announcements at " + this->settings.text("admin-listen"));
     this->context.run();
-    this->log.record(EventId::ProcessStopped, "exit code " + std::to_string(this->exitCode));
-    return this->exitCode;
+    this->log.record(EventId::ProcessStopped, "exit code " + std::to_string(this->stop.exitCode()));
+    return this->stop.exitCode();
 }
 
 void AgentProcess::addPages()
@@ -110,25 +108,7 @@
     });
 }
 
-asio::awaitable<void> AgentProcess::awaitStop()
-{
-    asio::signal_set signals(this->context, SIGTERM, SIGINT);
-    co_await signals.async_wait(asTuple);
-    asio::co_spawn(
-        this->context, [this]() { return this->cutOnSecondSignal(); }, asio::detached);
-    co_await this->drain();
-    this->context.stop();
-}
-
-asio::awaitable<void> AgentProcess::cutOnSecondSignal()
-{
-    asio::signal_set signals(this->context, SIGTERM, SIGINT);
-    co_await signals.async_wait(asTuple);
-    const AgentStatus status = co_await this->status();
-    this->cut("second signal, " + std::to_string(status.activeCalls) + " calls cut off");
-}
-
-asio::awaitable<void> AgentProcess::drain()
+asio::awaitable<bool> AgentProcess::drain()
 {
     const AgentInput stopRequested(AgentEvent(StopRequested {}));
     co_await send(this->task.inbox(), stopRequested);
@@ -140,24 +120,20 @@
             return finished;
         },
         this->settings.duration("drain-limit"));
-    if (!inTime) {
-        const AgentStatus status = co_await this->status();
-        this->cut("drain limit, " + std::to_string(status.activeCalls) + " calls cut off");
-        co_return;
-    }
+    if (!inTime)
+        co_return false;
     co_await pauseFor(this->settings.duration("drain-linger"));
     this->linker.stop();
     const AgentInput closeLinks(CloseLinks {});
     co_await send(this->task.inbox(), closeLinks);
     const Duration flushLimit = std::chrono::seconds(5);
-    co_await waitUntil([this]() { return this->linker.openLinks() == 0; }, flushLimit);
+    co_return co_await waitUntil([this]() { return this->linker.openLinks() == 0; }, flushLimit);
 }
 
-void AgentProcess::cut(const std::string& why)
+asio::awaitable<std::string> AgentProcess::describeHeld()
 {
-    this->log.record(EventId::DrainCut, why);
-    this->exitCode = exitFailure;
-    this->context.stop();
+    const AgentStatus status = co_await this->status();
+    co_return std::to_string(status.activeCalls) + " calls";
 }
 
 asio::awaitable<Response> AgentProcess::announce(const HttpRequest& request)
--- a/apps/agent/AgentProcess.h
+++ b/apps/agent/AgentProcess.h
@@ -6,6 +6,7 @@
 #include <cowslipdoor/runtime/AdminServer.h>
 #include <cowslipdoor/runtime/AgentTask.h>
 #include <cowslipdoor/runtime/EntryLinker.h>
+#include <cowslipdoor/runtime/PlannedStop.h>
 #include <cowslipdoor/runtime/Settings.h>
 
 namespace cowslipdoor::agent {
@@ -23,10 +24,8 @@
 
 private:
     void addPages();
-    runtime::asio::awaitable<void> awaitStop();
-    runtime::asio::awaitable<void> drain();
-    runtime::asio::awaitable<void> cutOnSecondSignal();
-    void cut(const std::string& why);
+    runtime::asio::awaitable<bool> drain();
+    runtime::asio::awaitable<std::string> describeHeld();
     runtime::asio::awaitable<Response> announce(const runtime::HttpRequest& request);
     runtime::asio::awaitable<runtime::AgentStatus> status();
 
@@ -39,7 +38,7 @@
     runtime::AgentTask task;
     runtime::EntryLinker linker;
     runtime::AdminServer admin;
-    int exitCode = 0;
+    runtime::PlannedStop stop;
 };
 
 }
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -63,6 +63,7 @@
     , callers(this->context.get_executor(), callersConfig(settings), this->task.inbox(), this->log)
     , links(this->context.get_executor(), settings.text("link-listen"), this->task.inbox(), settings.duration("silence-limit"), this->log, this->metrics)
     , admin(this->context.get_executor(), settings.text("admin-listen"), httpLimits(settings))
+    , stop(this->context, this->log, { [this]() { return this->drain(); }, [this]() { return this->describeHeld(); } })
 {
     this->addPages();
 }
@@ -76,11 +77,10 @@
         this->context, [this]() { return this->loadRules(); }, asio::detached);
     asio::co_spawn(
         this->context, [this]() { return this->reloadOnHangup(); }, asio::detached);
-    asio::co_spawn(
-        this->context, [this]() { return this->awaitStop(); }, asio::detached);
+    this->stop.start();
     this->context.run();
-    this->log.record(EventId::ProcessStopped, "exit code " + std::to_string(this->exitCode));
-    return this->exitCode;
+    this->log.record(EventId::ProcessStopped, "exit code " + std::to_string(this->stop.exitCode()));
+    return this->stop.exitCode();
 }
 
 void EntryProcess::addPages()
@@ -136,25 +136,7 @@
     }
 }
 
-asio::awaitable<void> EntryProcess::awaitStop()
-{
-    asio::signal_set signals(this->context, SIGTERM, SIGINT);
-    co_await signals.async_wait(asTuple);
-    asio::co_spawn(
-        this->context, [this]() { return this->cutOnSecondSignal(); }, asio::detached);
-    co_await this->drain();
-    this->context.stop();
-}
-
-asio::awaitable<void> EntryProcess::cutOnSecondSignal()
-{
-    asio::signal_set signals(this->context, SIGTERM, SIGINT);
-    co_await signals.async_wait(asTuple);
-    const EntryStatus status = co_await this->status();
-    this->cut("second signal, " + std::to_string(status.pending) + " requests cut off");
-}
-
-asio::awaitable<void> EntryProcess::drain()
+asio::awaitable<bool> EntryProcess::drain()
 {
     const EntryInput stopRequested(EntryEvent(StopRequested {}));
     co_await send(this->task.inbox(), stopRequested);
@@ -163,18 +145,15 @@
     const EntryInput closeIdleCallers(CloseIdleCallers {});
     co_await send(this->task.inbox(), closeIdleCallers);
     const bool inTime = co_await waitUntil([this]() { return this->callers.connections() == 0; }, this->settings.duration("drain-limit"));
-    const EntryStatus status = co_await this->status();
-    if (!inTime)
-        this->cut("drain limit, " + std::to_string(status.pending) + " requests cut off");
-    else
+    if (inTime)
         this->log.record(EventId::DrainFinished, "no caller is connected");
+    co_return inTime;
 }
 
-void EntryProcess::cut(const std::string& why)
+asio::awaitable<std::string> EntryProcess::describeHeld()
 {
-    this->log.record(EventId::DrainCut, why);
-    this->exitCode = exitFailure;
-    this->context.stop();
+    const EntryStatus status = co_await this->status();
+    co_return std::to_string(status.pending) + " requests";
 }
 
 asio::awaitable<EntryStatus> EntryProcess::status()
--- a/apps/entry/EntryProcess.h
+++ b/apps/entry/EntryProcess.h
@@ -7,6 +7,7 @@
 #include <cowslipdoor/runtime/CallerServer.h>
 #include <cowslipdoor/runtime/EntryTask.h>
 #include <cowslipdoor/runtime/LinkServer.h>
+#include <cowslipdoor/runtime/PlannedStop.h>
 #include <cowslipdoor/runtime/Settings.h>
 #include <vector>
 
@@ -30,10 +31,8 @@
     void addPages();
     runtime::asio::awaitable<void> loadRules();
     runtime::asio::awaitable<void> reloadOnHangup();
-    runtime::asio::awaitable<void> awaitStop();
-    runtime::asio::awaitable<void> drain();
-    runtime::asio::awaitable<void> cutOnSecondSignal();
-    void cut(const std::string& why);
+    runtime::asio::awaitable<bool> drain();
+    runtime::asio::awaitable<std::string> describeHeld();
     runtime::asio::awaitable<runtime::EntryStatus> status();
 
     runtime::Settings settings;
@@ -46,7 +45,7 @@
     runtime::CallerServer callers;
     runtime::LinkServer links;
     runtime::AdminServer admin;
-    int exitCode = 0;
+    runtime::PlannedStop stop;
 };
 
 }
--- a/libs/core/include/cowslipdoor/core/AgentMachine.h
+++ b/libs/core/include/cowslipdoor/core/AgentMachine.h
@@ -204,6 +204,7 @@
     template <typename Other>
     void onMessage(LinkId link, const Other& message, TimePoint now, Effects& effects);
 
+    [[nodiscard]] bool isLateCopy(const AttemptId& attempt);
     void run(LinkId link, const DispatchRequest& message, TimePoint now, Effects& effects);
     [[nodiscard]] std::optional<ErrorKind> admit(const DispatchRequest& message, LedgerVerdict verdict);
     [[nodiscard]] bool takesClass(TrafficClass trafficClass) const noexcept;
@@ -225,6 +226,8 @@
     Calls calls;
     std::map<LinkId, EntryLink> links;
     std::uint32_t agentsKnown = 0;
+    /// Number of the newest attempt that came from each run of an entry.
+    std::map<Incarnation, std::uint64_t> newestAttempts;
     std::string upstreamAddress;
     std::vector<TrafficClass> classes;
     std::optional<TimePoint> ledgerCompleteFrom;
--- a/libs/core/include/cowslipdoor/core/EntryMachine.h
+++ b/libs/core/include/cowslipdoor/core/EntryMachine.h
@@ -214,12 +214,14 @@
         std::uint32_t claim = 0;
         TimePoint arrivedAt;
         TimePoint deadline;
-        std::uint32_t attempts = 0;
+        std::uint64_t attempt = 0;
+        bool attempted = false;
         std::uint32_t retriesLeft = 0;
         std::uint32_t refusals = 0;
         std::set<std::string> failedOn;
         Phase phase;
-        /// Links of agents that hold a fence of the current attempt.
+        /// The attempt that set the fences, and the links of the agents that hold them.
+        AttemptId fenceAttempt;
         std::set<LinkId> fencedAt;
         /// Why the last attempt failed, when that leaves open whether the request ran.
         std::shared_ptr<const FailureReason> uncertain;
@@ -311,6 +313,7 @@
     std::optional<TimePoint> startedAt;
     std::uint64_t requestNumber = 0;
     std::uint32_t lastClaim = 0;
+    std::uint64_t lastAttempt = 0;
     TimePoint nextHeartbeat;
     bool stopRequested = false;
 };
--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -44,6 +44,7 @@
     RetryScheduled = 503,
     CallFailed = 504,
     BadCallerRequest = 505,
+    LateRequestDropped = 506,
 };
 
 /// @brief Row of the event catalogue.
--- a/libs/core/include/cowslipdoor/core/Ids.h
+++ b/libs/core/include/cowslipdoor/core/Ids.h
@@ -39,10 +39,10 @@
     std::strong_ordering operator<=>(const ClaimId&) const = default;
 };
 
-/// @brief One sending of a request under a claim.
+/// @brief One sending of a request under a claim; numbers grow over all sendings of one run of an entry.
 struct AttemptId {
     ClaimId claim;
-    std::uint32_t number = 0;
+    std::uint64_t number = 0;
 
     std::strong_ordering operator<=>(const AttemptId&) const = default;
 };
--- a/libs/core/include/cowslipdoor/core/Ledger.h
+++ b/libs/core/include/cowslipdoor/core/Ledger.h
@@ -51,7 +51,7 @@
 struct RefusedRecord {
     std::set<AttemptId> attempts;
     /// For each claim that has a fence, the number of the attempt that set it.
-    std::map<ClaimId, std::uint32_t> fences;
+    std::map<ClaimId, std::uint64_t> fences;
 
     bool operator==(const RefusedRecord&) const = default;
 };
--- a/libs/core/src/AgentMachine.cpp
+++ b/libs/core/src/AgentMachine.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr std::uint32_t reportWhenFreeChangesByOneIn = 4;
+    constexpr std::size_t mostEntryRuns = 10'000;
 
     bool mattersToRouting(const Load& before, const Load& after) noexcept
     {
@@ -148,6 +149,10 @@
 
 void AgentMachine::onMessage(LinkId link, const DispatchRequest& message, TimePoint now, Effects& effects)
 {
+    if (this->isLateCopy(message.attempt)) {
+        effects.push_back(RecordEvent { EventId::LateRequestDropped, toString(message.id) });
+        return;
+    }
     const bool idempotent = isIdempotent(message.trafficClass);
     const LedgerVerdict verdict = this->ledgerState.examine(message.id, message.attempt);
     if (verdict == LedgerVerdict::AlreadyRunning && this->calls.contains(message.id))
@@ -224,6 +229,17 @@
     effects.push_back(RecordEvent { EventId::FrameRefused, "a message that agents do not take" });
 }
 
+bool AgentMachine::isLateCopy(const AttemptId& attempt)
+{
+    std::uint64_t& newest = this->newestAttempts[attempt.claim.entry];
+    if (attempt.number <= newest)
+        return true;
+    newest = attempt.number;
+    if (this->newestAttempts.size() > mostEntryRuns)
+        this->newestAttempts.erase(this->newestAttempts.begin());
+    return false;
+}
+
 void AgentMachine::run(LinkId link, const DispatchRequest& message, TimePoint now, Effects& effects)
 {
     const bool idempotent = isIdempotent(message.trafficClass);
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -33,6 +33,7 @@
         EventDescription { EventId::RetryScheduled, "retry_scheduled", EventLevel::Debug, "An attempt failed and another follows." },
         EventDescription { EventId::CallFailed, "call_failed", EventLevel::Warning, "A call to the upstream brought no whole answer." },
         EventDescription { EventId::BadCallerRequest, "bad_caller_request", EventLevel::Debug, "A caller's connection was closed because of bad HTTP, a limit or slowness." },
+        EventDescription { EventId::LateRequestDropped, "late_request_dropped", EventLevel::Debug, "A copy of a request came that is older than the newest attempt of its entry." },
     };
 
 }
--- a/libs/core/src/Ledger.cpp
+++ b/libs/core/src/Ledger.cpp
@@ -98,7 +98,7 @@
     RefusedRecord* const record = it == this->records.end() ? nullptr : std::get_if<RefusedRecord>(&it->second.record);
     if (!record)
         return;
-    const std::map<ClaimId, std::uint32_t>::const_iterator fence = record->fences.find(release.attempt.claim);
+    const std::map<ClaimId, std::uint64_t>::const_iterator fence = record->fences.find(release.attempt.claim);
     if (fence != record->fences.end() && fence->second == release.attempt.number)
         record->fences.erase(fence);
 }
--- /dev/null
+++ b/libs/runtime/src/PlannedStop.cpp
@@ -0,0 +1,49 @@
+#include "cowslipdoor/runtime/PlannedStop.h"
+#include "cowslipdoor/runtime/Process.h"
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+PlannedStop::PlannedStop(asio::io_context& context, const Log& log, PlannedStopActions actions)
+    : context(context)
+    , log(log)
+    , actions(std::move(actions))
+{
+}
+
+void PlannedStop::start()
+{
+    asio::co_spawn(
+        this->context, [this]() { return this->awaitFirstSignal(); }, asio::detached);
+}
+
+asio::awaitable<void> PlannedStop::awaitFirstSignal()
+{
+    asio::signal_set signals(this->context, SIGTERM, SIGINT);
+    co_await signals.async_wait(asTuple);
+    asio::co_spawn(
+        this->context, [this]() { return this->awaitSecondSignal(); }, asio::detached);
+    const bool finished = co_await this->actions.drain();
+    if (!finished)
+        co_await this->cut("drain limit");
+    this->context.stop();
+}
+
+asio::awaitable<void> PlannedStop::awaitSecondSignal()
+{
+    asio::signal_set signals(this->context, SIGTERM, SIGINT);
+    co_await signals.async_wait(asTuple);
+    co_await this->cut("second signal");
+}
+
+asio::awaitable<void> PlannedStop::cut(std::string why)
+{
+    const std::string held = co_await this->actions.describeHeld();
+    this->log.record(EventId::DrainCut, why + ", " + held + " cut off");
+    this->code = exitFailure;
+    this->context.stop();
+}
+
+}
--- a/libs/wire/src/Codec.cpp
+++ b/libs/wire/src/Codec.cpp
@@ -25,7 +25,7 @@
 
     fbs::AttemptId pack(const AttemptId& attempt)
     {
-        return { static_cast<std::uint64_t>(attempt.claim.entry), attempt.claim.number, attempt.number };
+        return { static_cast<std::uint64_t>(attempt.claim.entry), attempt.number, attempt.claim.number };
     }
 
     fbs::Capacity pack(const Capacity& capacity)
