Keep a keyed request waiting when the last agent has long gone

Cause: with no agent seen within the repeat window the known number is 0 and one less of it wraps; the entry then took the first of no candidates (map::at, found by reading). While keys settled, each event also added a wake-up for each waiting request. Change: no candidate means wait; one fixed wake-up. The new test failed with map::at before.

--- a/libs/core/src/EntryMachineKeyed.cpp
+++ b/libs/core/src/EntryMachineKeyed.cpp
@@ -15,13 +15,13 @@
 
 bool EntryMachine::tryKeyed(const RequestId& id, Request& request, TimePoint now, Effects& effects)
 {
-    if (!this->settled(now)) {
-        this->wakeups.emplace(now + this->config.keySettle, id);
+    if (this->firstAgentAt && !this->settled(now))
+        this->wakeups.emplace(*this->firstAgentAt + this->config.keySettle, id);
+    const std::vector<std::string> candidates = this->keyedCandidates();
+    if (!this->settled(now) || candidates.empty())
         return false;
-    }
     const std::uint32_t known = this->agentsKnown(now);
     const std::uint32_t witnesses = std::min(this->config.keyWitnesses, (known - 1) / 2);
-    const std::vector<std::string> candidates = this->keyedCandidates();
     if (candidates.size() + witnesses < known)
         return false;
     const std::vector<std::string> ranked = chooseNodes(toString(id), candidates, 1 + witnesses);
--- a/libs/core/tests/EntryMachineTests.cpp
+++ b/libs/core/tests/EntryMachineTests.cpp
@@ -274,6 +274,16 @@
     CHECK(failureIn(entry.after(std::chrono::seconds(2))) == ErrorKind::KeyedUnavailable);
 }
 
+TEST_CASE("entry: long after the last agent has gone, a keyed request waits and ends as unknown", "[entry]")
+{
+    LinkedEntry entry;
+    for (std::uint64_t agent = 1; agent <= 3; ++agent)
+        (void)entry.step(AgentLinkClosed { LinkId { agent } });
+    (void)entry.after(2 * EntryConfig {}.repeatWindow);
+    CHECK(only<SendToLink>(entry.ask(1, "/tally/1", "k")).empty());
+    CHECK(failureIn(entry.after(std::chrono::seconds(2))) == ErrorKind::KeyedUnavailable);
+}
+
 TEST_CASE("entry: it is ready once it has rules and agents and has awaited more agents, until it stops", "[entry]")
 {
     EntryMachine machine({ .name = "entry" });
