--- a/libs/core/src/EntryMachine.cpp
+++ b/libs/core/src/EntryMachine.cpp
@@ -107,19 +107,19 @@
     if (this->queued() >= this->config.maximumQueued)
         return this->refuseCaller(event, id, ErrorKind::QueueFull, std::to_string(this->config.maximumQueued) + " requests wait", effects);
     const TimePoint deadline = now + callerDeadline(event.head, rule.deadline);
-    const Requests::iterator it = this->requests.emplace(id, Request {
-                                                                 .callers = { event.caller },
-                                                                 .head = event.head,
-                                                                 .body = event.body,
-                                                                 .fingerprint = fingerprintOf(event.head, event.body),
-                                                                 .rule = rule,
-                                                                 .keyed = !isIdempotent(rule.trafficClass),
-                                                                 .claim = ++this->lastClaim,
-                                                                 .arrivedAt = now,
-                                                                 .deadline = deadline,
-                                                                 .retriesLeft = rule.retries,
-                                                             })
-                                      .first;
+    Request request {
+        .callers = { event.caller },
+        .head = event.head,
+        .body = event.body,
+        .fingerprint = fingerprintOf(event.head, event.body),
+        .rule = rule,
+        .keyed = !isIdempotent(rule.trafficClass),
+        .claim = ++this->lastClaim,
+        .arrivedAt = now,
+        .deadline = deadline,
+        .retriesLeft = rule.retries,
+    };
+    const Requests::iterator it = this->requests.emplace(id, std::move(request)).first;
     this->requestOfCaller.emplace(event.caller, id);
     ++this->inFlightOfTeam[rule.team];
     this->wakeups.emplace(deadline, id);
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -12,7 +12,8 @@
     log=$(mktemp)
     while IFS= read -r case; do
         [ -n "$case" ] || continue
-        if "$program" "$case" >"$log" 2>&1; then
+        # Catch takes a comma in a name for the end of the name, and is content when no name fits.
+        if "$program" "${case//,/\\,}" >"$log" 2>&1 && grep -q "All tests passed" "$log"; then
             passed=$((passed + 1))
         elif grep -qF "$case" KNOWN-RED.txt 2>/dev/null; then
             echo "known red: $name: $case"
@@ -21,7 +22,7 @@
             echo "FAILED $name: $case"
             tail -40 "$log"
         fi
-    done < <("$program" --list-test-names-only | sed 's/,/\\,/g')
+    done < <("$program" --list-test-names-only)
     rm -f "$log"
 done
 echo "$passed passed, $failed failed"
