--- a/standins/Deployment.h
+++ b/standins/Deployment.h
@@ -45,7 +45,7 @@
 
 /// @brief Real processes on loopback; all are ended with the object.
 /// @code
-/// Deployment deployment({ .rules = rules, .folder = "/tmp/demo" });
+/// Deployment deployment({ .rules = rules, .folder = "logs" });
 /// deployment.startAll();
 /// deployment.agent(1).signal(SIGKILL);
 /// @endcode
