Find header fields in one place

The lookup of a header field without regard to case stood four times: in the core's request, the HTTP server, the stand-in callers and the system tests. findHeader() in the core now serves all; behaviour and assertions are unchanged.

--- a/libs/core/include/cowslipdoor/core/Request.h
+++ b/libs/core/include/cowslipdoor/core/Request.h
@@ -44,6 +44,12 @@
     bool operator==(const Header&) const = default;
 };
 
+/// @brief Finds a header field.
+/// @param headers the fields
+/// @param name header name, compared without regard to case
+/// @return the first value, valid while the fields live, or an empty view
+[[nodiscard]] std::string_view findHeader(const std::vector<Header>& headers, std::string_view name) noexcept;
+
 /// @brief Everything of a request but its body.
 struct RequestHead {
     const std::string method {};
--- a/libs/core/src/Request.cpp
+++ b/libs/core/src/Request.cpp
@@ -33,15 +33,20 @@
         [](char one, char other) { return lowerCase(one) == lowerCase(other); });
 }
 
-std::string_view RequestHead::header(std::string_view name) const noexcept
+std::string_view findHeader(const std::vector<Header>& headers, std::string_view name) noexcept
 {
-    for (const Header& header : this->headers) {
+    for (const Header& header : headers) {
         if (equalIgnoringCase(header.name, name))
             return header.value;
     }
     return {};
 }
 
+std::string_view RequestHead::header(std::string_view name) const noexcept
+{
+    return findHeader(this->headers, name);
+}
+
 std::string_view RequestHead::path() const noexcept
 {
     const std::string_view target(this->target);
--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -74,11 +74,7 @@
 
 std::string_view HttpRequest::header(std::string_view name) const noexcept
 {
-    for (const Header& header : this->headers) {
-        if (equalIgnoringCase(header.name, name))
-            return header.value;
-    }
-    return {};
+    return findHeader(this->headers, name);
 }
 
 asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits)
--- a/standins/CallerLoad.cpp
+++ b/standins/CallerLoad.cpp
@@ -18,15 +18,6 @@
     constexpr Duration readinessTimeout = std::chrono::milliseconds(500);
     constexpr Duration pauseBeforeRepeat = std::chrono::milliseconds(20);
 
-    std::string headerOf(const Response& response, std::string_view name)
-    {
-        for (const Header& header : response.headers) {
-            if (equalIgnoringCase(header.name, name))
-                return header.value;
-        }
-        return {};
-    }
-
     HttpCall callOf(const LoadClass& loadClass, const std::string& number, const std::string& address)
     {
         HttpCall call { .address = address, .method = loadClass.keyed ? "POST" : "GET", .timeout = loadClass.patience };
@@ -42,8 +33,8 @@
         const std::string expected = "answer " + number + " ";
         CallRecord record { .number = number, .className = loadClass.name, .keyed = loadClass.keyed, .answered = true };
         record.status = response.status;
-        record.outcome = headerOf(response, "Cowslipdoor-Outcome");
-        record.error = headerOf(response, "Cowslipdoor-Error");
+        record.outcome = findHeader(response.headers, "Cowslipdoor-Outcome");
+        record.error = findHeader(response.headers, "Cowslipdoor-Error");
         record.wholeAndOwn = response.body.view().starts_with(expected) && response.body.size() == std::max(loadClass.answerBytes, expected.size());
         return record;
     }
--- a/tests/Support.h
+++ b/tests/Support.h
@@ -77,18 +77,9 @@
     return text.str();
 }
 
-inline std::string headerOf(const Response& response, const std::string& name)
-{
-    for (const Header& header : response.headers) {
-        if (equalIgnoringCase(header.name, name))
-            return header.value;
-    }
-    return {};
-}
-
 inline std::string outcomeOf(const Response& response)
 {
-    return headerOf(response, "Cowslipdoor-Outcome");
+    return std::string(findHeader(response.headers, "Cowslipdoor-Outcome"));
 }
 
 inline standins::CallerLoadConfig mixedLoad(const Deployment& deployment)
