--- a/libs/core/include/cowslipdoor/core/AgentMachine.h
+++ b/libs/core/include/cowslipdoor/core/AgentMachine.h
@@ -69,9 +69,6 @@
 /// @brief The operator asked the process to stop.
 struct StopRequested { };
 
-/// @brief Time has passed.
-struct TimePassed { };
-
 /// @brief Everything that can happen to an agent.
 using AgentEvent = std::variant<UpstreamAnnounced, EntryLinkOpened, EntryMessage, EntryLinkClosed, UpstreamCallEnded, StopRequested, TimePassed>;
 
@@ -113,14 +110,6 @@
     bool operator==(const ReplyToAnnouncement&) const = default;
 };
 
-/// @brief Write a numbered log event.
-struct RecordEvent {
-    const EventId event {};
-    const std::string detail {};
-
-    bool operator==(const RecordEvent&) const = default;
-};
-
 /// @brief Nothing is held any more and the process may stop.
 struct Drained {
     bool operator==(const Drained&) const = default;
--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -4,6 +4,7 @@
 /// @brief Numbered log events; docs/EVENTS.md explains each to operators.
 
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace cowslipdoor {
@@ -45,6 +46,45 @@
     CallFailed = 504,
     BadCallerRequest = 505,
     LateRequestDropped = 506,
+    LeadershipTaken = 600,
+    LeadershipLost = 601,
+    TablesLoaded = 602,
+    StoreLost = 603,
+    StoreRegained = 604,
+    FeedRestarted = 605,
+    RowIgnored = 606,
+    ConfigurationInForce = 607,
+    SettingsReread = 608,
+    JobAccepted = 610,
+    JobRefused = 611,
+    JobCancelRequested = 612,
+    JobLearned = 613,
+    JobEnded = 614,
+    JobStateUnavailable = 615,
+    RunAssigned = 620,
+    RunStarted = 621,
+    RunEndTaken = 622,
+    RunLost = 623,
+    RunRejectedByWorker = 624,
+    RunStopOrdered = 625,
+    OrderUnanswered = 626,
+    RunStalled = 627,
+    WorkerSeen = 630,
+    WorkerSettled = 631,
+    WorkerGone = 632,
+    WorkerDraining = 633,
+    WorkerExcluded = 634,
+    GenerationTaken = 635,
+    BeatRefused = 636,
+    PaceChanged = 637,
+};
+
+/// @brief Write a numbered log event.
+struct RecordEvent {
+    const EventId event {};
+    const std::string detail {};
+
+    bool operator==(const RecordEvent&) const = default;
 };
 
 /// @brief Row of the event catalogue.
--- a/libs/core/include/cowslipdoor/core/Time.h
+++ b/libs/core/include/cowslipdoor/core/Time.h
@@ -22,6 +22,9 @@
 /// @brief Monotonic instant, counted from an arbitrary origin of the process.
 using TimePoint = MonotonicClock::time_point;
 
+/// @brief Time has passed.
+struct TimePassed { };
+
 /// @brief Whole milliseconds of a duration, rounded down.
 /// @param duration any duration
 /// @return the number of milliseconds
--- a/libs/runtime/include/cowslipdoor/runtime/Clock.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Clock.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cowslipdoor/core/Time.h>
+#include <ctime>
 
 namespace cowslipdoor::runtime {
 
@@ -15,6 +16,17 @@
     return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+/// @brief Reads the monotonic clock that also counts the time in which the VM was suspended.
+///
+/// Leases are judged by it: a process that wakes up must see that its lease has ended.
+/// @return the present
+[[nodiscard]] inline TimePoint leaseNow() noexcept
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 /// @brief Converts an instant of the core for a timer.
 /// @param instant the instant
 /// @return the same instant of the steady clock
--- a/libs/runtime/include/cowslipdoor/runtime/FramedStream.h
+++ b/libs/runtime/include/cowslipdoor/runtime/FramedStream.h
@@ -1,11 +1,12 @@
 #pragma once
 
 /// @file
-/// @brief Link messages on a TCP connection.
+/// @brief Messages on a TCP connection: links of requests, and links of jobs.
 
 #include "Asio.h"
 #include "Clock.h"
 #include <cowslipdoor/core/Messages.h>
+#include <cowslipdoor/scheduling/JobMessages.h>
 #include <cowslipdoor/wire/Frame.h>
 #include <functional>
 #include <optional>
@@ -19,13 +20,16 @@
 struct EndLink { };
 
 /// @brief What waits to be written on a link.
-using OutboxMessage = std::variant<LinkMessage, EndLink>;
+template <typename Message>
+using BasicOutboxMessage = std::variant<Message, EndLink>;
 
 /// @brief Where tasks put what they have for a peer.
-using Outbox = Mailbox<OutboxMessage>;
+template <typename Message>
+using BasicOutbox = Mailbox<BasicOutboxMessage<Message>>;
 
 /// @brief Counts the bytes of messages written; called with the message and its bytes on the wire.
-using WriteObserver = std::function<void(const LinkMessage&, std::size_t)>;
+template <typename Message>
+using BasicWriteObserver = std::function<void(const Message&, std::size_t)>;
 
 /// @brief One end of a link; belongs to one task, which reads, and whose writer empties the outbox.
 /// @code
@@ -33,11 +37,17 @@
 /// stream->startWriter();
 /// const LinkMessage message = co_await stream->receive();
 /// @endcode
-class FramedStream : public std::enable_shared_from_this<FramedStream> {
+/// @tparam Message LinkMessage or JobMessage
+template <typename Message>
+class BasicFramedStream : public std::enable_shared_from_this<BasicFramedStream<Message>> {
 public:
+    using OutboxMessage = BasicOutboxMessage<Message>;
+    using Outbox = BasicOutbox<Message>;
+    using WriteObserver = BasicWriteObserver<Message>;
+
     /// @param socket the connected socket
     /// @param observer told of each message written
-    FramedStream(tcp::socket socket, WriteObserver observer);
+    BasicFramedStream(tcp::socket socket, WriteObserver observer);
 
     /// @brief Starts writing what comes to the outbox, and watching for silence.
     void startWriter();
@@ -46,7 +56,7 @@
     /// @return the message
     /// @throws boost::system::system_error when the connection ends
     /// @throws Error with ErrorKind::BadFrame when the bytes are not a message
-    [[nodiscard]] asio::awaitable<LinkMessage> receive();
+    [[nodiscard]] asio::awaitable<Message> receive();
 
     /// @return where to send messages for the peer
     [[nodiscard]] const Outbox& outbox() const noexcept { return this->messages; }
@@ -82,6 +92,17 @@
     bool closed = false;
 };
 
+/// @brief Link between an entry and an agent for requests.
+using FramedStream = BasicFramedStream<LinkMessage>;
+using OutboxMessage = FramedStream::OutboxMessage;
+using Outbox = FramedStream::Outbox;
+using WriteObserver = FramedStream::WriteObserver;
+
+/// @brief Link between the leader and an agent for jobs.
+using JobStream = BasicFramedStream<JobMessage>;
+using JobOutboxMessage = JobStream::OutboxMessage;
+using JobOutbox = JobStream::Outbox;
+
 /// @brief Tells whether a message belongs to control rather than to a request.
 /// @param message the message
 /// @return whether it is counted as control traffic
--- a/libs/runtime/include/cowslipdoor/runtime/Metrics.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Metrics.h
@@ -38,6 +38,12 @@
     /// @param latency time from arrival to answer
     void observeRequest(const std::string& rule, TrafficClass trafficClass, Outcome outcome, Duration latency);
 
+    /// @brief Counts an ended job.
+    /// @param queue its queue
+    /// @param state how it ended
+    /// @param latency time from its arrival at the leader to its end
+    void observeJob(const std::string& queue, const std::string& state, Duration latency);
+
     /// @brief Sets a gauge.
     /// @param name metric name, with its unit as the suffix
     /// @param help what it means
@@ -56,6 +62,8 @@
     prometheus::Family<prometheus::Counter>& events;
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Histogram>& latencies;
+    prometheus::Family<prometheus::Counter>& jobs;
+    prometheus::Family<prometheus::Histogram>& jobLatencies;
     prometheus::Counter& controlBytes;
 };
 
--- /dev/null
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -0,0 +1,109 @@
+#pragma once
+
+/// @file
+/// @brief The task that owns an entry's Scheduler.
+
+#include "AgentDialer.h"
+#include "Asio.h"
+#include "Log.h"
+#include "Metrics.h"
+#include "StorePort.h"
+#include "TableFeed.h"
+#include <cowslipdoor/scheduling/Scheduler.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cowslipdoor::runtime {
+
+/// @brief What a status page shows of scheduling.
+struct SchedulerStatus {
+    bool leading = false;
+    std::uint64_t epoch = 0;
+    std::string leader {};
+    std::size_t jobs = 0;
+    std::size_t waitingJobs = 0;
+    struct WorkerLine {
+        std::string agent;
+        std::string worker;
+        bool linked = false;
+        bool usable = false;
+        std::size_t runs = 0;
+        Room free {};
+
+        bool operator==(const WorkerLine&) const = default;
+    };
+    std::vector<WorkerLine> workers {};
+
+    bool operator==(const SchedulerStatus&) const = default;
+};
+
+/// @brief Asks for the status.
+struct SchedulerStatusQuery {
+    Mailbox<SchedulerStatus> reply;
+};
+
+/// @brief What the task takes.
+using SchedulerInput = std::variant<SchedulerEvent, SchedulerStatusQuery>;
+
+/// @brief Steps the machine and carries out its effects.
+/// @code
+/// SchedulerTask task(executor, config, store, log, metrics);
+/// task.start();
+/// @endcode
+class SchedulerTask {
+public:
+    /// @param executor executor of the tasks
+    /// @param config settings
+    /// @param store the store
+    /// @param log where events go
+    /// @param metrics where counts go
+    SchedulerTask(asio::any_io_executor executor, SchedulerConfig config, StorePort store, const Log& log, Metrics& metrics);
+
+    /// @brief Starts the task; it must outlive the executor's run.
+    void start();
+
+    /// @return where to send events
+    [[nodiscard]] const Mailbox<SchedulerInput>& inbox() const noexcept { return this->messages; }
+
+private:
+    /// Reads all tables for one epoch, then follows them.
+    struct Following {
+        std::uint64_t epoch = 0;
+        std::vector<std::unique_ptr<TableFeed>> feeds {};
+        bool stopped = false;
+    };
+
+    asio::awaitable<void> run();
+    void on(const SchedulerEvent& event);
+    void on(const SchedulerStatusQuery& query);
+    void carryOut(const ReadLeaderRow& effect);
+    void carryOut(const SubmitCommit& effect);
+    void carryOut(const ReadTables& effect);
+    void carryOut(const StopLeading& effect);
+    void carryOut(const KeepAgentLinked& effect);
+    void carryOut(const SendToAgent& effect);
+    void carryOut(const ObserveJob& effect);
+    void carryOut(const RecordEvent& effect);
+    asio::awaitable<void> readLeaderRow();
+    asio::awaitable<void> submit(Transaction transaction);
+    asio::awaitable<void> readTables(std::shared_ptr<Following> following);
+    void followTable(const std::shared_ptr<Following>& following, const std::string& table, RowVersion after);
+    asio::awaitable<void> post(SchedulerEvent event);
+    asio::awaitable<void> postRow(Row row);
+    asio::awaitable<void> ignoreRow();
+    void stopFollowing();
+    void armTimer();
+
+    asio::any_io_executor executor;
+    Scheduler machine;
+    StorePort store;
+    const Log& log;
+    Metrics& metrics;
+    Mailbox<SchedulerInput> messages;
+    asio::steady_timer timer;
+    AgentDialer dialer;
+    std::shared_ptr<Following> following;
+};
+
+}
--- /dev/null
+++ b/libs/runtime/src/AgentDialer.cpp
@@ -0,0 +1,112 @@
+#include "cowslipdoor/runtime/AgentDialer.h"
+#include "cowslipdoor/runtime/Address.h"
+#include "cowslipdoor/runtime/Process.h"
+#include <cowslipdoor/core/Error.h>
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    struct ToReport {
+        std::optional<AgentReport> operator()(const Ping& message) const { return message; }
+        std::optional<AgentReport> operator()(const WorkerSnapshot& message) const { return message; }
+        std::optional<AgentReport> operator()(const RunsEnded& message) const { return message; }
+        std::optional<AgentReport> operator()(const RunRejected& message) const { return message; }
+        std::optional<AgentReport> operator()(const RunProgress& message) const { return message; }
+        template <typename Other>
+        std::optional<AgentReport> operator()(const Other&) const { return std::nullopt; }
+    };
+
+}
+
+AgentDialer::AgentDialer(asio::any_io_executor executor, AgentDialerConfig config, SchedulerEventSink sink, const Log& log, Metrics& metrics)
+    : executor(std::move(executor))
+    , config(config)
+    , sink(std::move(sink))
+    , log(log)
+    , metrics(metrics)
+{
+}
+
+void AgentDialer::keepLinked(const std::string& agent, const std::string& address)
+{
+    if (this->wanted(agent, address))
+        return;
+    this->addresses.insert_or_assign(agent, address);
+    asio::co_spawn(
+        this->executor, [this, agent, address]() { return this->keep(agent, address); }, asio::detached);
+}
+
+void AgentDialer::send(LinkId link, const JobMessage& message)
+{
+    const std::map<LinkId, std::shared_ptr<JobStream>>::iterator it = this->links.find(link);
+    if (it == this->links.end() || trySend(*it->second->outbox(), JobOutboxMessage(message)))
+        return;
+    // The reader of this link is slower than its outbox; the link's task tells of the loss.
+    it->second->close();
+}
+
+void AgentDialer::closeAll()
+{
+    this->addresses.clear();
+    for (const std::map<LinkId, std::shared_ptr<JobStream>>::value_type& item : this->links)
+        item.second->close();
+}
+
+asio::awaitable<void> AgentDialer::keep(std::string agent, std::string address)
+{
+    while (this->wanted(agent, address)) {
+        co_await this->linkOnce(agent, address);
+        co_await pauseFor(this->config.redialDelay);
+    }
+}
+
+asio::awaitable<void> AgentDialer::linkOnce(std::string agent, std::string address)
+{
+    beast::tcp_stream dialled(this->executor);
+    dialled.expires_after(this->config.connectLimit);
+    const std::tuple<error_code> connected = co_await dialled.async_connect(parseAddress(address), asTuple);
+    if (std::get<0>(connected) || !this->wanted(agent, address))
+        co_return;
+    dialled.expires_never();
+    const std::shared_ptr<JobStream> stream = std::make_shared<JobStream>(dialled.release_socket(), [this](const JobMessage&, std::size_t bytes) { this->metrics.countControlBytes(bytes); });
+    stream->setSilenceLimit(this->config.silenceLimit);
+    stream->startWriter();
+    const LinkId link { ++this->lastLink };
+    this->links.emplace(link, stream);
+    const SchedulerEvent linked = AgentLinked { agent, link };
+    co_await this->sink(linked);
+    co_await this->relayAll(agent, link, stream);
+    stream->close();
+    this->links.erase(link);
+    const SchedulerEvent unlinked = AgentUnlinked { agent, link };
+    co_await this->sink(unlinked);
+}
+
+asio::awaitable<void> AgentDialer::relayAll(std::string agent, LinkId link, std::shared_ptr<JobStream> stream)
+{
+    try {
+        while (true) {
+            const JobMessage message = co_await stream->receive();
+            const std::optional<AgentReport> report = std::visit(ToReport {}, message);
+            if (!report)
+                throw Error(ErrorKind::BadFrame, "an agent sent a message of a leader");
+            const SchedulerEvent said = AgentSaid { agent, link, *report };
+            co_await this->sink(said);
+        }
+    } catch (const Error& error) {
+        this->metrics.countEvent(EventId::FrameRefused);
+        this->log.record(EventId::FrameRefused, agent + ": " + error.what());
+    } catch (const boost::system::system_error& error) {
+        this->log.record(stream->fellSilent() ? EventId::LinkSilent : EventId::LinkClosed, agent + ": " + error.code().message());
+    }
+}
+
+bool AgentDialer::wanted(const std::string& agent, const std::string& address) const
+{
+    const std::map<std::string, std::string>::const_iterator it = this->addresses.find(agent);
+    return it != this->addresses.end() && it->second == address;
+}
+
+}
--- a/libs/runtime/src/FramedStream.cpp
+++ b/libs/runtime/src/FramedStream.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/write.hpp>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/wire/Codec.h>
+#include <cowslipdoor/wire/JobCodec.h>
 
 namespace cowslipdoor::runtime {
 
@@ -22,6 +23,28 @@
         bool operator()(const Control&) const noexcept { return true; }
     };
 
+    void decodeInto(std::optional<LinkMessage>& message, const std::string& payload)
+    {
+        message.emplace(wire::decode(payload));
+    }
+
+    void decodeInto(std::optional<JobMessage>& message, const std::string& payload)
+    {
+        message.emplace(wire::decodeJobMessage(payload));
+    }
+
+    /// Interval of heartbeats that a message announces to the peer, if it does.
+    std::optional<Duration> announcedInterval(const LinkMessage& message)
+    {
+        const Welcome* const welcome = std::get_if<Welcome>(&message);
+        return welcome ? std::optional<Duration>(welcome->heartbeatInterval) : std::nullopt;
+    }
+
+    std::optional<Duration> announcedInterval(const JobMessage&)
+    {
+        return std::nullopt;
+    }
+
 }
 
 bool isControl(const LinkMessage& message) noexcept
@@ -29,7 +52,8 @@
     return std::visit(IsControl {}, message);
 }
 
-FramedStream::FramedStream(tcp::socket socket, WriteObserver observer)
+template <typename Message>
+BasicFramedStream<Message>::BasicFramedStream(tcp::socket socket, WriteObserver observer)
     : socket(std::move(socket))
     , observer(std::move(observer))
     , messages(makeMailbox<OutboxMessage>(this->socket.get_executor(), maximumOutboxMessages))
@@ -40,33 +64,40 @@
     this->socket.set_option(tcp::no_delay(true), ignored);
 }
 
-void FramedStream::startWriter()
+template <typename Message>
+void BasicFramedStream<Message>::startWriter()
 {
-    const std::shared_ptr<FramedStream> self = this->shared_from_this();
+    const std::shared_ptr<BasicFramedStream> self = this->shared_from_this();
     asio::co_spawn(
         this->socket.get_executor(), [self]() { return self->writeAll(); }, asio::detached);
     asio::co_spawn(
         this->socket.get_executor(), [self]() { return self->watchSilence(); }, asio::detached);
 }
 
-asio::awaitable<LinkMessage> FramedStream::receive()
+template <typename Message>
+asio::awaitable<Message> BasicFramedStream<Message>::receive()
 {
     while (true) {
         const std::optional<std::string> payload = this->decoder.next();
-        if (payload)
-            co_return wire::decode(*payload);
+        if (payload) {
+            std::optional<Message> message;
+            decodeInto(message, *payload);
+            co_return *message;
+        }
         const std::size_t count = co_await this->socket.async_read_some(asio::buffer(this->buffer), asio::use_awaitable);
         this->lastHeard = monotonicNow();
         this->decoder.append({ this->buffer.data(), count });
     }
 }
 
-void FramedStream::allowHeartbeats(Duration interval) noexcept
+template <typename Message>
+void BasicFramedStream<Message>::allowHeartbeats(Duration interval) noexcept
 {
     this->silenceLimit = std::max(this->silenceLimit, interval * heartbeatsOfSilence);
 }
 
-void FramedStream::close() noexcept
+template <typename Message>
+void BasicFramedStream<Message>::close() noexcept
 {
     if (this->closed)
         return;
@@ -77,7 +108,8 @@
     this->watchdog.cancel();
 }
 
-asio::awaitable<void> FramedStream::writeAll()
+template <typename Message>
+asio::awaitable<void> BasicFramedStream<Message>::writeAll()
 {
     std::string batch;
     bool more = true;
@@ -95,17 +127,18 @@
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-bool FramedStream::takeBatch(const OutboxMessage& first, std::string& batch)
+template <typename Message>
+bool BasicFramedStream<Message>::takeBatch(const OutboxMessage& first, std::string& batch)
 {
     bool ended = false;
     const auto append = [this, &batch, &ended](const OutboxMessage& item) {
-        const LinkMessage* const message = std::get_if<LinkMessage>(&item);
+        const Message* const message = std::get_if<Message>(&item);
         ended = !message;
         if (ended)
             return;
-        const Welcome* const welcome = std::get_if<Welcome>(message);
-        if (welcome)
-            this->allowHeartbeats(welcome->heartbeatInterval);
+        const std::optional<Duration> interval = announcedInterval(*message);
+        if (interval)
+            this->allowHeartbeats(*interval);
         const std::string bytes = wire::frame(wire::encode(*message));
         this->observer(*message, bytes.size());
         batch += bytes;
@@ -117,7 +150,8 @@
     return !ended;
 }
 
-asio::awaitable<void> FramedStream::watchSilence()
+template <typename Message>
+asio::awaitable<void> BasicFramedStream<Message>::watchSilence()
 {
     while (!this->closed) {
         this->watchdog.expires_after(silenceCheckInterval);
@@ -130,4 +164,7 @@
     }
 }
 
+template class BasicFramedStream<LinkMessage>;
+template class BasicFramedStream<JobMessage>;
+
 }
--- a/libs/runtime/src/Metrics.cpp
+++ b/libs/runtime/src/Metrics.cpp
@@ -20,6 +20,8 @@
     , events(prometheus::BuildCounter().Name("cowslipdoor_events_total").Help("Log events by name, also those that the log leaves out").Register(*this->registry))
     , requests(prometheus::BuildCounter().Name("cowslipdoor_requests_total").Help("Ended requests by rule, class and outcome").Register(*this->registry))
     , latencies(prometheus::BuildHistogram().Name("cowslipdoor_request_seconds").Help("Time from arrival to answer").Register(*this->registry))
+    , jobs(prometheus::BuildCounter().Name("cowslipdoor_jobs_total").Help("Ended jobs by queue and state").Register(*this->registry))
+    , jobLatencies(prometheus::BuildHistogram().Name("cowslipdoor_job_seconds").Help("Time from a job's arrival at the leader to its end").Register(*this->registry))
     , controlBytes(prometheus::BuildCounter().Name("cowslipdoor_control_bytes_total").Help("Bytes of control messages sent").Register(*this->registry).Add({}))
 {
 }
@@ -36,6 +38,12 @@
     this->latencies.Add({ { "rule", rule }, { "class", className } }, latencyBounds).Observe(std::chrono::duration<double>(latency).count());
 }
 
+void Metrics::observeJob(const std::string& queue, const std::string& state, Duration latency)
+{
+    this->jobs.Add({ { "queue", queue }, { "state", state } }).Increment();
+    this->jobLatencies.Add({ { "queue", queue } }, latencyBounds).Observe(std::chrono::duration<double>(latency).count());
+}
+
 void Metrics::setGauge(const std::string& name, const std::string& help, double value)
 {
     prometheus::BuildGauge().Name(name).Help(help).Register(*this->registry).Add({}).Set(value);
--- /dev/null
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -0,0 +1,271 @@
+#include "cowslipdoor/runtime/SchedulerTask.h"
+#include "cowslipdoor/runtime/Clock.h"
+#include "cowslipdoor/runtime/Process.h"
+#include <algorithm>
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    constexpr std::size_t inboxCapacity = 4096;
+
+    /// Pause before the tables are read again after a failure.
+    constexpr Duration tableRetryDelay = std::chrono::milliseconds(150);
+
+    struct ToJobMessage {
+        template <typename Message>
+        JobMessage operator()(const Message& message) const { return message; }
+    };
+
+    /// Event that a row of a followed table means, or nothing for one that means none.
+    std::optional<SchedulerEvent> eventOf(const Row& row)
+    {
+        if (row.deleted)
+            return std::nullopt;
+        if (row.key.table == agentTable) {
+            const std::optional<AgentRecord> record = parseAgentRecord(row.value);
+            if (record)
+                return AgentStored { { row.key.key, *record } };
+            return std::nullopt;
+        }
+        const std::optional<JobId> cancelled = cancelledJob(row.key);
+        if (cancelled)
+            return JobCancelStored { *cancelled };
+        const std::optional<JobSpec> spec = parseJobSpec(row.value);
+        if (spec)
+            return JobStored { std::make_shared<const JobSpec>(*spec) };
+        return std::nullopt;
+    }
+
+}
+
+SchedulerTask::SchedulerTask(asio::any_io_executor executor, SchedulerConfig config, StorePort store, const Log& log, Metrics& metrics)
+    : executor(std::move(executor))
+    , machine(std::move(config))
+    , store(std::move(store))
+    , log(log)
+    , metrics(metrics)
+    , messages(makeMailbox<SchedulerInput>(this->executor, inboxCapacity))
+    , timer(this->executor)
+    , dialer(this->executor, AgentDialerConfig {}, [this](SchedulerEvent event) { return this->post(std::move(event)); }, log, metrics)
+{
+}
+
+void SchedulerTask::start()
+{
+    asio::co_spawn(
+        this->executor, [this]() { return this->run(); }, asio::detached);
+}
+
+asio::awaitable<void> SchedulerTask::run()
+{
+    this->on(SchedulerEvent(TimePassed {}));
+    while (true) {
+        this->armTimer();
+        const std::tuple<error_code, SchedulerInput> received = co_await this->messages->async_receive(asTuple);
+        if (std::get<0>(received))
+            co_return;
+        std::visit([this](const auto& message) { this->on(message); }, std::get<1>(received));
+    }
+}
+
+void SchedulerTask::on(const SchedulerEvent& event)
+{
+    for (const SchedulerEffect& effect : this->machine.step(event, leaseNow()))
+        std::visit([this](const auto& alternative) { this->carryOut(alternative); }, effect);
+}
+
+void SchedulerTask::on(const SchedulerStatusQuery& query)
+{
+    const TimePoint now = leaseNow();
+    SchedulerStatus status;
+    status.leading = this->machine.serving();
+    status.epoch = this->machine.lease().epoch();
+    status.leader = this->machine.lease().record().holder;
+    status.jobs = this->machine.jobs().jobs().size();
+    status.waitingJobs = this->machine.jobs().waiting().size();
+    for (const Workers::value_type& item : this->machine.workers()) {
+        const WorkerEntry& worker = item.second;
+        status.workers.push_back({ item.first, worker.info ? worker.info->identity.id : "", worker.link.has_value(), worker.usable(now), worker.tasks.size(), worker.free() });
+    }
+    trySend(*query.reply, std::move(status));
+}
+
+void SchedulerTask::carryOut(const ReadLeaderRow&)
+{
+    asio::co_spawn(
+        this->executor, [this]() { return this->readLeaderRow(); }, asio::detached);
+}
+
+void SchedulerTask::carryOut(const SubmitCommit& effect)
+{
+    asio::co_spawn(
+        this->executor, [this, transaction = effect.transaction]() { return this->submit(transaction); }, asio::detached);
+}
+
+void SchedulerTask::carryOut(const ReadTables& effect)
+{
+    this->stopFollowing();
+    this->following = std::make_shared<Following>();
+    this->following->epoch = effect.epoch;
+    asio::co_spawn(
+        this->executor, [this, following = this->following]() { return this->readTables(following); }, asio::detached);
+}
+
+void SchedulerTask::carryOut(const StopLeading&)
+{
+    this->stopFollowing();
+    this->dialer.closeAll();
+}
+
+void SchedulerTask::carryOut(const KeepAgentLinked& effect)
+{
+    this->dialer.keepLinked(effect.agent, effect.address);
+}
+
+void SchedulerTask::carryOut(const SendToAgent& effect)
+{
+    this->dialer.send(effect.link, std::visit(ToJobMessage {}, effect.message));
+}
+
+void SchedulerTask::carryOut(const ObserveJob& effect)
+{
+    this->metrics.observeJob(effect.queue, std::string(toString(effect.state)), effect.latency);
+}
+
+void SchedulerTask::carryOut(const RecordEvent& effect)
+{
+    this->metrics.countEvent(effect.event);
+    this->log.record(effect.event, effect.detail);
+}
+
+asio::awaitable<void> SchedulerTask::readLeaderRow()
+{
+    const RowKey key = leaderRowKey();
+    const RowRange range { key.table, key.part, key.key, key.key + '\x01' };
+    const ReadResult result = co_await this->store.read(range);
+    const RowPage* const page = std::get_if<RowPage>(&result);
+    if (!page) {
+        const SchedulerEvent unread = LeaderRowUnread {};
+        co_await this->post(unread);
+        co_return;
+    }
+    const bool present = !page->rows.empty();
+    const SchedulerEvent read = LeaderRowRead { present ? parseLeaderRecord(page->rows.front().value) : std::nullopt, present ? page->rows.front().version : 0 };
+    co_await this->post(read);
+}
+
+asio::awaitable<void> SchedulerTask::submit(Transaction transaction)
+{
+    const TransactionResult result = co_await this->store.transact(std::move(transaction));
+    const SchedulerEvent finished = CommitFinished { result };
+    co_await this->post(finished);
+}
+
+asio::awaitable<void> SchedulerTask::readTables(std::shared_ptr<Following> following)
+{
+    while (!following->stopped) {
+        const ReadResult jobs = co_await readTable(this->store, jobTable);
+        const ReadResult progress = co_await readTable(this->store, progressTable);
+        const ReadResult agents = co_await readTable(this->store, agentTable);
+        const RowPage* const jobRows = std::get_if<RowPage>(&jobs);
+        const RowPage* const progressRows = std::get_if<RowPage>(&progress);
+        const RowPage* const agentRows = std::get_if<RowPage>(&agents);
+        if (!jobRows || !progressRows || !agentRows) {
+            this->log.record(EventId::StoreLost, "the tables of jobs could not be read; trying again");
+            co_await pauseFor(tableRetryDelay);
+            continue;
+        }
+        std::vector<JobSpecHandle> specs;
+        std::vector<JobId> cancelled;
+        std::map<JobId, ProgressRecord> records;
+        std::vector<KnownAgent> known;
+        std::vector<Row> rows = jobRows->rows;
+        rows.insert(rows.end(), agentRows->rows.begin(), agentRows->rows.end());
+        for (const Row& row : rows) {
+            const std::optional<SchedulerEvent> event = eventOf(row);
+            if (!event) {
+                this->log.record(EventId::RowIgnored, row.key.table + "/" + row.key.key);
+                continue;
+            }
+            if (const JobStored* const stored = std::get_if<JobStored>(&*event))
+                specs.push_back(stored->spec);
+            if (const JobCancelStored* const cancel = std::get_if<JobCancelStored>(&*event))
+                cancelled.push_back(cancel->job);
+            if (const AgentStored* const agent = std::get_if<AgentStored>(&*event))
+                known.push_back(agent->agent);
+        }
+        for (const Row& row : progressRows->rows) {
+            const std::optional<ProgressRecord> record = parseProgressRecord(row.value);
+            if (record)
+                records.emplace(JobId { row.key.key }, *record);
+            else
+                this->log.record(EventId::RowIgnored, row.key.table + "/" + row.key.key);
+        }
+        const SchedulerEvent read = TablesRead { following->epoch, specs, records, cancelled, known };
+        co_await this->post(read);
+        if (following->stopped)
+            co_return;
+        this->followTable(following, jobTable, jobRows->version);
+        this->followTable(following, agentTable, agentRows->version);
+        co_return;
+    }
+}
+
+void SchedulerTask::followTable(const std::shared_ptr<Following>& following, const std::string& table, RowVersion after)
+{
+    following->feeds.push_back(std::make_unique<TableFeed>(
+        this->store, TableFeedConfig { .table = table }, [this, following](Row row) { return following->stopped ? this->ignoreRow() : this->postRow(std::move(row)); }, TableFeed::ContactHandler(), this->log, this->metrics));
+    TableFeed* const feed = following->feeds.back().get();
+    asio::co_spawn(
+        this->executor, [following, feed, after]() { return feed->run(after); }, asio::detached);
+}
+
+asio::awaitable<void> SchedulerTask::post(SchedulerEvent event)
+{
+    const SchedulerInput input(std::move(event));
+    co_await send(this->messages, input);
+}
+
+asio::awaitable<void> SchedulerTask::postRow(Row row)
+{
+    std::optional<SchedulerEvent> event = eventOf(row);
+    if (event)
+        co_await this->post(std::move(*event));
+    else if (!row.deleted)
+        this->log.record(EventId::RowIgnored, row.key.table + "/" + row.key.key);
+}
+
+asio::awaitable<void> SchedulerTask::ignoreRow()
+{
+    co_return;
+}
+
+void SchedulerTask::stopFollowing()
+{
+    if (!this->following)
+        return;
+    this->following->stopped = true;
+    for (const std::unique_ptr<TableFeed>& feed : this->following->feeds)
+        feed->stop();
+    this->following.reset();
+}
+
+void SchedulerTask::armTimer()
+{
+    const std::optional<TimePoint> wakeup = this->machine.nextWakeup();
+    if (!wakeup) {
+        this->timer.cancel();
+        return;
+    }
+    // The machine's clock also counts suspension, which a timer does not: only the distance is used.
+    this->timer.expires_after(std::max(Duration {}, *wakeup - leaseNow()));
+    const Mailbox<SchedulerInput> inbox = this->messages;
+    this->timer.async_wait([inbox](error_code error) {
+        if (!error)
+            trySend(*inbox, SchedulerInput(SchedulerEvent(TimePassed {})));
+    });
+}
+
+}
--- /dev/null
+++ b/libs/runtime/src/TableFeed.cpp
@@ -0,0 +1,115 @@
+#include "cowslipdoor/runtime/TableFeed.h"
+#include "cowslipdoor/runtime/Process.h"
+#include <algorithm>
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+asio::awaitable<ReadResult> readTable(const StorePort& store, std::string table)
+{
+    const PartsResult parts = co_await store.parts(table);
+    const StoreRefused* const refused = std::get_if<StoreRefused>(&parts);
+    if (refused)
+        co_return *refused;
+    std::vector<std::string> names = std::get<std::vector<std::string>>(parts);
+    // A table without rows has no parts; reading the unnamed one gives its version.
+    if (names.empty())
+        names.emplace_back();
+    RowPage whole;
+    bool first = true;
+    for (const std::string& part : names) {
+        const RowRange range { table, part, "", "" };
+        const ReadResult page = co_await store.read(range);
+        const RowPage* const rows = std::get_if<RowPage>(&page);
+        if (!rows)
+            co_return page;
+        whole.version = first ? rows->version : std::min(whole.version, rows->version);
+        whole.rows.insert(whole.rows.end(), rows->rows.begin(), rows->rows.end());
+        first = false;
+    }
+    co_return whole;
+}
+
+TableFeed::TableFeed(StorePort store, TableFeedConfig config, RowHandler onRow, ContactHandler onContact, const Log& log, Metrics& metrics)
+    : store(std::move(store))
+    , config(std::move(config))
+    , onRow(std::move(onRow))
+    , onContact(std::move(onContact))
+    , log(log)
+    , metrics(metrics)
+{
+}
+
+asio::awaitable<void> TableFeed::run(std::optional<RowVersion> after)
+{
+    this->known = after;
+    while (!this->stopped) {
+        if (this->known)
+            co_await this->followOnce();
+        else
+            co_await this->readWhole();
+    }
+}
+
+asio::awaitable<void> TableFeed::readWhole()
+{
+    const ReadResult result = co_await readTable(this->store, this->config.table);
+    const StoreRefused* const refused = std::get_if<StoreRefused>(&result);
+    if (refused) {
+        co_await this->pauseAfterFailure(refused->reason);
+        co_return;
+    }
+    this->contact(true);
+    co_await this->tellRows(std::get<RowPage>(result));
+}
+
+asio::awaitable<void> TableFeed::followOnce()
+{
+    const FeedResult result = co_await this->store.follow(this->config.table, *this->known);
+    if (this->stopped)
+        co_return;
+    const StoreRefused* const refused = std::get_if<StoreRefused>(&result);
+    if (refused) {
+        co_await this->pauseAfterFailure(refused->reason);
+        co_return;
+    }
+    this->contact(true);
+    if (std::holds_alternative<HistoryGone>(result)) {
+        this->metrics.countEvent(EventId::FeedRestarted);
+        this->log.record(EventId::FeedRestarted, this->config.table + ": the history after version " + std::to_string(*this->known) + " is gone");
+        this->known.reset();
+        co_return;
+    }
+    co_await this->tellRows(std::get<RowPage>(result));
+}
+
+asio::awaitable<void> TableFeed::tellRows(RowPage page)
+{
+    this->known = std::max(this->known.value_or(0), page.version);
+    for (const Row& row : page.rows) {
+        if (this->stopped)
+            co_return;
+        co_await this->onRow(row);
+    }
+}
+
+asio::awaitable<void> TableFeed::pauseAfterFailure(std::string reason)
+{
+    if (this->answering) {
+        this->metrics.countEvent(EventId::StoreLost);
+        this->log.record(EventId::StoreLost, this->config.table + ": " + reason);
+    }
+    this->contact(false);
+    co_await pauseFor(this->config.retryDelay);
+}
+
+void TableFeed::contact(bool answered)
+{
+    if (answered && !this->answering)
+        this->log.record(EventId::StoreRegained, this->config.table);
+    this->answering = answered;
+    if (this->onContact)
+        this->onContact(answered);
+}
+
+}
--- /dev/null
+++ b/libs/runtime/src/WorkerTask.cpp
@@ -0,0 +1,226 @@
+#include "cowslipdoor/runtime/WorkerTask.h"
+#include "cowslipdoor/runtime/Clock.h"
+#include "cowslipdoor/runtime/Process.h"
+#include <algorithm>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/scheduling/Rows.h>
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    constexpr std::size_t inboxCapacity = 4096;
+
+    /// Pause before a failed registration is tried again.
+    constexpr Duration registrationRetryDelay = std::chrono::milliseconds(200);
+
+    /// Silence that closes a link of a leader, which answers a word every 400 ms; long, as a stall of the leader is no
+    /// reason for the agent to give up and the leader dials again by itself.
+    constexpr Duration leaderSilenceLimit = std::chrono::milliseconds(5000);
+
+    struct ToReportMessage {
+        template <typename Message>
+        JobMessage operator()(const Message& message) const { return message; }
+    };
+
+    struct ToLeaderMessage {
+        std::optional<LeaderMessage> operator()(const LeaderHello& message) const { return message; }
+        std::optional<LeaderMessage> operator()(const DescribeRun& message) const { return message; }
+        std::optional<LeaderMessage> operator()(const StartRun& message) const { return message; }
+        std::optional<LeaderMessage> operator()(const StopRun& message) const { return message; }
+        std::optional<LeaderMessage> operator()(const AcknowledgeEnds& message) const { return message; }
+        std::optional<LeaderMessage> operator()(const Pong& message) const { return message; }
+        template <typename Other>
+        std::optional<LeaderMessage> operator()(const Other&) const { return std::nullopt; }
+    };
+
+}
+
+WorkerTask::WorkerTask(asio::any_io_executor executor, WorkerMachineConfig config, WorkerPort worker, const Log& log, Metrics& metrics)
+    : executor(std::move(executor))
+    , machine(std::move(config), leaseNow())
+    , worker(std::move(worker))
+    , log(log)
+    , metrics(metrics)
+    , messages(makeMailbox<WorkerInput>(this->executor, inboxCapacity))
+    , timer(this->executor)
+{
+}
+
+void WorkerTask::start()
+{
+    asio::co_spawn(
+        this->executor, [this]() { return this->run(); }, asio::detached);
+}
+
+asio::awaitable<void> WorkerTask::run()
+{
+    while (true) {
+        this->armTimer();
+        const std::tuple<error_code, WorkerInput> received = co_await this->messages->async_receive(asTuple);
+        if (std::get<0>(received))
+            co_return;
+        std::visit([this](const auto& message) { this->on(message); }, std::get<1>(received));
+    }
+}
+
+void WorkerTask::on(const WorkerEvent& event)
+{
+    const LeaderDetached* const detached = std::get_if<LeaderDetached>(&event);
+    if (detached)
+        this->links.erase(detached->link);
+    for (const WorkerEffect& effect : this->machine.step(event, leaseNow()))
+        std::visit([this](const auto& alternative) { this->carryOut(alternative); }, effect);
+}
+
+void WorkerTask::on(const LeaderLink& message)
+{
+    this->links.insert_or_assign(message.link, message.outbox);
+    this->on(WorkerEvent(LeaderAttached { message.link }));
+}
+
+void WorkerTask::on(const WorkerStatusQuery& query)
+{
+    trySend(*query.reply, WorkerTaskStatus { this->machine.worker(), this->machine.settled(), this->machine.pace() });
+}
+
+void WorkerTask::carryOut(const CallLook& effect)
+{
+    this->spawnCall(this->worker.look, effect);
+}
+
+void WorkerTask::carryOut(const CallStart& effect)
+{
+    this->spawnCall(this->worker.start, effect);
+}
+
+void WorkerTask::carryOut(const CallStop& effect)
+{
+    this->spawnCall(this->worker.stop, effect);
+}
+
+void WorkerTask::carryOut(const CallPace& effect)
+{
+    this->spawnCall(this->worker.pace, effect);
+}
+
+void WorkerTask::carryOut(const SendToLeader& effect)
+{
+    const std::map<LinkId, JobOutbox>::iterator it = this->links.find(effect.link);
+    if (it != this->links.end() && !trySend(*it->second, JobOutboxMessage(std::visit(ToReportMessage {}, effect.report))))
+        it->second->close();
+}
+
+void WorkerTask::carryOut(const CloseLeaderLink& effect)
+{
+    const std::map<LinkId, JobOutbox>::iterator it = this->links.find(effect.link);
+    if (it != this->links.end())
+        trySend(*it->second, JobOutboxMessage(EndLink {}));
+}
+
+void WorkerTask::carryOut(const RecordEvent& effect)
+{
+    this->metrics.countEvent(effect.event);
+    this->log.record(effect.event, effect.detail);
+}
+
+template <typename Call>
+void WorkerTask::spawnCall(const std::function<asio::awaitable<WorkerEvent>(Call)>& function, const Call& call)
+{
+    const Mailbox<WorkerInput> inbox = this->messages;
+    asio::co_spawn(
+        this->executor, [inbox, &function, call]() -> asio::awaitable<void> {
+            const WorkerEvent event = co_await function(call);
+            const WorkerInput input(event);
+            co_await send(inbox, input);
+        },
+        asio::detached);
+}
+
+void WorkerTask::armTimer()
+{
+    const std::optional<TimePoint> wakeup = this->machine.nextWakeup();
+    if (!wakeup) {
+        this->timer.cancel();
+        return;
+    }
+    this->timer.expires_after(std::max(Duration {}, *wakeup - leaseNow()));
+    const Mailbox<WorkerInput> inbox = this->messages;
+    this->timer.async_wait([inbox](error_code error) {
+        if (!error)
+            trySend(*inbox, WorkerInput(WorkerEvent(TimePassed {})));
+    });
+}
+
+LeaderListener::LeaderListener(asio::any_io_executor executor, const std::string& address, Mailbox<WorkerInput> agent, const Log& log, Metrics& metrics)
+    : agent(std::move(agent))
+    , log(log)
+    , metrics(metrics)
+    , listener(std::move(executor), address, [this](tcp::socket socket) { return this->serve(std::move(socket)); })
+{
+}
+
+void LeaderListener::start()
+{
+    this->listener.start();
+}
+
+asio::awaitable<void> LeaderListener::serve(tcp::socket socket)
+{
+    const std::shared_ptr<JobStream> stream = std::make_shared<JobStream>(std::move(socket), [this](const JobMessage&, std::size_t bytes) { this->metrics.countControlBytes(bytes); });
+    stream->setSilenceLimit(leaderSilenceLimit);
+    stream->startWriter();
+    const LinkId link { ++this->lastLink };
+    const WorkerInput attached(LeaderLink { link, stream->outbox() });
+    co_await send(this->agent, attached);
+    co_await this->relayAll(link, stream);
+    stream->close();
+    const WorkerInput detached(WorkerEvent(LeaderDetached { link }));
+    co_await send(this->agent, detached);
+}
+
+asio::awaitable<void> LeaderListener::relayAll(LinkId link, std::shared_ptr<JobStream> stream)
+{
+    try {
+        while (true) {
+            const JobMessage message = co_await stream->receive();
+            const std::optional<LeaderMessage> said = std::visit(ToLeaderMessage {}, message);
+            if (!said)
+                throw Error(ErrorKind::BadFrame, "a leader sent a message of an agent");
+            const WorkerInput input(WorkerEvent(LeaderSaid { link, *said }));
+            co_await send(this->agent, input);
+        }
+    } catch (const Error& error) {
+        this->metrics.countEvent(EventId::FrameRefused);
+        this->log.record(EventId::FrameRefused, error.what());
+    } catch (const boost::system::system_error& error) {
+        this->log.record(stream->fellSilent() ? EventId::LinkSilent : EventId::LinkClosed, error.code().message());
+    }
+}
+
+asio::awaitable<void> registerAgent(StorePort store, std::string agent, std::string address, Mailbox<WorkerInput> inbox, const Log& log)
+{
+    const RowKey key = agentRowKey(agent);
+    while (true) {
+        const RowRange range { key.table, key.part, key.key, key.key + '\x01' };
+        const ReadResult read = co_await store.read(range);
+        const RowPage* const page = std::get_if<RowPage>(&read);
+        if (page) {
+            const bool present = !page->rows.empty();
+            const std::optional<AgentRecord> before = present ? parseAgentRecord(page->rows.front().value) : std::nullopt;
+            const AgentRecord next { address, before ? before->generation + 1 : 1 };
+            const Transaction transaction { { { key, present ? page->rows.front().version : 0 } }, { { key, print(next) } }, {} };
+            const TransactionResult result = co_await store.transact(transaction);
+            if (std::holds_alternative<Applied>(result)) {
+                log.record(EventId::GenerationTaken, std::to_string(next.generation) + ", from the store");
+                const WorkerInput granted(WorkerEvent(GenerationGranted { next.generation }));
+                co_await send(inbox, granted);
+                co_return;
+            }
+        }
+        co_await pauseFor(registrationRetryDelay);
+    }
+}
+
+}
--- /dev/null
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -0,0 +1,166 @@
+#pragma once
+
+/// @file
+/// @brief Jobs that the leader knows, and how far each task has come.
+
+#include "Rows.h"
+#include <cowslipdoor/core/Time.h>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cowslipdoor {
+
+/// @brief What the leader knows of one task.
+struct TaskState {
+    TaskRecord record {};
+    /// Write of the leader that stores the assignment; zero while none has been begun.
+    std::uint64_t storedBy = 0;
+    /// Whether the order has left for the agent.
+    bool ordered = false;
+    /// Number of that order; zero for one of an earlier leader.
+    std::uint64_t order = 0;
+    /// Whether a stop has been ordered.
+    bool stopping = false;
+    /// Agent on whose worker the task failed last, or empty.
+    std::string failedOn {};
+    /// Not to be placed before.
+    TimePoint notBefore {};
+    TimePoint startedAt {};
+    std::uint32_t percent = 0;
+    /// When the percent last grew.
+    TimePoint progressedAt {};
+
+    bool operator==(const TaskState&) const = default;
+
+    /// @return whether the task waits for a place, if its step's turn has come
+    [[nodiscard]] bool unplaced() const noexcept { return !this->record.done && !this->record.assignment; }
+};
+
+/// @brief What the leader knows of one job.
+struct JobEntry {
+    JobSpecHandle spec;
+    JobState state = JobState::Queued;
+    TimePoint arrived {};
+    /// Objective: later the job is worth less.
+    TimePoint due {};
+    std::vector<std::vector<TaskState>> steps {};
+    /// Tasks of each step that are not done.
+    std::vector<std::uint32_t> remaining {};
+    /// Tasks of all steps that have an assignment.
+    std::uint32_t assigned = 0;
+
+    /// @param step number of a step
+    /// @return whether all steps before it are done
+    [[nodiscard]] bool stepReady(std::size_t step) const;
+
+    /// @return whether no task has been started yet
+    [[nodiscard]] bool pending() const;
+};
+
+/// @brief What the end of a run meant.
+enum class RunVerdict : unsigned char {
+    /// The run is not one that the book has open.
+    Unknown,
+    TaskDone,
+    /// The task waits for a place again.
+    Requeued,
+    /// The job has ended by it.
+    JobEnded,
+};
+
+/// @brief Book of all jobs; the only place that changes their tasks.
+/// @code
+/// book.add(spec, now);
+/// const RunId run = book.assign({ spec->id, 0, 0 }, { "agent-1", worker }, now);
+/// book.end(run, RunEndKind::Done, "", now);
+/// @endcode
+class JobBook {
+public:
+    /// @brief Adds a job that has no progress yet.
+    /// @param spec the job
+    /// @param now the present
+    /// @return whether it was not known
+    bool add(const JobSpecHandle& spec, TimePoint now);
+
+    /// @brief Adds a job with its stored progress.
+    /// @param spec the job
+    /// @param record its progress; one that does not fit the job is left out
+    /// @param now the present
+    void restore(const JobSpecHandle& spec, const ProgressRecord& record, TimePoint now);
+
+    /// @brief Cancels a job that has not ended.
+    /// @param job the job
+    /// @return whether its state changed
+    bool cancel(const JobId& job);
+
+    /// @brief Places a task.
+    /// @param task a task that waits for a place
+    /// @param place where it goes
+    /// @param now the present
+    /// @return its new run
+    RunId assign(const TaskId& task, const Assignment& place, TimePoint now);
+
+    /// @brief Takes in the end of a run.
+    /// @param run the run
+    /// @param kind how it ended
+    /// @param checkpoint where it may resume, or empty
+    /// @param now the present
+    /// @return what it meant
+    RunVerdict end(const RunId& run, RunEndKind kind, const std::string& checkpoint, TimePoint now);
+
+    /// @brief Takes in that a run never began or can no longer act; it does not count as an attempt.
+    /// @param run the run
+    /// @param notBefore earliest time of its next start
+    /// @return whether the book had it open
+    bool release(const RunId& run, TimePoint notBefore);
+
+    /// @param job the job
+    /// @return its entry, or nothing
+    [[nodiscard]] const JobEntry* find(const JobId& job) const;
+
+    /// @param task the task
+    /// @return its state, or nothing
+    [[nodiscard]] TaskState* task(const TaskId& task);
+
+    /// @param run the run
+    /// @return the state of its task if the book has just this run open, else nothing
+    [[nodiscard]] TaskState* openRun(const RunId& run);
+
+    /// @return all jobs
+    [[nodiscard]] const std::map<JobId, JobEntry>& jobs() const noexcept { return this->entries; }
+
+    /// @return jobs that have a task to place, if its step's turn has come
+    [[nodiscard]] const std::set<JobId>& waiting() const noexcept { return this->waitingJobs; }
+
+    /// @param job a known job
+    /// @return what the store should hold of it
+    [[nodiscard]] ProgressRecord record(const JobId& job) const;
+
+    /// @return the number of jobs without a start, by queue
+    [[nodiscard]] PendingCounts pendingCounts() const;
+
+    /// @brief Gives the jobs whose stored progress is behind, in the order of their identifiers.
+    /// @return the jobs; they count as stored from now on
+    /// @param most how many at most
+    [[nodiscard]] std::vector<JobId> takeChanged(std::size_t most);
+
+    /// @return whether a job's stored progress is behind
+    [[nodiscard]] bool changed() const noexcept { return !this->changedJobs.empty(); }
+
+private:
+    JobEntry& entry(const JobId& job);
+    void finishJob(JobEntry& job, JobState state);
+    RunVerdict finishTask(JobEntry& job, TaskState& task, std::size_t step);
+    RunVerdict requeueTask(JobEntry& job, TaskState& task, bool countsAsAttempt, TimePoint now);
+    void unassign(JobEntry& job, TaskState& task);
+    void refresh(const JobEntry& job);
+
+    std::map<JobId, JobEntry> entries;
+    std::set<JobId> waitingJobs;
+    std::set<JobId> changedJobs;
+};
+
+}
--- /dev/null
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -0,0 +1,78 @@
+#pragma once
+
+/// @file
+/// @brief Pace of filling runs beside runs that serve.
+
+#include "Worker.h"
+#include <cowslipdoor/core/Time.h>
+#include <map>
+#include <vector>
+
+namespace cowslipdoor {
+
+/// @brief Settings of the pace loop.
+struct PaceConfig {
+    /// Share of the target above which filling runs are slowed. Below one, as the figure is rough and late.
+    double slowAbove = 0.85;
+    /// Share of the target below which they may go faster.
+    double quickenBelow = 0.65;
+    /// Factor on the pace when a tail is above the limit.
+    double slowFactor = 0.6;
+    /// Added to the pace, in percent, when every tail is low.
+    std::uint32_t quickenStep = 10;
+    /// Time from a change until the figure shows it: the window of the figure and the time until a pace acts.
+    Duration figureLag = std::chrono::milliseconds(600);
+
+    bool operator==(const PaceConfig&) const = default;
+};
+
+/// @brief Pace that a run should be given.
+struct PaceOrder {
+    RunId run;
+    std::uint32_t percent = 100;
+
+    bool operator==(const PaceOrder&) const = default;
+};
+
+/// @brief Regulates all filling runs of one worker by the worst tail of the serving runs there.
+///
+/// Pattern it answers: a filling run of a noisy image lands beside serving runs, or the load of these swings up; the tail
+/// rises within half a second and shows late. Fast down, slow up; a figure from before the last change triggers nothing.
+/// @code
+/// for (const PaceOrder& order : pace.update(running, now))
+///     callPace(order);
+/// @endcode
+class PaceControl {
+public:
+    /// @param config settings
+    explicit PaceControl(PaceConfig config);
+
+    /// @brief Notes what a run is.
+    /// @param run the run
+    /// @param traits what matters of it
+    void describe(const RunId& run, const PaceTraits& traits);
+
+    /// @brief Forgets a run that has ended.
+    /// @param run the run
+    void forget(const RunId& run);
+
+    /// @brief Takes in a list of the worker.
+    /// @param running all runs
+    /// @param now the present
+    /// @return paces that differ from those in force
+    [[nodiscard]] std::vector<PaceOrder> update(const std::vector<RunStatus>& running, TimePoint now);
+
+    /// @return the present pace in percent
+    [[nodiscard]] std::uint32_t percent() const noexcept { return this->current; }
+
+private:
+    [[nodiscard]] double worstShare(const std::vector<RunStatus>& running) const;
+
+    PaceConfig config;
+    std::uint32_t current = 100;
+    TimePoint changedAt {};
+    std::map<RunId, PaceTraits> traits;
+    std::map<RunId, std::uint32_t> inForce;
+};
+
+}
--- /dev/null
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -0,0 +1,247 @@
+#pragma once
+
+/// @file
+/// @brief The leader's decisions: who leads, what is stored, which run goes where.
+
+#include "JobBook.h"
+#include "JobMessages.h"
+#include "LeaderLease.h"
+#include "Workers.h"
+#include <cowslipdoor/core/EventCatalogue.h>
+#include <cowslipdoor/core/Ids.h>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cowslipdoor {
+
+/// @brief Settings of the scheduler.
+struct SchedulerConfig {
+    LeaseConfig lease {};
+    WorkerHealthConfig health {};
+    /// How long after a leader's last word runs may still act: the agent's trust in a word, the lease of the worker with
+    /// 2% of its clock, and the time that a call may take to get through.
+    Duration silenceLimit = std::chrono::milliseconds(4900);
+    /// How long changes are gathered for one write. A write takes about 4 ms, so gathering as long halves their number.
+    Duration gatherTime = std::chrono::milliseconds(5);
+    /// How often the counts of waiting jobs are written while they change. A quarter of their allowed age of 2 s.
+    Duration pendingInterval = std::chrono::milliseconds(500);
+    /// Pause before a refused run is placed again.
+    Duration rejectionPause = std::chrono::milliseconds(100);
+    /// Rows of jobs in one write; the rest of the store's limit is left to rows of the leader.
+    std::size_t rowsPerWrite = maximumTransactionEntries - 4;
+
+    bool operator==(const SchedulerConfig&) const = default;
+};
+
+/// @brief The leader's row was read.
+struct LeaderRowRead {
+    const std::optional<LeaderRecord> record {};
+    const RowVersion version = 0;
+};
+
+/// @brief The leader's row could not be read.
+struct LeaderRowUnread { };
+
+/// @brief A write came to an end.
+struct CommitFinished {
+    const TransactionResult result {};
+};
+
+/// @brief Agent as the store names it.
+struct KnownAgent {
+    std::string name;
+    AgentRecord record;
+};
+
+/// @brief Everything that the store holds of jobs, as of one moment for each table.
+struct TablesRead {
+    const std::uint64_t epoch = 0;
+    const std::vector<JobSpecHandle> jobs {};
+    const std::map<JobId, ProgressRecord> progress {};
+    const std::vector<JobId> cancelled {};
+    const std::vector<KnownAgent> agents {};
+};
+
+/// @brief A job was stored.
+struct JobStored {
+    const JobSpecHandle spec {};
+};
+
+/// @brief The cancellation of a job was stored.
+struct JobCancelStored {
+    const JobId job {};
+};
+
+/// @brief An agent registered.
+struct AgentStored {
+    const KnownAgent agent {};
+};
+
+/// @brief A link to an agent is open.
+struct AgentLinked {
+    const std::string agent {};
+    const LinkId link {};
+};
+
+/// @brief A link to an agent is gone.
+struct AgentUnlinked {
+    const std::string agent {};
+    const LinkId link {};
+};
+
+/// @brief An agent said something on a link.
+struct AgentSaid {
+    const std::string agent {};
+    const LinkId link {};
+    const AgentReport report {};
+};
+
+/// @brief The process is to stop; leadership is given up at once.
+struct ReleaseRequested { };
+
+/// @brief What the scheduler reacts to.
+using SchedulerEvent = std::variant<TimePassed, LeaderRowRead, LeaderRowUnread, CommitFinished, TablesRead, JobStored, JobCancelStored, AgentStored, AgentLinked, AgentUnlinked, AgentSaid, ReleaseRequested>;
+
+/// @brief Read the leader's row.
+struct ReadLeaderRow { };
+
+/// @brief Submit a transaction and tell its end.
+struct SubmitCommit {
+    const Transaction transaction {};
+};
+
+/// @brief Read all tables, then follow their changes.
+struct ReadTables {
+    const std::uint64_t epoch = 0;
+};
+
+/// @brief Stop following tables and close all links to agents.
+struct StopLeading { };
+
+/// @brief Keep a link to an agent.
+struct KeepAgentLinked {
+    const std::string agent {};
+    const std::string address {};
+};
+
+/// @brief Send a message to an agent.
+struct SendToAgent {
+    const LinkId link {};
+    const LeaderMessage message;
+};
+
+/// @brief Count the end of a job.
+struct ObserveJob {
+    const std::string queue {};
+    const JobState state {};
+    const Duration latency {};
+};
+
+/// @brief What the scheduler wants done.
+using SchedulerEffect = std::variant<ReadLeaderRow, SubmitCommit, ReadTables, StopLeading, KeepAgentLinked, SendToAgent, ObserveJob, RecordEvent>;
+
+/// @brief Pure state machine of an entry's part in scheduling: standby, then leader.
+///
+/// What it relies on: an assignment is stored before the order leaves, and an end is stored before it is acknowledged, so
+/// a leader that vanishes at any moment leaves a true account. What the store holds at takeover is taken as possibly
+/// running until the agent that it names tells otherwise, or until that agent's leases have surely expired.
+/// @code
+/// Scheduler scheduler(config);
+/// for (const SchedulerEffect& effect : scheduler.step(TimePassed {}, now))
+///     carryOut(effect);
+/// @endcode
+class Scheduler {
+public:
+    using Effects = std::vector<SchedulerEffect>;
+
+    /// @param config settings
+    explicit Scheduler(SchedulerConfig config);
+
+    /// @brief Takes an event.
+    /// @param event the event
+    /// @param now the present, by a clock that also counts suspension
+    /// @return what to do, in order
+    [[nodiscard]] Effects step(const SchedulerEvent& event, TimePoint now);
+
+    /// @return when TimePassed is due next, or nothing
+    [[nodiscard]] std::optional<TimePoint> nextWakeup() const;
+
+    /// @return the lease, for status pages
+    [[nodiscard]] const LeaderLease& lease() const noexcept { return this->leaderLease; }
+
+    /// @return the jobs, for status pages; empty while another process leads
+    [[nodiscard]] const JobBook& jobs() const noexcept { return this->book; }
+
+    /// @return the workers, for status pages; empty while another process leads
+    [[nodiscard]] const Workers& workers() const noexcept { return this->knownWorkers; }
+
+    /// @return whether this process leads and knows the jobs
+    [[nodiscard]] bool serving() const noexcept { return this->tablesRead && this->leaderLease.leading(); }
+
+private:
+    void on(const TimePassed& event, TimePoint now, Effects& effects);
+    void on(const LeaderRowRead& event, TimePoint now, Effects& effects);
+    void on(const LeaderRowUnread& event, TimePoint now, Effects& effects);
+    void on(const CommitFinished& event, TimePoint now, Effects& effects);
+    void on(const TablesRead& event, TimePoint now, Effects& effects);
+    void on(const JobStored& event, TimePoint now, Effects& effects);
+    void on(const JobCancelStored& event, TimePoint now, Effects& effects);
+    void on(const AgentStored& event, TimePoint now, Effects& effects);
+    void on(const AgentLinked& event, TimePoint now, Effects& effects);
+    void on(const AgentUnlinked& event, TimePoint now, Effects& effects);
+    void on(const AgentSaid& event, TimePoint now, Effects& effects);
+    void on(const ReleaseRequested& event, TimePoint now, Effects& effects);
+
+    void heard(WorkerEntry& worker, const Ping& report, TimePoint now, Effects& effects);
+    void heard(WorkerEntry& worker, const WorkerSnapshot& report, TimePoint now, Effects& effects);
+    void heard(WorkerEntry& worker, const RunsEnded& report, TimePoint now, Effects& effects);
+    void heard(WorkerEntry& worker, const RunRejected& report, TimePoint now, Effects& effects);
+    void heard(WorkerEntry& worker, const RunProgress& report, TimePoint now, Effects& effects);
+
+    void advance(TimePoint now, Effects& effects);
+    void advanceLease(TimePoint now, Effects& effects);
+    void advanceWrites(TimePoint now, Effects& effects);
+    void tookOver(TimePoint now, Effects& effects);
+    void deposed(Effects& effects);
+    void committed(TimePoint now, Effects& effects);
+    void placeTasks(TimePoint now, Effects& effects);
+    void placeJob(const JobEntry& job, TimePoint now, Effects& effects);
+    [[nodiscard]] std::vector<RowWrite> takeWrites(TimePoint now);
+    void orderStored(const JobId& job, Effects& effects);
+    void stopLeftovers(const JobId& job, TimePoint now, Effects& effects);
+    void cancelJob(const JobId& job, TimePoint now, Effects& effects);
+    void takeEnds(WorkerEntry& worker, const WorkerIdentity& life, const std::vector<RunEnd>& ends, TimePoint now, Effects& effects);
+    void takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects);
+    void takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
+    void dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
+    void loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects);
+    void loseSilentWorkers(TimePoint now, Effects& effects);
+    void describeRuns(const WorkerEntry& worker, Effects& effects) const;
+    void learnAgent(const KnownAgent& agent, Effects& effects);
+    void send(const WorkerEntry& worker, LeaderMessage message, Effects& effects) const;
+    void observeEnd(const JobId& job, TimePoint now, Effects& effects) const;
+    void wantPass(TimePoint now);
+
+    SchedulerConfig config;
+    LeaderLease leaderLease;
+    JobBook book;
+    Workers knownWorkers;
+    bool tablesRead = false;
+    TimePoint ledSince {};
+    /// When tasks are placed and changes are written next, if anything calls for it.
+    std::optional<TimePoint> passAt;
+    /// Writes of this leader that have been begun.
+    std::uint64_t writes = 0;
+    /// Orders of this leader that have left.
+    std::uint64_t orders = 0;
+    std::vector<JobId> writing;
+    /// Ends that may be acknowledged once everything that has changed by now is stored.
+    std::map<std::string, AcknowledgeEnds> acknowledgeNext;
+    std::map<std::string, AcknowledgeEnds> acknowledgeAfterWrite;
+    PendingCounts pendingWritten;
+    TimePoint pendingWrittenAt {};
+};
+
+}
--- /dev/null
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/// @file
+/// @brief Workers as their agents know them, and the runs on them.
+
+#include "Job.h"
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cowslipdoor {
+
+/// @brief One life of a worker; a worker may come back under its identifier with nothing of before.
+struct WorkerIdentity {
+    std::string id;
+    /// Start of this life, in milliseconds since 1970 by the worker's clock.
+    std::int64_t born = 0;
+
+    std::strong_ordering operator<=>(const WorkerIdentity&) const = default;
+};
+
+/// @brief What a worker says of itself.
+struct WorkerInfo {
+    WorkerIdentity identity;
+    std::string service;
+    Room capacity;
+    std::vector<std::string> labels;
+    bool draining = false;
+    /// Least time until a draining worker leaves.
+    Duration remaining {};
+
+    bool operator==(const WorkerInfo&) const = default;
+};
+
+/// @brief How a run ended.
+enum class RunEndKind : unsigned char {
+    Done,
+    Failed,
+    Stopped,
+    LeaseExpired,
+    /// Another member of its gang ended.
+    GangBroken,
+    /// Its gang did not assemble in time.
+    GangIncomplete,
+};
+
+/// @param kind the kind
+/// @return its name for logs
+[[nodiscard]] std::string_view toString(RunEndKind kind) noexcept;
+
+/// @brief End of a run as its worker lists it until it is acknowledged.
+struct RunEnd {
+    /// Number of the end within the worker's life.
+    std::uint64_t number = 0;
+    RunId run;
+    RunEndKind kind = RunEndKind::Done;
+    /// Checkpoint to resume from, or empty.
+    std::string checkpoint;
+
+    bool operator==(const RunEnd&) const = default;
+};
+
+/// @brief Run as its worker lists it.
+struct RunStatus {
+    RunId run;
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+    /// Tail latency in milliseconds of a serving task, or milli-cores in use of another.
+    std::uint32_t figure = 0;
+
+    bool operator==(const RunStatus&) const = default;
+};
+
+/// @brief What an agent must know of a run to regulate its pace.
+struct PaceTraits {
+    bool fills = false;
+    Duration target {};
+
+    bool operator==(const PaceTraits&) const = default;
+};
+
+}
--- /dev/null
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -0,0 +1,317 @@
+#pragma once
+
+/// @file
+/// @brief The agent's decisions: what its worker is asked to do, and when the leases of its runs are renewed.
+
+#include "JobMessages.h"
+#include "PaceControl.h"
+#include <cowslipdoor/core/EventCatalogue.h>
+#include <cowslipdoor/core/Ids.h>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cowslipdoor {
+
+/// @brief Settings of the agent's machine.
+struct WorkerMachineConfig {
+    std::string agent {};
+    PaceConfig pace {};
+    /// Lease that each renewal gives the runs. Outlives a restart of the agent, which takes about a second.
+    Duration lease = std::chrono::milliseconds(3000);
+    /// How much longer the worker's slow clock may make a lease last: 2% by contract, and the time a call takes.
+    Duration leaseMargin = std::chrono::milliseconds(150);
+    /// How long a word of the leader allows renewals. Outlives the loss of three words.
+    Duration wordValidity = std::chrono::milliseconds(1500);
+    /// How long a worker that does not answer still gets renewals.
+    Duration contactValidity = std::chrono::milliseconds(1000);
+    /// How often the leader is asked for a word.
+    Duration pingInterval = std::chrono::milliseconds(400);
+    /// How long a look waits for an end; tails are read as often.
+    Duration lookWait = std::chrono::milliseconds(500);
+    /// Longest pause between looks while ends wait for the leader.
+    Duration acknowledgeWait = std::chrono::milliseconds(300);
+    /// Pause before an unanswered look is repeated.
+    Duration retryDelay = std::chrono::milliseconds(100);
+    /// How often progress is reported.
+    Duration progressInterval = std::chrono::milliseconds(1000);
+    /// How long after its sign-off a worker's runs may still be ending.
+    Duration signOffMargin = std::chrono::milliseconds(300);
+    /// Ends that a worker lists at most in one answer.
+    std::size_t mostListedEnds = 500;
+
+    bool operator==(const WorkerMachineConfig&) const = default;
+};
+
+/// @brief Number of a call to the worker; grows with each call.
+enum class CallNumber : std::uint64_t {};
+
+/// @brief The store granted this run of the agent its generation.
+struct GenerationGranted {
+    const std::uint64_t generation = 0;
+};
+
+/// @brief The worker reported itself.
+struct WorkerBeat {
+    const WorkerInfo info {};
+};
+
+/// @brief The worker signed off.
+struct WorkerSignedOff {
+    const std::string id {};
+};
+
+/// @brief A look was answered.
+struct LookAnswered {
+    const CallNumber call {};
+    /// Start of the life that answered, or zero when it did not say.
+    const std::int64_t born = 0;
+    const std::int64_t clockMs = 0;
+    const std::vector<RunStatus> running {};
+    const std::vector<RunEnd> ended {};
+};
+
+/// @brief An order was answered.
+struct OrderAnswered {
+    const CallNumber call {};
+    const bool accepted = false;
+    const std::string reason {};
+};
+
+/// @brief A call got no answer; an order may be carried out seconds later.
+struct CallUnanswered {
+    const CallNumber call {};
+};
+
+/// @brief Another life of the worker answered than the one that was meant; nothing was done.
+struct CallMisdirected {
+    const CallNumber call {};
+};
+
+/// @brief A link from an entry was opened.
+struct LeaderAttached {
+    const LinkId link {};
+};
+
+/// @brief A link from an entry is gone.
+struct LeaderDetached {
+    const LinkId link {};
+};
+
+/// @brief An entry said something.
+struct LeaderSaid {
+    const LinkId link {};
+    const LeaderMessage message;
+};
+
+/// @brief What the agent's machine reacts to.
+using WorkerEvent = std::variant<TimePassed, GenerationGranted, WorkerBeat, WorkerSignedOff, LookAnswered, OrderAnswered, CallUnanswered, CallMisdirected, LeaderAttached, LeaderDetached, LeaderSaid>;
+
+/// @brief Look at the worker, acknowledge ends and renew leases.
+struct CallLook {
+    const CallNumber call {};
+    const std::string worker {};
+    const std::uint64_t token = 0;
+    const std::uint64_t acknowledgeUpTo = 0;
+    /// End of the leases by the worker's clock, or nothing to leave them as they are.
+    const std::optional<std::int64_t> leaseUntilMs {};
+    const Duration wait {};
+};
+
+/// @brief Start a run.
+struct CallStart {
+    const CallNumber call {};
+    const std::string worker {};
+    const std::uint64_t token = 0;
+    const RunId run {};
+    const std::string payload {};
+    const std::string checkpoint {};
+    const std::int64_t leaseUntilMs = 0;
+};
+
+/// @brief Stop a run.
+struct CallStop {
+    const CallNumber call {};
+    const std::string worker {};
+    const std::uint64_t token = 0;
+    const RunId run {};
+};
+
+/// @brief Change the pace of a run.
+struct CallPace {
+    const CallNumber call {};
+    const std::string worker {};
+    const std::uint64_t token = 0;
+    const RunId run {};
+    const std::uint32_t percent = 100;
+};
+
+/// @brief Send a report to the leader.
+struct SendToLeader {
+    const LinkId link {};
+    const AgentReport report;
+};
+
+/// @brief Close a link of an entry that does not lead.
+struct CloseLeaderLink {
+    const LinkId link {};
+};
+
+/// @brief What the agent's machine wants done.
+using WorkerEffect = std::variant<CallLook, CallStart, CallStop, CallPace, SendToLeader, CloseLeaderLink, RecordEvent>;
+
+/// @brief Pure state machine of one agent and its worker.
+///
+/// The agent is the only caller of its worker. It sends one order after another. An order without an answer may be carried
+/// out seconds later, so the agent raises its fencing token and looks: once a look is answered under the new token, no
+/// older order can act, and the lists tell what is true.
+/// @code
+/// WorkerMachine machine(config);
+/// for (const WorkerEffect& effect : machine.step(WorkerBeat { info }, now))
+///     carryOut(effect);
+/// @endcode
+class WorkerMachine {
+public:
+    using Effects = std::vector<WorkerEffect>;
+
+    /// @param config settings
+    /// @param now the present; leases that a predecessor gave may last from here
+    WorkerMachine(WorkerMachineConfig config, TimePoint now);
+
+    /// @brief Takes an event.
+    /// @param event the event
+    /// @param now the present, by a clock that also counts suspension
+    /// @return what to do, in order
+    [[nodiscard]] Effects step(const WorkerEvent& event, TimePoint now);
+
+    /// @return when TimePassed is due next, or nothing
+    [[nodiscard]] std::optional<TimePoint> nextWakeup() const;
+
+    /// @return the worker, or nothing while none is known
+    [[nodiscard]] std::optional<WorkerInfo> worker() const;
+
+    /// @return the pace of filling runs in percent
+    [[nodiscard]] std::uint32_t pace() const noexcept { return this->paceControl.percent(); }
+
+    /// @return whether all runs on the worker are known
+    [[nodiscard]] bool settled() const noexcept;
+
+private:
+    struct StartOrder {
+        StartRun order;
+    };
+    struct StopOrder {
+        RunId run;
+    };
+    struct ChangePace {
+        RunId run;
+        std::uint32_t percent;
+    };
+    using Order = std::variant<StartOrder, StopOrder, ChangePace>;
+
+    struct OrderInFlight {
+        CallNumber call;
+        Order order;
+    };
+
+    struct LookInFlight {
+        CallNumber call;
+        std::uint64_t token = 0;
+    };
+
+    /// One life of the worker as the agent sees it.
+    struct Life {
+        WorkerInfo info;
+        std::int64_t clockMs = 0;
+        TimePoint clockReadAt {};
+        TimePoint lastContact {};
+        std::uint64_t settledToken = 0;
+        CallNumber newestLook {};
+        std::uint64_t acknowledged = 0;
+        std::uint64_t reported = 0;
+        std::vector<RunStatus> running {};
+        std::vector<RunEnd> ended {};
+        /// Runs whose start was answered, with the first look that must list them.
+        std::map<RunId, CallNumber> started {};
+        std::set<RunId> doubtful {};
+        std::set<RunId> toStop {};
+    };
+
+    void on(const TimePassed& event, TimePoint now, Effects& effects);
+    void on(const GenerationGranted& event, TimePoint now, Effects& effects);
+    void on(const WorkerBeat& event, TimePoint now, Effects& effects);
+    void on(const WorkerSignedOff& event, TimePoint now, Effects& effects);
+    void on(const LookAnswered& event, TimePoint now, Effects& effects);
+    void on(const OrderAnswered& event, TimePoint now, Effects& effects);
+    void on(const CallUnanswered& event, TimePoint now, Effects& effects);
+    void on(const CallMisdirected& event, TimePoint now, Effects& effects);
+    void on(const LeaderAttached& event, TimePoint now, Effects& effects);
+    void on(const LeaderDetached& event, TimePoint now, Effects& effects);
+    void on(const LeaderSaid& event, TimePoint now, Effects& effects);
+
+    void hear(LinkId link, const LeaderHello& message, TimePoint now, Effects& effects);
+    void hear(LinkId link, const DescribeRun& message, TimePoint now, Effects& effects);
+    void hear(LinkId link, const StartRun& message, TimePoint now, Effects& effects);
+    void hear(LinkId link, const StopRun& message, TimePoint now, Effects& effects);
+    void hear(LinkId link, const AcknowledgeEnds& message, TimePoint now, Effects& effects);
+    void hear(LinkId link, const Pong& message, TimePoint now, Effects& effects);
+
+    void answered(const StartOrder& order, const OrderAnswered& event, Effects& effects);
+    void answered(const StopOrder& order, const OrderAnswered& event, Effects& effects);
+    void answered(const ChangePace& order, const OrderAnswered& event, Effects& effects);
+    void lost(const StartOrder& order);
+    void lost(const StopOrder& order);
+    void lost(const ChangePace& order);
+    void call(const StartOrder& order, TimePoint now, Effects& effects);
+    void call(const StopOrder& order, TimePoint now, Effects& effects);
+    void call(const ChangePace& order, TimePoint now, Effects& effects);
+
+    void advance(TimePoint now, Effects& effects);
+    void advanceLife(TimePoint now, Effects& effects);
+    void look(TimePoint now, Duration wait, Effects& effects);
+    void sendOrder(TimePoint now, Effects& effects);
+    void beginLife(const WorkerInfo& info, TimePoint now, Effects& effects);
+    void endLife(const std::string& reason, Effects& effects);
+    void settleDoubts(Effects& effects);
+    void reportMissing(CallNumber look, Effects& effects);
+    void reportEnds(Effects& effects);
+    void reportProgress(TimePoint now, Effects& effects);
+    void regulatePace(TimePoint now);
+    void reject(const RunId& run, const std::string& reason, Effects& effects);
+    void sendSnapshot(Effects& effects);
+    void report(AgentReport report, Effects& effects) const;
+    [[nodiscard]] std::uint64_t token() const noexcept;
+    [[nodiscard]] CallNumber nextCall() noexcept;
+    [[nodiscard]] bool mayRenew(TimePoint now) const;
+    [[nodiscard]] std::int64_t leaseUntil(TimePoint now);
+    [[nodiscard]] std::vector<RunId> pendingRuns() const;
+    [[nodiscard]] bool lists(const RunId& run) const;
+
+    WorkerMachineConfig config;
+    PaceControl paceControl;
+    std::optional<std::uint64_t> generation;
+    std::uint64_t tokenRaises = 0;
+    std::uint64_t lastCall = 0;
+    std::optional<Life> life;
+    std::int64_t lastBorn = 0;
+    /// Until when runs may hold a lease that this agent or its predecessor gave.
+    TimePoint leaseEnd;
+    std::optional<TimePoint> signedOffAt;
+    std::optional<LookInFlight> looking;
+    TimePoint lookAt {};
+    std::deque<Order> orders;
+    std::optional<OrderInFlight> ordering;
+    std::uint64_t epoch = 0;
+    std::optional<LinkId> leader;
+    std::uint64_t lastOrder = 0;
+    std::optional<TimePoint> lastWord;
+    TimePoint pingAt {};
+    TimePoint progressAt {};
+    bool blindReported = false;
+};
+
+}
--- /dev/null
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -0,0 +1,87 @@
+#pragma once
+
+/// @file
+/// @brief Workers that the leader knows through their agents, and the room that is taken on each.
+
+#include "Job.h"
+#include "Worker.h"
+#include <cowslipdoor/core/Ids.h>
+#include <cowslipdoor/core/Time.h>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace cowslipdoor {
+
+/// @brief Settings of the judgement of workers.
+struct WorkerHealthConfig {
+    /// Failures in a row, of different jobs, that take a worker out of placement. One job that always fails must not.
+    std::uint32_t failuresToExclude = 3;
+    /// How long an excluded worker gets no start; then one failure excludes it again.
+    Duration exclusion = std::chrono::milliseconds(2500);
+
+    bool operator==(const WorkerHealthConfig&) const = default;
+};
+
+/// @brief One agent and its worker.
+struct WorkerEntry {
+    std::string agent {};
+    std::string address {};
+    /// Greatest generation of the agent that is known.
+    std::uint64_t generation = 0;
+    std::optional<LinkId> link {};
+    /// Number of the last order before the link was opened; it went to an earlier link.
+    std::uint64_t ordersBeforeLink = 0;
+    /// The worker in its present life, as the agent told.
+    std::optional<WorkerInfo> info {};
+    /// Whether the agent has told all that runs there.
+    bool settled = false;
+    /// When the agent was last allowed to renew the leases of its worker.
+    TimePoint lastWord {};
+    Room used {};
+    std::uint32_t fillingMilliCores = 0;
+    std::uint32_t lastingMilliCores = 0;
+    /// Tasks with a run here, with the life of the worker that they were sent to.
+    std::map<TaskId, WorkerIdentity> tasks {};
+    /// Jobs that failed here since the last success.
+    std::set<JobId> failedJobs {};
+    TimePoint excludedUntil {};
+
+    /// @param now the present
+    /// @return whether new runs may be sent here
+    [[nodiscard]] bool usable(TimePoint now) const noexcept
+    {
+        return this->link && this->info && this->settled && !this->info->draining && now >= this->excludedUntil;
+    }
+
+    /// @return what is free, by what has been assigned
+    [[nodiscard]] Room free() const noexcept { return this->info ? this->info->capacity.minus(this->used) : Room {}; }
+
+    /// @param id the task
+    /// @param step its step
+    /// @param worker the life of the worker
+    void take(const TaskId& id, const StepSpec& step, const WorkerIdentity& worker);
+
+    /// @param id a task that was taken
+    /// @param step its step
+    void giveBack(const TaskId& id, const StepSpec& step);
+
+    /// @param job the job
+    /// @param step number of the step
+    /// @return tasks of the step that are here
+    [[nodiscard]] std::uint32_t countOf(const JobId& job, std::uint32_t step) const;
+
+    /// @brief Takes in the end of a run for the judgement of the worker.
+    /// @param job the job
+    /// @param failed whether the run failed
+    /// @param config settings
+    /// @param now the present
+    /// @return whether the worker is excluded from now on
+    bool judge(const JobId& job, bool failed, const WorkerHealthConfig& config, TimePoint now);
+};
+
+/// @brief All workers by the name of their agents.
+using Workers = std::map<std::string, WorkerEntry>;
+
+}
--- /dev/null
+++ b/libs/scheduling/src/JobBook.cpp
@@ -0,0 +1,243 @@
+#include "cowslipdoor/scheduling/JobBook.h"
+#include <algorithm>
+
+namespace cowslipdoor {
+
+namespace {
+
+    /// Pause after a failed run, so that a worker that fails everything at once does not use up the attempts.
+    constexpr Duration failurePause = std::chrono::milliseconds(200);
+
+    JobEntry makeEntry(const JobSpecHandle& spec, TimePoint now)
+    {
+        JobEntry entry;
+        entry.spec = spec;
+        entry.arrived = now;
+        entry.due = now + std::chrono::duration_cast<Duration>(spec->longestChain() * spec->stretch) + spec->slack;
+        for (const StepSpec& step : spec->steps) {
+            entry.steps.emplace_back(step.count);
+            entry.remaining.push_back(step.count);
+        }
+        return entry;
+    }
+
+}
+
+bool JobEntry::stepReady(std::size_t step) const
+{
+    const std::vector<std::uint32_t>& after = this->spec->steps[step].after;
+    return std::all_of(after.begin(), after.end(), [this](std::uint32_t earlier) { return this->remaining[earlier] == 0; });
+}
+
+bool JobEntry::pending() const
+{
+    return !isTerminal(this->state) && std::none_of(this->steps.begin(), this->steps.end(), [](const std::vector<TaskState>& step) {
+        return std::any_of(step.begin(), step.end(), [](const TaskState& task) { return task.record.run > 0; });
+    });
+}
+
+bool JobBook::add(const JobSpecHandle& spec, TimePoint now)
+{
+    if (this->entries.contains(spec->id))
+        return false;
+    const JobEntry& added = this->entries.emplace(spec->id, makeEntry(spec, now)).first->second;
+    this->refresh(added);
+    return true;
+}
+
+void JobBook::restore(const JobSpecHandle& spec, const ProgressRecord& record, TimePoint now)
+{
+    if (!this->add(spec, now))
+        return;
+    JobEntry& job = this->entry(spec->id);
+    job.state = record.state;
+    std::size_t next = 0;
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        for (TaskState& task : job.steps[step]) {
+            if (next == record.tasks.size())
+                break;
+            task.record = record.tasks[next++];
+            task.ordered = task.record.assignment.has_value();
+            task.startedAt = now;
+            task.progressedAt = now;
+            job.assigned += task.record.assignment ? 1 : 0;
+            job.remaining[step] -= task.record.done ? 1 : 0;
+        }
+    }
+    this->refresh(job);
+}
+
+bool JobBook::cancel(const JobId& job)
+{
+    const std::map<JobId, JobEntry>::iterator it = this->entries.find(job);
+    if (it == this->entries.end() || isTerminal(it->second.state))
+        return false;
+    this->finishJob(it->second, JobState::Cancelled);
+    return true;
+}
+
+RunId JobBook::assign(const TaskId& task, const Assignment& place, TimePoint now)
+{
+    JobEntry& job = this->entry(task.job);
+    TaskState& state = job.steps.at(task.step).at(task.index);
+    state.record.assignment = place;
+    ++state.record.run;
+    state.storedBy = 0;
+    state.ordered = false;
+    state.stopping = false;
+    state.startedAt = now;
+    state.progressedAt = now;
+    state.percent = 0;
+    ++job.assigned;
+    if (job.state == JobState::Queued)
+        job.state = JobState::Running;
+    this->changedJobs.insert(task.job);
+    this->refresh(job);
+    return { task, state.record.run };
+}
+
+RunVerdict JobBook::end(const RunId& run, RunEndKind kind, const std::string& checkpoint, TimePoint now)
+{
+    TaskState* const state = this->task(run.task);
+    if (!state || run.number > state->record.run)
+        return RunVerdict::Unknown;
+    JobEntry& job = this->entry(run.task.job);
+    const StepSpec& step = job.spec->steps[run.task.step];
+    const bool open = this->openRun(run) != nullptr;
+    const bool finished = kind == RunEndKind::Done && !step.longRunning;
+    // A run that was given up may turn out to have finished; then its successor is needless.
+    if (!open && (!finished || state->record.done))
+        return RunVerdict::Unknown;
+    if (open) {
+        state->failedOn = kind == RunEndKind::Failed ? state->record.assignment->agent : std::string();
+        this->unassign(job, *state);
+    }
+    this->changedJobs.insert(run.task.job);
+    if (!checkpoint.empty())
+        state->record.checkpoint = checkpoint;
+    const RunVerdict verdict = finished || state->record.done ? this->finishTask(job, *state, run.task.step) : this->requeueTask(job, *state, kind == RunEndKind::Failed && !step.longRunning, now);
+    this->refresh(job);
+    return verdict;
+}
+
+RunVerdict JobBook::finishTask(JobEntry& job, TaskState& task, std::size_t step)
+{
+    if (task.record.done)
+        return RunVerdict::TaskDone;
+    task.record.done = true;
+    task.record.checkpoint.clear();
+    --job.remaining[step];
+    const bool allDone = std::all_of(job.remaining.begin(), job.remaining.end(), [](std::uint32_t left) { return left == 0; });
+    if (!allDone || isTerminal(job.state))
+        return RunVerdict::TaskDone;
+    this->finishJob(job, JobState::Done);
+    return RunVerdict::JobEnded;
+}
+
+RunVerdict JobBook::requeueTask(JobEntry& job, TaskState& task, bool countsAsAttempt, TimePoint now)
+{
+    if (!countsAsAttempt)
+        return RunVerdict::Requeued;
+    ++task.record.failures;
+    task.notBefore = now + failurePause;
+    if (task.record.failures < job.spec->attempts || isTerminal(job.state))
+        return RunVerdict::Requeued;
+    this->finishJob(job, JobState::Failed);
+    return RunVerdict::JobEnded;
+}
+
+bool JobBook::release(const RunId& run, TimePoint notBefore)
+{
+    TaskState* const state = this->openRun(run);
+    if (!state)
+        return false;
+    JobEntry& job = this->entry(run.task.job);
+    this->unassign(job, *state);
+    state->notBefore = notBefore;
+    this->changedJobs.insert(run.task.job);
+    this->refresh(job);
+    return true;
+}
+
+const JobEntry* JobBook::find(const JobId& job) const
+{
+    const std::map<JobId, JobEntry>::const_iterator it = this->entries.find(job);
+    return it == this->entries.end() ? nullptr : &it->second;
+}
+
+TaskState* JobBook::task(const TaskId& task)
+{
+    const std::map<JobId, JobEntry>::iterator it = this->entries.find(task.job);
+    if (it == this->entries.end() || task.step >= it->second.steps.size() || task.index >= it->second.steps[task.step].size())
+        return nullptr;
+    return &it->second.steps[task.step][task.index];
+}
+
+TaskState* JobBook::openRun(const RunId& run)
+{
+    TaskState* const state = this->task(run.task);
+    return state && state->record.assignment && state->record.run == run.number ? state : nullptr;
+}
+
+ProgressRecord JobBook::record(const JobId& job) const
+{
+    const JobEntry& entry = this->entries.at(job);
+    ProgressRecord record { entry.state, {} };
+    if (isTerminal(entry.state) && entry.assigned == 0)
+        return record;
+    for (const std::vector<TaskState>& step : entry.steps) {
+        for (const TaskState& task : step)
+            record.tasks.push_back(task.record);
+    }
+    return record;
+}
+
+PendingCounts JobBook::pendingCounts() const
+{
+    PendingCounts counts;
+    for (const JobId& id : this->waitingJobs) {
+        const JobEntry& job = this->entries.at(id);
+        if (job.pending())
+            ++counts[job.spec->queue];
+    }
+    return counts;
+}
+
+std::vector<JobId> JobBook::takeChanged(std::size_t most)
+{
+    std::vector<JobId> taken;
+    while (taken.size() < most && !this->changedJobs.empty())
+        taken.push_back(this->changedJobs.extract(this->changedJobs.begin()).value());
+    return taken;
+}
+
+JobEntry& JobBook::entry(const JobId& job)
+{
+    return this->entries.at(job);
+}
+
+void JobBook::finishJob(JobEntry& job, JobState state)
+{
+    job.state = state;
+    this->changedJobs.insert(job.spec->id);
+    this->refresh(job);
+}
+
+void JobBook::unassign(JobEntry& job, TaskState& task)
+{
+    task.record.assignment.reset();
+    --job.assigned;
+}
+
+void JobBook::refresh(const JobEntry& job)
+{
+    bool waits = false;
+    for (std::size_t step = 0; step < job.steps.size() && !waits && !isTerminal(job.state); ++step)
+        waits = job.stepReady(step) && std::any_of(job.steps[step].begin(), job.steps[step].end(), [](const TaskState& task) { return task.unplaced(); });
+    if (waits)
+        this->waitingJobs.insert(job.spec->id);
+    else
+        this->waitingJobs.erase(job.spec->id);
+}
+
+}
--- /dev/null
+++ b/libs/scheduling/src/LeaderLease.cpp
@@ -0,0 +1,143 @@
+#include "cowslipdoor/scheduling/LeaderLease.h"
+#include <algorithm>
+#include <utility>
+
+namespace cowslipdoor {
+
+LeaderLease::LeaderLease(LeaseConfig config)
+    : config(std::move(config))
+{
+}
+
+void LeaderLease::rowRead(const std::optional<LeaderRecord>& record, RowVersion version, TimePoint now)
+{
+    this->reading = false;
+    this->readAt = now + this->config.pollInterval;
+    if (this->leads || this->inFlight)
+        return;
+    if (this->version != version) {
+        this->version = version;
+        this->unchangedSince = now;
+    }
+    this->current = record.value_or(LeaderRecord { .epoch = this->current.epoch });
+}
+
+void LeaderLease::rowUnread(TimePoint now)
+{
+    this->reading = false;
+    this->readAt = now + this->config.retryDelay;
+    if (!this->leads && !this->inFlight)
+        this->version.reset();
+}
+
+bool LeaderLease::wantsRead(TimePoint now) const noexcept
+{
+    return !this->leads && !this->inFlight && !this->reading && now >= this->readAt;
+}
+
+bool LeaderLease::wantsTakeover(TimePoint now) const noexcept
+{
+    if (this->leads || this->inFlight || this->retired || !this->version)
+        return false;
+    const bool vacant = this->current.holder.empty() || this->current.holder == this->config.holder;
+    return vacant || now - this->unchangedSince >= this->config.leaseTime;
+}
+
+bool LeaderLease::wantsRenewal(TimePoint now) const noexcept
+{
+    return this->leads && !this->inFlight && now - this->lastWrite >= this->config.renewInterval;
+}
+
+Transaction LeaderLease::begin(std::vector<RowWrite> writes, TimePoint now)
+{
+    LeaderRecord next { this->current.epoch, this->config.holder, this->config.incarnation, this->current.sequence + 1 };
+    if (!this->leads) {
+        next.epoch = this->current.epoch + 1;
+        next.sequence = 1;
+    }
+    return this->send(std::move(next), std::move(writes), now);
+}
+
+Transaction LeaderLease::beginRelease(TimePoint now)
+{
+    return this->send({ this->current.epoch, "", 0, this->current.sequence + 1 }, {}, now);
+}
+
+CommitVerdict LeaderLease::finished(const TransactionResult& result, TimePoint now)
+{
+    if (!this->inFlight)
+        return CommitVerdict::Repeat;
+    const Applied* const done = std::get_if<Applied>(&result);
+    if (done)
+        return this->applied(done->version, this->inFlight->lastSent);
+    const Conflict* const conflict = std::get_if<Conflict>(&result);
+    if (conflict)
+        return this->conflicted(*conflict, now);
+    this->inFlight->repeatAt = now + this->config.retryDelay;
+    return CommitVerdict::Repeat;
+}
+
+std::optional<Transaction> LeaderLease::repeat(TimePoint now)
+{
+    if (!this->inFlight || !this->inFlight->repeatAt || now < *this->inFlight->repeatAt)
+        return std::nullopt;
+    this->inFlight->repeatAt.reset();
+    this->inFlight->lastSent = now;
+    return this->inFlight->transaction;
+}
+
+bool LeaderLease::valid(TimePoint now) const noexcept
+{
+    return this->leads && now < this->validUntil;
+}
+
+std::optional<TimePoint> LeaderLease::nextWakeup() const noexcept
+{
+    if (this->inFlight)
+        return this->inFlight->repeatAt;
+    if (this->leads)
+        return this->lastWrite + this->config.renewInterval;
+    if (this->reading)
+        return std::nullopt;
+    return this->readAt;
+}
+
+Transaction LeaderLease::send(LeaderRecord record, std::vector<RowWrite> writes, TimePoint now)
+{
+    writes.push_back({ leaderRowKey(), print(record) });
+    Transaction transaction { { { leaderRowKey(), this->version.value_or(0) } }, std::move(writes), {} };
+    this->inFlight = InFlight { transaction, std::move(record), now, now, std::nullopt };
+    return transaction;
+}
+
+CommitVerdict LeaderLease::conflicted(const Conflict& conflict, TimePoint now)
+{
+    const std::vector<Row>::const_iterator row = std::find_if(conflict.rows.begin(), conflict.rows.end(),
+        [](const Row& candidate) { return candidate.key == leaderRowKey(); });
+    const std::optional<LeaderRecord> present = row == conflict.rows.end() ? std::nullopt : parseLeaderRecord(row->value);
+    if (present && *present == this->inFlight->record)
+        return this->applied(row->version, this->inFlight->firstSent);
+    this->inFlight.reset();
+    this->leads = false;
+    this->current = present.value_or(LeaderRecord { .epoch = this->current.epoch });
+    this->version = row == conflict.rows.end() ? 0 : row->version;
+    this->unchangedSince = now;
+    this->readAt = now + this->config.pollInterval;
+    return CommitVerdict::Deposed;
+}
+
+CommitVerdict LeaderLease::applied(RowVersion version, TimePoint sentAt)
+{
+    const bool before = this->leads;
+    this->current = this->inFlight->record;
+    this->version = version;
+    this->lastWrite = sentAt;
+    this->validUntil = sentAt + this->config.leaseTime;
+    this->inFlight.reset();
+    this->leads = !this->current.holder.empty();
+    if (!this->leads)
+        return CommitVerdict::Deposed;
+    return before ? CommitVerdict::Applied : CommitVerdict::TookOver;
+}
+
+}
--- /dev/null
+++ b/libs/scheduling/src/Placement.cpp
@@ -0,0 +1,86 @@
+#include "cowslipdoor/scheduling/Placement.h"
+#include <algorithm>
+#include <tuple>
+
+namespace cowslipdoor {
+
+namespace {
+
+    /// Multiple of the objective after which a job earns nothing.
+    constexpr int hopelessFactor = 3;
+
+    /// Share of its cores that a lasting task uses on average; the rest is left to filling tasks.
+    constexpr double lastingUse = 0.5;
+
+    bool hopeless(const JobEntry& job, TimePoint now)
+    {
+        return !job.spec->lasts() && now > job.arrived + (job.due - job.arrived) * hopelessFactor;
+    }
+
+    bool hasLabel(const WorkerInfo& worker, const std::string& label)
+    {
+        return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+    }
+
+    bool eligible(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, TimePoint now)
+    {
+        const StepSpec& step = job.spec->steps[number];
+        if (!worker.usable(now) || worker.info->service != job.spec->service || !hasLabel(*worker.info, step.requiredLabel))
+            return false;
+        if (!worker.free().covers(step.countedDemand()))
+            return false;
+        return step.maximumPerWorker == 0 || worker.countOf(job.spec->id, number) < step.maximumPerWorker;
+    }
+
+    /// Cores that filling tasks can use beside what is there.
+    double unusedCores(const WorkerEntry& worker)
+    {
+        const double free = static_cast<double>(worker.free().milliCores);
+        return free + lastingUse * worker.lastingMilliCores - worker.fillingMilliCores;
+    }
+
+    /// Greater is better; parts are compared one after another.
+    using Score = std::tuple<bool, bool, double, double>;
+
+    Score scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task)
+    {
+        const StepSpec& step = job.spec->steps[number];
+        const bool elsewhere = worker.agent != task.failedOn;
+        const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
+        const double freeShare = static_cast<double>(worker.free().milliCores) / std::max(1U, worker.info->capacity.milliCores);
+        if (step.longRunning)
+            return { elsewhere, nearData, -static_cast<double>(worker.countOf(job.spec->id, number)), freeShare };
+        if (step.fills)
+            return { elsewhere, nearData, unusedCores(worker), freeShare };
+        return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
+    }
+
+}
+
+std::vector<const JobEntry*> placementOrder(const std::set<JobId>& jobs, const JobBook& book, TimePoint now)
+{
+    std::vector<const JobEntry*> order;
+    for (const JobId& id : jobs)
+        order.push_back(book.find(id));
+    const auto key = [now](const JobEntry* job) { return std::tuple(hopeless(*job, now), job->spec->priority, job->due, job->spec->id); };
+    std::sort(order.begin(), order.end(), [&key](const JobEntry* left, const JobEntry* right) { return key(left) < key(right); });
+    return order;
+}
+
+const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, TimePoint now)
+{
+    const WorkerEntry* best = nullptr;
+    Score bestScore {};
+    for (const Workers::value_type& item : workers) {
+        if (!eligible(item.second, job, step, now))
+            continue;
+        const Score score = scoreOf(item.second, job, step, task);
+        if (!best || score > bestScore) {
+            best = &item.second;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/libs/scheduling/src/Submission.cpp
@@ -0,0 +1,25 @@
+#include "cowslipdoor/scheduling/Submission.h"
+
+namespace cowslipdoor {
+
+namespace {
+
+    /// Pause between tries to settle an insertion: some ten fit into a caller's usual three seconds.
+    constexpr Duration settlePause = std::chrono::milliseconds(100);
+
+}
+
+InsertVerdict Submission::decide(const TransactionResult& result, TimePoint now)
+{
+    if (std::holds_alternative<Applied>(result) || std::holds_alternative<Conflict>(result))
+        return RowStored {};
+    const StoreRefused* const refused = std::get_if<StoreRefused>(&result);
+    if (refused && !this->ambiguous)
+        return RowNotStored { refused->reason };
+    this->ambiguous = true;
+    if (now + settlePause >= this->deadline)
+        return RowUnsettled {};
+    return InsertAgain { settlePause };
+}
+
+}
--- /dev/null
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -0,0 +1,530 @@
+#include "cowslipdoor/scheduling/WorkerMachine.h"
+#include <algorithm>
+#include <utility>
+
+namespace cowslipdoor {
+
+namespace {
+
+    /// Tokens that one run of the agent may use; the generation counts above them.
+    constexpr std::uint64_t tokensPerGeneration = 1ULL << 20;
+
+}
+
+WorkerMachine::WorkerMachine(WorkerMachineConfig config, TimePoint now)
+    : config(std::move(config))
+    , paceControl(this->config.pace)
+    , leaseEnd(now + this->config.lease + this->config.leaseMargin)
+{
+}
+
+WorkerMachine::Effects WorkerMachine::step(const WorkerEvent& event, TimePoint now)
+{
+    Effects effects;
+    std::visit([this, now, &effects](const auto& alternative) { this->on(alternative, now, effects); }, event);
+    this->advance(now, effects);
+    return effects;
+}
+
+std::optional<TimePoint> WorkerMachine::nextWakeup() const
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&next](TimePoint time) { next = next ? std::min(*next, time) : time; };
+    if (this->leader)
+        consider(this->pingAt);
+    if (this->life && this->generation && !this->looking)
+        consider(this->lookAt);
+    if (this->life)
+        consider(std::max(this->leaseEnd, this->life->lastContact + this->config.contactValidity));
+    else if (!this->blindReported)
+        consider(this->leaseEnd);
+    if (this->signedOffAt)
+        consider(*this->signedOffAt + this->config.signOffMargin);
+    return next;
+}
+
+std::optional<WorkerInfo> WorkerMachine::worker() const
+{
+    return this->life ? std::optional<WorkerInfo>(this->life->info) : std::nullopt;
+}
+
+bool WorkerMachine::settled() const noexcept
+{
+    if (!this->life)
+        return this->blindReported;
+    return this->generation && this->life->settledToken == this->token();
+}
+
+void WorkerMachine::on(const TimePassed&, TimePoint, Effects&)
+{
+}
+
+void WorkerMachine::on(const GenerationGranted& event, TimePoint now, Effects&)
+{
+    if (this->generation && *this->generation >= event.generation)
+        return;
+    this->generation = event.generation;
+    this->lookAt = now;
+}
+
+void WorkerMachine::on(const WorkerBeat& event, TimePoint now, Effects& effects)
+{
+    // A beat that was held up must not bring an earlier life back.
+    if (event.info.identity.born < this->lastBorn)
+        return;
+    if (!this->life || this->life->info.identity != event.info.identity) {
+        this->beginLife(event.info, now, effects);
+        return;
+    }
+    const bool changed = this->life->info.draining != event.info.draining || this->life->info.capacity != event.info.capacity || this->life->info.labels != event.info.labels;
+    this->life->info = event.info;
+    if (!changed)
+        return;
+    if (event.info.draining)
+        effects.emplace_back(RecordEvent { EventId::WorkerDraining, event.info.identity.id + " leaves in " + std::to_string(toMilliseconds(event.info.remaining)) + " ms or later" });
+    this->sendSnapshot(effects);
+}
+
+void WorkerMachine::on(const WorkerSignedOff& event, TimePoint now, Effects& effects)
+{
+    if (!this->life || this->life->info.identity.id != event.id || this->signedOffAt)
+        return;
+    this->life->info.draining = true;
+    this->signedOffAt = now;
+    this->sendSnapshot(effects);
+}
+
+void WorkerMachine::on(const LookAnswered& event, TimePoint now, Effects& effects)
+{
+    const std::uint64_t underToken = this->looking && this->looking->call == event.call ? this->looking->token : 0;
+    if (this->looking && this->looking->call == event.call)
+        this->looking.reset();
+    if (!this->life || event.call <= this->life->newestLook || underToken == 0)
+        return;
+    if (event.born != 0 && event.born != this->life->info.identity.born) {
+        WorkerInfo reborn = this->life->info;
+        reborn.identity.born = event.born;
+        this->beginLife(reborn, now, effects);
+        return;
+    }
+    this->life->newestLook = event.call;
+    this->life->clockMs = event.clockMs;
+    this->life->clockReadAt = now;
+    this->life->lastContact = now;
+    this->life->running = event.running;
+    this->life->ended.clear();
+    for (const RunEnd& end : event.ended) {
+        if (end.number > this->life->acknowledged)
+            this->life->ended.push_back(end);
+    }
+    const bool whole = event.ended.size() < this->config.mostListedEnds;
+    if (underToken == this->token() && this->life->settledToken != underToken && whole) {
+        this->life->settledToken = underToken;
+        this->settleDoubts(effects);
+        this->sendSnapshot(effects);
+    } else if (whole) {
+        this->reportMissing(event.call, effects);
+    }
+    this->reportEnds(effects);
+    this->reportProgress(now, effects);
+    this->regulatePace(now);
+    this->lookAt = this->life->ended.empty() ? now : now + this->config.acknowledgeWait;
+}
+
+void WorkerMachine::on(const OrderAnswered& event, TimePoint now, Effects& effects)
+{
+    if (!this->ordering || this->ordering->call != event.call || !this->life)
+        return;
+    const Order order = std::exchange(this->ordering, std::nullopt)->order;
+    this->life->lastContact = now;
+    std::visit([this, &event, &effects](const auto& alternative) { this->answered(alternative, event, effects); }, order);
+}
+
+void WorkerMachine::on(const CallUnanswered& event, TimePoint now, Effects& effects)
+{
+    if (this->looking && this->looking->call == event.call) {
+        this->looking.reset();
+        this->lookAt = now + this->config.retryDelay;
+        return;
+    }
+    if (!this->ordering || this->ordering->call != event.call)
+        return;
+    const Order order = std::exchange(this->ordering, std::nullopt)->order;
+    std::visit([this](const auto& alternative) { this->lost(alternative); }, order);
+    ++this->tokenRaises;
+    // The look in flight proves nothing about the order; another one goes out at once.
+    this->looking.reset();
+    this->lookAt = now;
+    effects.emplace_back(RecordEvent { EventId::OrderUnanswered, "an order has no answer; fencing token raised to " + std::to_string(this->token()) });
+    this->sendSnapshot(effects);
+}
+
+void WorkerMachine::on(const CallMisdirected& event, TimePoint now, Effects& effects)
+{
+    const bool ours = (this->looking && this->looking->call == event.call) || (this->ordering && this->ordering->call == event.call);
+    if (!ours)
+        return;
+    this->leaseEnd = std::min(this->leaseEnd, now);
+    this->endLife("another life answers in its place", effects);
+}
+
+void WorkerMachine::on(const LeaderAttached&, TimePoint, Effects&)
+{
+}
+
+void WorkerMachine::on(const LeaderDetached& event, TimePoint, Effects& effects)
+{
+    if (this->leader != event.link)
+        return;
+    this->leader.reset();
+    effects.emplace_back(RecordEvent { EventId::LinkClosed, "leader of epoch " + std::to_string(this->epoch) });
+}
+
+void WorkerMachine::on(const LeaderSaid& event, TimePoint now, Effects& effects)
+{
+    if (this->leader != event.link && !std::holds_alternative<LeaderHello>(event.message))
+        return;
+    std::visit([this, &event, now, &effects](const auto& alternative) { this->hear(event.link, alternative, now, effects); }, event.message);
+}
+
+void WorkerMachine::hear(LinkId link, const LeaderHello& message, TimePoint now, Effects& effects)
+{
+    if (message.epoch < this->epoch) {
+        effects.emplace_back(RecordEvent { EventId::LinkRefused, message.leader + " speaks for epoch " + std::to_string(message.epoch) + ", known is " + std::to_string(this->epoch) });
+        effects.emplace_back(CloseLeaderLink { link });
+        return;
+    }
+    if (this->leader && this->leader != link)
+        effects.emplace_back(CloseLeaderLink { *this->leader });
+    this->epoch = message.epoch;
+    this->leader = link;
+    this->lastOrder = 0;
+    this->pingAt = now;
+    if (!this->generation && message.knownGeneration > 0) {
+        this->generation = message.knownGeneration + 1;
+        effects.emplace_back(RecordEvent { EventId::GenerationTaken, std::to_string(*this->generation) + ", from the leader" });
+        this->lookAt = now;
+    }
+    effects.emplace_back(RecordEvent { EventId::LinkOpened, "leader " + message.leader + ", epoch " + std::to_string(message.epoch) });
+    this->sendSnapshot(effects);
+}
+
+void WorkerMachine::hear(LinkId, const DescribeRun& message, TimePoint, Effects&)
+{
+    this->paceControl.describe(message.run, message.traits);
+}
+
+void WorkerMachine::hear(LinkId, const StartRun& message, TimePoint, Effects& effects)
+{
+    this->lastOrder = std::max(this->lastOrder, message.order);
+    if (!this->life || this->life->info.identity != message.worker) {
+        this->reject(message.run, "the worker's life has ended", effects);
+        return;
+    }
+    if (this->life->info.draining) {
+        this->reject(message.run, "the worker is draining", effects);
+        return;
+    }
+    this->paceControl.describe(message.run, message.traits);
+    this->orders.emplace_back(StartOrder { message });
+}
+
+void WorkerMachine::hear(LinkId, const StopRun& message, TimePoint, Effects& effects)
+{
+    if (!this->life)
+        return;
+    const std::deque<Order>::iterator queued = std::find_if(this->orders.begin(), this->orders.end(), [&message](const Order& order) {
+        const StartOrder* const start = std::get_if<StartOrder>(&order);
+        return start && start->order.run == message.run;
+    });
+    if (queued != this->orders.end()) {
+        this->orders.erase(queued);
+        this->reject(message.run, "stopped before its start", effects);
+        return;
+    }
+    if (this->life->toStop.insert(message.run).second)
+        this->orders.emplace_front(StopOrder { message.run });
+}
+
+void WorkerMachine::hear(LinkId, const AcknowledgeEnds& message, TimePoint now, Effects&)
+{
+    if (!this->life || this->life->info.identity != message.worker || message.upTo <= this->life->acknowledged)
+        return;
+    this->life->acknowledged = message.upTo;
+    std::erase_if(this->life->ended, [&message](const RunEnd& end) { return end.number <= message.upTo; });
+    this->lookAt = now;
+}
+
+void WorkerMachine::hear(LinkId, const Pong& message, TimePoint, Effects&)
+{
+    const TimePoint sentAt { Duration(message.sentAt) };
+    this->lastWord = this->lastWord ? std::max(*this->lastWord, sentAt) : sentAt;
+}
+
+void WorkerMachine::answered(const StartOrder& order, const OrderAnswered& event, Effects& effects)
+{
+    const RunId& run = order.order.run;
+    effects.emplace_back(RecordEvent { event.accepted ? EventId::RunStarted : EventId::RunRejectedByWorker, describe(run) + (event.accepted ? "" : ": " + event.reason) });
+    if (!event.accepted) {
+        this->reject(run, event.reason, effects);
+        return;
+    }
+    this->life->started.insert_or_assign(run, CallNumber { this->lastCall + 1 });
+}
+
+void WorkerMachine::answered(const StopOrder&, const OrderAnswered&, Effects&)
+{
+}
+
+void WorkerMachine::answered(const ChangePace&, const OrderAnswered&, Effects&)
+{
+}
+
+void WorkerMachine::lost(const StartOrder& order)
+{
+    if (this->life)
+        this->life->doubtful.insert(order.order.run);
+}
+
+void WorkerMachine::lost(const StopOrder&)
+{
+}
+
+void WorkerMachine::lost(const ChangePace&)
+{
+}
+
+void WorkerMachine::call(const StartOrder& order, TimePoint now, Effects& effects)
+{
+    const CallNumber call = this->nextCall();
+    this->ordering = OrderInFlight { call, order };
+    effects.emplace_back(CallStart { call, this->life->info.identity.id, this->token(), order.order.run, order.order.payload, order.order.checkpoint, this->leaseUntil(now) });
+}
+
+void WorkerMachine::call(const StopOrder& order, TimePoint, Effects& effects)
+{
+    const CallNumber call = this->nextCall();
+    this->ordering = OrderInFlight { call, order };
+    effects.emplace_back(CallStop { call, this->life->info.identity.id, this->token(), order.run });
+}
+
+void WorkerMachine::call(const ChangePace& order, TimePoint, Effects& effects)
+{
+    const CallNumber call = this->nextCall();
+    this->ordering = OrderInFlight { call, order };
+    effects.emplace_back(CallPace { call, this->life->info.identity.id, this->token(), order.run, order.percent });
+}
+
+void WorkerMachine::advance(TimePoint now, Effects& effects)
+{
+    if (this->leader && now >= this->pingAt) {
+        this->pingAt = now + this->config.pingInterval;
+        this->report(Ping { now.time_since_epoch().count() }, effects);
+    }
+    if (this->life)
+        this->advanceLife(now, effects);
+    // Nothing has renewed leases since this agent began, so nothing can run any more.
+    if (!this->life && !this->blindReported && now >= this->leaseEnd) {
+        this->blindReported = true;
+        this->sendSnapshot(effects);
+    }
+}
+
+void WorkerMachine::advanceLife(TimePoint now, Effects& effects)
+{
+    if (this->signedOffAt && now >= *this->signedOffAt + this->config.signOffMargin) {
+        this->leaseEnd = std::min(this->leaseEnd, now);
+        this->endLife("the worker signed off", effects);
+        return;
+    }
+    if (now >= this->leaseEnd && now >= this->life->lastContact + this->config.contactValidity) {
+        this->endLife("the worker is silent and its leases have expired", effects);
+        return;
+    }
+    if (!this->generation)
+        return;
+    const bool unsettled = this->life->settledToken != this->token();
+    if (!this->looking && now >= this->lookAt)
+        this->look(now, unsettled || !this->life->ended.empty() ? Duration {} : this->config.lookWait, effects);
+    if (!unsettled && !this->ordering && !this->orders.empty())
+        this->sendOrder(now, effects);
+}
+
+void WorkerMachine::look(TimePoint now, Duration wait, Effects& effects)
+{
+    const CallNumber call = this->nextCall();
+    this->looking = LookInFlight { call, this->token() };
+    std::optional<std::int64_t> lease;
+    if (this->mayRenew(now))
+        lease = this->leaseUntil(now);
+    effects.emplace_back(CallLook { call, this->life->info.identity.id, this->token(), this->life->acknowledged, lease, wait });
+}
+
+void WorkerMachine::sendOrder(TimePoint now, Effects& effects)
+{
+    const bool start = std::holds_alternative<StartOrder>(this->orders.front());
+    if (start && !this->mayRenew(now))
+        return;
+    const Order order = this->orders.front();
+    this->orders.pop_front();
+    std::visit([this, now, &effects](const auto& alternative) { this->call(alternative, now, effects); }, order);
+}
+
+void WorkerMachine::beginLife(const WorkerInfo& info, TimePoint now, Effects& effects)
+{
+    if (this->life)
+        this->endLife("a new life has begun", effects);
+    // Orders of an earlier look at this worker may still be under way.
+    ++this->tokenRaises;
+    this->lastBorn = info.identity.born;
+    this->life = Life { .info = info };
+    this->life->lastContact = now;
+    this->signedOffAt.reset();
+    this->looking.reset();
+    this->lookAt = now;
+    effects.emplace_back(RecordEvent { EventId::WorkerSeen, info.identity.id + ", born " + std::to_string(info.identity.born) + ", " + std::to_string(info.capacity.milliCores) + " milli-cores, " + std::to_string(info.capacity.memoryMb) + " MB" });
+    this->sendSnapshot(effects);
+}
+
+void WorkerMachine::endLife(const std::string& reason, Effects& effects)
+{
+    effects.emplace_back(RecordEvent { EventId::WorkerGone, this->life->info.identity.id + ": " + reason });
+    this->life.reset();
+    this->signedOffAt.reset();
+    this->looking.reset();
+    this->ordering.reset();
+    this->orders.clear();
+    this->blindReported = true;
+    this->sendSnapshot(effects);
+}
+
+void WorkerMachine::settleDoubts(Effects& effects)
+{
+    for (const RunId& run : std::exchange(this->life->doubtful, {})) {
+        if (this->lists(run))
+            this->life->started.insert_or_assign(run, this->life->newestLook);
+        else
+            this->reject(run, "its order had no answer and was voided", effects);
+    }
+    for (const RunStatus& status : this->life->running) {
+        if (this->life->toStop.contains(status.run))
+            this->orders.emplace_front(StopOrder { status.run });
+    }
+}
+
+void WorkerMachine::reportMissing(CallNumber look, Effects& effects)
+{
+    bool missing = false;
+    std::erase_if(this->life->started, [this, look, &missing](const std::map<RunId, CallNumber>::value_type& item) {
+        const bool gone = item.second <= look && !this->lists(item.first);
+        missing = missing || gone;
+        return gone;
+    });
+    if (missing && this->settled())
+        this->sendSnapshot(effects);
+}
+
+void WorkerMachine::reportEnds(Effects& effects)
+{
+    std::vector<RunEnd> fresh;
+    for (const RunEnd& end : this->life->ended) {
+        this->life->started.erase(end.run);
+        this->life->toStop.erase(end.run);
+        this->paceControl.forget(end.run);
+        if (end.number > this->life->reported)
+            fresh.push_back(end);
+    }
+    if (fresh.empty() || !this->leader)
+        return;
+    this->life->reported = fresh.back().number;
+    this->report(RunsEnded { this->life->info.identity, std::move(fresh) }, effects);
+}
+
+void WorkerMachine::reportProgress(TimePoint now, Effects& effects)
+{
+    if (now < this->progressAt || this->life->running.empty() || !this->settled())
+        return;
+    this->progressAt = now + this->config.progressInterval;
+    this->report(RunProgress { this->life->info.identity, this->life->running }, effects);
+}
+
+void WorkerMachine::regulatePace(TimePoint now)
+{
+    for (const PaceOrder& order : this->paceControl.update(this->life->running, now))
+        this->orders.emplace_front(ChangePace { order.run, order.percent });
+}
+
+void WorkerMachine::reject(const RunId& run, const std::string& reason, Effects& effects)
+{
+    this->paceControl.forget(run);
+    this->report(RunRejected { run, reason }, effects);
+}
+
+void WorkerMachine::sendSnapshot(Effects& effects)
+{
+    if (!this->leader)
+        return;
+    WorkerSnapshot snapshot { this->config.agent, this->generation.value_or(0), this->worker(), this->settled(), {}, {}, this->pendingRuns(), this->lastOrder };
+    if (this->life) {
+        snapshot.running = this->life->running;
+        snapshot.ended = this->life->ended;
+        if (snapshot.settled && !snapshot.ended.empty())
+            this->life->reported = std::max(this->life->reported, snapshot.ended.back().number);
+    }
+    this->report(std::move(snapshot), effects);
+}
+
+void WorkerMachine::report(AgentReport report, Effects& effects) const
+{
+    if (this->leader)
+        effects.emplace_back(SendToLeader { *this->leader, std::move(report) });
+}
+
+std::uint64_t WorkerMachine::token() const noexcept
+{
+    return this->generation.value_or(0) * tokensPerGeneration + this->tokenRaises + 1;
+}
+
+CallNumber WorkerMachine::nextCall() noexcept
+{
+    return CallNumber { ++this->lastCall };
+}
+
+bool WorkerMachine::mayRenew(TimePoint now) const
+{
+    const bool word = this->lastWord && now <= *this->lastWord + this->config.wordValidity;
+    return word && this->life->clockMs != 0 && now <= this->life->lastContact + this->config.contactValidity;
+}
+
+std::int64_t WorkerMachine::leaseUntil(TimePoint now)
+{
+    this->leaseEnd = std::max(this->leaseEnd, now + this->config.lease + this->config.leaseMargin);
+    return this->life->clockMs + toMilliseconds(now - this->life->clockReadAt) + toMilliseconds(this->config.lease);
+}
+
+std::vector<RunId> WorkerMachine::pendingRuns() const
+{
+    std::vector<RunId> runs;
+    const auto add = [&runs](const Order& order) {
+        const StartOrder* const start = std::get_if<StartOrder>(&order);
+        if (start)
+            runs.push_back(start->order.run);
+    };
+    std::for_each(this->orders.begin(), this->orders.end(), add);
+    if (this->ordering)
+        add(this->ordering->order);
+    if (this->life) {
+        runs.insert(runs.end(), this->life->doubtful.begin(), this->life->doubtful.end());
+        for (const std::map<RunId, CallNumber>::value_type& item : this->life->started)
+            runs.push_back(item.first);
+    }
+    return runs;
+}
+
+bool WorkerMachine::lists(const RunId& run) const
+{
+    const bool running = std::any_of(this->life->running.begin(), this->life->running.end(), [&run](const RunStatus& status) { return status.run == run; });
+    return running || std::any_of(this->life->ended.begin(), this->life->ended.end(), [&run](const RunEnd& end) { return end.run == run; });
+}
+
+}
