--- /dev/null
+++ b/apps/agent/JobsAgentProcess.cpp
@@ -0,0 +1,104 @@
+#include "JobsAgentProcess.h"
+#include <boost/asio/signal_set.hpp>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/platform/StoreAdapter.h>
+#include <cowslipdoor/runtime/Process.h>
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+namespace cowslipdoor::agent {
+
+using namespace runtime;
+
+namespace {
+
+    WorkerMachineConfig machineConfig(const Settings& settings)
+    {
+        WorkerMachineConfig config;
+        config.agent = settings.text("name");
+        if (config.lease > settings.duration("lease-limit"))
+            throw Error(ErrorKind::BadSetting, "lease-limit: the worker allows shorter leases than the " + std::to_string(toMilliseconds(config.lease)) + " ms that an agent's restart needs");
+        return config;
+    }
+
+}
+
+std::vector<SettingSpec> jobsAgentSettings()
+{
+    const std::vector<SettingSpec> own {
+        { "worker", AddressSetting {}, std::nullopt, "Address of the worker on this VM." },
+        { "registry-listen", AddressSetting {}, std::nullopt, "Address at which the worker reports itself." },
+        { "link-listen", AddressSetting {}, std::nullopt, "Address for the link of the leader." },
+        { "store", AddressSetting {}, std::nullopt, "Address of the platform's store." },
+        { "lease-limit", DurationSetting { std::chrono::milliseconds(100), std::chrono::hours(1) }, "6s", "Longest lease that the worker gives." },
+    };
+    return joinSettings(commonSettings(), own);
+}
+
+JobsAgentProcess::JobsAgentProcess(const Settings& settings)
+    : settings(settings)
+    , name(settings.text("name"))
+    , log(makeLog(settings, this->name))
+    , context(1)
+    , store(platform::makeStorePort(this->context.get_executor(), settings.text("store")))
+    , task(this->context.get_executor(), machineConfig(settings), platform::makeWorkerPort(this->context.get_executor(), settings.text("worker")), this->log, this->metrics)
+    , leaders(this->context.get_executor(), settings.text("link-listen"), this->task.inbox(), this->log, this->metrics)
+    , registry(this->context.get_executor(), settings.text("registry-listen"), this->task.inbox(), this->log, this->metrics)
+    , admin(this->context.get_executor(), settings.text("admin-listen"), HttpLimits {})
+    , stop(this->context, this->log, { []() -> asio::awaitable<bool> { co_return true; }, []() -> asio::awaitable<std::string> { co_return "nothing"; } })
+{
+    this->addPages();
+}
+
+int JobsAgentProcess::run()
+{
+    this->task.start();
+    this->leaders.start();
+    this->registry.start();
+    this->admin.start();
+    asio::co_spawn(
+        this->context, [this]() { return registerAgent(this->store, this->name, this->settings.text("link-listen"), this->task.inbox(), this->log); }, asio::detached);
+    asio::co_spawn(
+        this->context, [this]() { return this->noteHangups(); }, asio::detached);
+    this->stop.start();
+    this->log.record(EventId::ProcessStarted, "worker at " + this->settings.text("worker") + ", links at " + this->settings.text("link-listen"));
+    this->context.run();
+    this->log.record(EventId::ProcessStopped, "exit code " + std::to_string(this->stop.exitCode()));
+    return this->stop.exitCode();
+}
+
+void JobsAgentProcess::addPages()
+{
+    this->admin.handle("GET", "/healthz", [](const HttpRequest&) -> asio::awaitable<Response> { co_return plainResponse(200, "text/plain", "ok\n"); });
+    this->admin.handle("GET", "/status", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const WorkerTaskStatus status = co_await this->status();
+        const nlohmann::ordered_json page { { "worker", status.worker ? status.worker->identity.id : "" }, { "settled", status.settled }, { "pace_percent", status.pacePercent } };
+        co_return plainResponse(200, "application/json", page.dump(2) + "\n");
+    });
+    this->admin.handle("GET", "/metrics", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const WorkerTaskStatus status = co_await this->status();
+        this->metrics.setGauge("cowslipdoor_worker_settled", "Whether all runs on the worker are known", status.settled ? 1 : 0);
+        this->metrics.setGauge("cowslipdoor_filling_pace_percent", "Pace of the filling runs", status.pacePercent);
+        co_return plainResponse(200, "text/plain; version=0.0.4", this->metrics.expose());
+    });
+}
+
+asio::awaitable<WorkerTaskStatus> JobsAgentProcess::status()
+{
+    const Mailbox<WorkerTaskStatus> reply = makeMailbox<WorkerTaskStatus>(this->context.get_executor(), 1);
+    const WorkerInput query(WorkerStatusQuery { reply });
+    co_await send(this->task.inbox(), query);
+    const std::tuple<error_code, WorkerTaskStatus> received = co_await reply->async_receive(asTuple);
+    co_return std::get<1>(received);
+}
+
+asio::awaitable<void> JobsAgentProcess::noteHangups()
+{
+    asio::signal_set signals(this->context, SIGHUP);
+    while (true) {
+        co_await signals.async_wait(asTuple);
+        this->log.record(EventId::SettingsReread, "flags hold until the next start");
+    }
+}
+
+}
--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -1,5 +1,6 @@
 #include "Commands.h"
 #include "EntryProcess.h"
+#include "JobsEntryProcess.h"
 #include "RulesFile.h"
 #include <array>
 #include <cowslipdoor/core/Error.h>
@@ -19,6 +20,7 @@
                                        "usage: cowslipdoor COMMAND [SETTINGS] [OPERANDS]\n\n"
                                        "commands:\n"
                                        "  entry              run an entry behind the balancer\n"
+                                       "  jobs entry         run an entry that takes in jobs and may lead their scheduling\n"
                                        "  rules check FILE   print every fault of a rules file\n"
                                        "  rules show         print the rules in force at an entry, and whose request each serves\n"
                                        "  status             print what an entry sees\n"
@@ -74,6 +76,16 @@
         return EntryProcess(line.settings).run();
     }
 
+    int runJobsEntry(const Words& words)
+    {
+        const std::vector<SettingSpec> specs = jobsEntrySettings();
+        const CommandLine line = readCommandLine(specs, words, processEnvironment);
+        if (helped(line, "jobs entry --name NAME --failure-domain DOMAIN --listen IP:PORT --ready-listen IP:PORT --admin-listen IP:PORT --store IP:PORT", specs))
+            return 0;
+        expectOperands(line, 0, "jobs entry [SETTINGS]");
+        return JobsEntryProcess(line.settings).run();
+    }
+
     int checkRules(const Words& words)
     {
         const CommandLine line = readCommandLine({}, words, processEnvironment);
@@ -131,6 +143,7 @@
     {
         static const std::vector<Command> all {
             { { "entry" }, runEntry },
+            { { "jobs", "entry" }, runJobsEntry },
             { { "rules", "check" }, checkRules },
             { { "rules", "show" }, showRules },
             { { "status" }, showStatus },
--- /dev/null
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -0,0 +1,154 @@
+#include "JobsEntryProcess.h"
+#include <boost/asio/signal_set.hpp>
+#include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/platform/Readiness.h>
+#include <cowslipdoor/platform/StoreAdapter.h>
+#include <cowslipdoor/runtime/Clock.h>
+#include <cowslipdoor/runtime/Process.h>
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+namespace cowslipdoor::entry {
+
+using namespace runtime;
+
+namespace {
+
+    /// How long after the store's last answer an entry still says that it is ready: a lost answer and its repetition.
+    constexpr Duration storeContactValidity = std::chrono::milliseconds(2500);
+
+    SchedulerConfig schedulerConfig(const Settings& settings)
+    {
+        SchedulerConfig config;
+        config.lease.holder = settings.text("name");
+        config.lease.incarnation = static_cast<std::uint64_t>(newIncarnation());
+        return config;
+    }
+
+    nlohmann::ordered_json toJson(const SchedulerStatus& status)
+    {
+        nlohmann::ordered_json workers = nlohmann::ordered_json::array();
+        for (const SchedulerStatus::WorkerLine& line : status.workers) {
+            workers.push_back({ { "agent", line.agent }, { "worker", line.worker }, { "linked", line.linked }, { "usable", line.usable }, { "runs", line.runs },
+                { "free_millicores", line.free.milliCores }, { "free_memory_mb", line.free.memoryMb } });
+        }
+        return { { "leading", status.leading }, { "epoch", status.epoch }, { "leader", status.leader }, { "jobs", status.jobs }, { "waiting_jobs", status.waitingJobs }, { "workers", workers } };
+    }
+
+}
+
+std::vector<SettingSpec> jobsEntrySettings()
+{
+    const std::vector<SettingSpec> own {
+        { "listen", AddressSetting {}, std::nullopt, "Address for callers, behind the platform's balancer." },
+        { "ready-listen", AddressSetting {}, std::nullopt, "Address for the probe of the platform's balancer." },
+        { "store", AddressSetting {}, std::nullopt, "Address of the platform's store." },
+        { "connection-limit", NumberSetting { 1, 1'000'000 }, "3000", "Callers' connections at most." },
+        { "drain-grace", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(10) }, "2500ms", "How long a stopping entry still accepts, until the balancer has missed two probes." },
+    };
+    return joinSettings(commonSettings(), own);
+}
+
+JobsEntryProcess::JobsEntryProcess(const Settings& settings)
+    : settings(settings)
+    , name(settings.text("name"))
+    , log(makeLog(settings, this->name))
+    , context(1)
+    , store(platform::makeStorePort(this->context.get_executor(), settings.text("store")))
+    , intake(this->store, this->log, this->metrics)
+    , callers(this->context.get_executor(), settings.text("listen"), settings.number("connection-limit"), this->intake)
+    , configuration(
+          this->store, [this](ConfigurationHandle newer) { this->callers.apply(std::move(newer)); }, [this](bool answered) { this->onStoreContact(answered); }, this->log, this->metrics)
+    , scheduler(this->context.get_executor(), schedulerConfig(settings), this->store, this->log, this->metrics)
+    , readiness(this->context.get_executor(), settings.text("ready-listen"), HttpLimits {})
+    , admin(this->context.get_executor(), settings.text("admin-listen"), HttpLimits {})
+    , stop(this->context, this->log, { [this]() { return this->drain(); }, [this]() { return this->describeHeld(); } })
+{
+    this->addPages();
+}
+
+int JobsEntryProcess::run()
+{
+    this->readiness.start();
+    this->admin.start();
+    this->callers.start();
+    this->scheduler.start();
+    asio::co_spawn(
+        this->context, [this]() { return this->configuration.run(); }, asio::detached);
+    asio::co_spawn(
+        this->context, [this]() { return this->noteHangups(); }, asio::detached);
+    this->stop.start();
+    this->log.record(EventId::ProcessStarted, "callers at " + this->settings.text("listen") + ", store at " + this->settings.text("store"));
+    this->context.run();
+    this->log.record(EventId::ProcessStopped, "exit code " + std::to_string(this->stop.exitCode()));
+    return this->stop.exitCode();
+}
+
+void JobsEntryProcess::addPages()
+{
+    platform::addReadinessProbe(this->readiness, [this]() { return this->ready(); });
+    this->admin.handle("GET", "/healthz", [](const HttpRequest&) -> asio::awaitable<Response> { co_return plainResponse(200, "text/plain", "ok\n"); });
+    this->admin.handle("GET", "/status", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const SchedulerStatus status = co_await this->status();
+        co_return plainResponse(200, "application/json", toJson(status).dump(2) + "\n");
+    });
+    this->admin.handle("GET", "/metrics", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const SchedulerStatus status = co_await this->status();
+        this->metrics.setGauge("cowslipdoor_leading", "Whether this entry leads the jobs", status.leading ? 1 : 0);
+        this->metrics.setGauge("cowslipdoor_epoch", "Epoch of the leader", static_cast<double>(status.epoch));
+        this->metrics.setGauge("cowslipdoor_known_jobs", "Jobs that the leader knows", static_cast<double>(status.jobs));
+        this->metrics.setGauge("cowslipdoor_waiting_jobs", "Jobs with a task to place", static_cast<double>(status.waitingJobs));
+        co_return plainResponse(200, "text/plain; version=0.0.4", this->metrics.expose());
+    });
+}
+
+bool JobsEntryProcess::ready() const
+{
+    return !this->stopping && this->callers.configured() && leaseNow() < this->storeAnsweredAt + storeContactValidity;
+}
+
+void JobsEntryProcess::onStoreContact(bool answered)
+{
+    if (answered)
+        this->storeAnsweredAt = leaseNow();
+}
+
+asio::awaitable<bool> JobsEntryProcess::drain()
+{
+    this->stopping = true;
+    this->log.record(EventId::DrainStarted, std::to_string(this->callers.connections()) + " connections");
+    this->callers.beginDrain();
+    const SchedulerInput release(SchedulerEvent(ReleaseRequested {}));
+    co_await send(this->scheduler.inbox(), release);
+    co_await pauseFor(this->settings.duration("drain-grace"));
+    this->callers.closeIdle();
+    const bool inTime = co_await waitUntil([this]() { return this->callers.connections() == 0; }, this->settings.duration("drain-limit"));
+    if (inTime)
+        this->log.record(EventId::DrainFinished, "no caller is connected");
+    co_return inTime;
+}
+
+asio::awaitable<std::string> JobsEntryProcess::describeHeld()
+{
+    co_return std::to_string(this->callers.connections()) + " connections";
+}
+
+asio::awaitable<SchedulerStatus> JobsEntryProcess::status()
+{
+    const Mailbox<SchedulerStatus> reply = makeMailbox<SchedulerStatus>(this->context.get_executor(), 1);
+    const SchedulerInput query(SchedulerStatusQuery { reply });
+    co_await send(this->scheduler.inbox(), query);
+    const std::tuple<error_code, SchedulerStatus> received = co_await reply->async_receive(asTuple);
+    co_return std::get<1>(received);
+}
+
+asio::awaitable<void> JobsEntryProcess::noteHangups()
+{
+    asio::signal_set signals(this->context, SIGHUP);
+    while (true) {
+        co_await signals.async_wait(asTuple);
+        this->log.record(EventId::SettingsReread, "flags hold until the next start");
+    }
+}
+
+}
--- a/libs/core/include/cowslipdoor/core/Error.h
+++ b/libs/core/include/cowslipdoor/core/Error.h
@@ -51,6 +51,11 @@
     BadFrame,
     BadSetting,
     BadRules,
+    ConfigurationMissing,
+    StoreUnavailable,
+    StoreUnsettled,
+    JobUnknown,
+    TurnedAway,
     Internal,
 };
 
--- a/libs/runtime/include/cowslipdoor/runtime/Log.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Log.h
@@ -10,6 +10,9 @@
 
 namespace spdlog {
 class logger;
+namespace details {
+    class thread_pool;
+}
 }
 
 namespace cowslipdoor::runtime {
@@ -20,7 +23,10 @@
     Json,
 };
 
-/// @brief Writes numbered events to standard error.
+/// @brief Writes numbered events to standard output, on a thread of its own.
+///
+/// Lines wait in a bounded queue; when the reader of standard output is slower, the oldest lines are dropped and whoever
+/// records an event never waits.
 /// @code
 /// Log log("entry-1", LogForm::Text, EventLevel::Info);
 /// log.record(EventId::ProcessStarted, "listening on 127.0.0.1:8080");
@@ -41,6 +47,8 @@
     std::string process;
     LogForm form;
     EventLevel least;
+    /// Outlives the logger, and writes what waits before it ends.
+    std::shared_ptr<spdlog::details::thread_pool> writer;
     std::shared_ptr<spdlog::logger> logger;
 };
 
--- /dev/null
+++ b/libs/runtime/src/JobIntake.cpp
@@ -0,0 +1,147 @@
+#include "cowslipdoor/runtime/JobIntake.h"
+#include "cowslipdoor/runtime/Clock.h"
+#include "cowslipdoor/runtime/Process.h"
+#include <utility>
+
+namespace cowslipdoor::runtime {
+
+namespace {
+
+    /// Byte after a key that ends the range of just this key.
+    constexpr char afterKey = '\x01';
+
+    /// Byte that ends the range of a job's row and of those whose keys continue it behind a dot.
+    constexpr char afterDot = '/';
+
+    std::string reasonOf(const FailureReason& reason)
+    {
+        return std::string(answerOf(reason.kind).name) + ", " + reason.detail;
+    }
+
+}
+
+JobIntake::JobIntake(StorePort store, const Log& log, Metrics& metrics)
+    : store(std::move(store))
+    , log(log)
+    , metrics(metrics)
+{
+}
+
+asio::awaitable<IntakeResult> JobIntake::submit(JobSpec spec, TimePoint deadline)
+{
+    const std::string id = spec.id.text;
+    const std::string queue = spec.queue;
+    const RowWrite row { jobRowKey(spec.id), print(spec) };
+    IntakeResult result = co_await this->insert(row, deadline);
+    const FailureReason* const failure = std::get_if<FailureReason>(&result);
+    if (failure)
+        this->record(EventId::JobRefused, id + " of queue " + queue + ": " + reasonOf(*failure));
+    else
+        this->record(EventId::JobAccepted, id + " of queue " + queue);
+    co_return result;
+}
+
+asio::awaitable<IntakeResult> JobIntake::cancel(JobId job, TimePoint deadline)
+{
+    const JobRowsResult rows = co_await this->readJob(job);
+    const FailureReason* const failure = std::get_if<FailureReason>(&rows);
+    if (failure) {
+        this->record(EventId::JobRefused, job.text + " cancel: " + reasonOf(*failure));
+        co_return *failure;
+    }
+    if (!std::get<JobRows>(rows).present)
+        co_return FailureReason { ErrorKind::JobUnknown, "no job " + job.text };
+    if (std::get<JobRows>(rows).cancelled)
+        co_return JobTaken {};
+    const RowWrite row { cancelRowKey(job), "{}" };
+    IntakeResult result = co_await this->insert(row, deadline);
+    const bool stored = std::holds_alternative<JobTaken>(result);
+    this->record(stored ? EventId::JobCancelRequested : EventId::JobRefused, job.text + (stored ? "" : " cancel: " + reasonOf(std::get<FailureReason>(result))));
+    co_return result;
+}
+
+asio::awaitable<StateResult> JobIntake::state(JobId job)
+{
+    const JobRowsResult rows = co_await this->readJob(job);
+    const FailureReason* const failure = std::get_if<FailureReason>(&rows);
+    if (failure) {
+        this->record(EventId::JobStateUnavailable, job.text + ": " + reasonOf(*failure));
+        co_return *failure;
+    }
+    if (!std::get<JobRows>(rows).present)
+        co_return FailureReason { ErrorKind::JobUnknown, "no job " + job.text };
+    const RowKey key = progressRowKey(job);
+    const ReadResult read = co_await this->readRow(key);
+    const StoreRefused* const refused = std::get_if<StoreRefused>(&read);
+    if (refused) {
+        this->record(EventId::JobStateUnavailable, job.text + ": " + refused->reason);
+        co_return FailureReason { ErrorKind::StoreUnavailable, refused->reason };
+    }
+    const std::vector<Row>& found = std::get<RowPage>(read).rows;
+    const std::optional<ProgressRecord> progress = found.empty() ? std::nullopt : parseProgressRecord(found.front().value);
+    const JobState stored = progress ? progress->state : JobState::Queued;
+    co_return !isTerminal(stored) && std::get<JobRows>(rows).cancelled ? JobState::Cancelled : stored;
+}
+
+asio::awaitable<PendingResult> JobIntake::pending(std::string queue)
+{
+    const ReadResult read = co_await this->readRow(pendingRowKey());
+    const StoreRefused* const refused = std::get_if<StoreRefused>(&read);
+    if (refused)
+        co_return FailureReason { ErrorKind::StoreUnavailable, refused->reason };
+    const std::vector<Row>& found = std::get<RowPage>(read).rows;
+    const std::optional<PendingCounts> counts = found.empty() ? std::nullopt : parsePendingCounts(found.front().value);
+    if (!counts)
+        co_return 0U;
+    const PendingCounts::const_iterator it = counts->find(queue);
+    co_return it == counts->end() ? 0U : it->second;
+}
+
+asio::awaitable<IntakeResult> JobIntake::insert(RowWrite row, TimePoint deadline)
+{
+    const Transaction transaction { { { row.key, 0 } }, { row }, {} };
+    Submission submission(deadline);
+    while (true) {
+        const TransactionResult result = co_await this->store.transact(transaction);
+        const InsertVerdict verdict = submission.decide(result, leaseNow());
+        if (std::holds_alternative<RowStored>(verdict))
+            co_return JobTaken {};
+        const RowNotStored* const notStored = std::get_if<RowNotStored>(&verdict);
+        if (notStored)
+            co_return FailureReason { ErrorKind::StoreUnavailable, notStored->reason };
+        const InsertAgain* const again = std::get_if<InsertAgain>(&verdict);
+        if (!again)
+            co_return FailureReason { ErrorKind::StoreUnsettled, "no answer of the store before the deadline" };
+        co_await pauseFor(again->pause);
+    }
+}
+
+asio::awaitable<JobIntake::JobRowsResult> JobIntake::readJob(JobId job)
+{
+    const RowKey key = jobRowKey(job);
+    const RowRange range { key.table, key.part, key.key, key.key + afterDot };
+    const ReadResult read = co_await this->store.read(range);
+    const StoreRefused* const refused = std::get_if<StoreRefused>(&read);
+    if (refused)
+        co_return FailureReason { ErrorKind::StoreUnavailable, refused->reason };
+    JobRows rows;
+    for (const Row& row : std::get<RowPage>(read).rows) {
+        rows.present = rows.present || row.key == key;
+        rows.cancelled = rows.cancelled || row.key == cancelRowKey(job);
+    }
+    co_return rows;
+}
+
+asio::awaitable<ReadResult> JobIntake::readRow(RowKey key)
+{
+    const RowRange range { key.table, key.part, key.key, key.key + afterKey };
+    co_return co_await this->store.read(range);
+}
+
+void JobIntake::record(EventId event, const std::string& detail)
+{
+    this->metrics.countEvent(event);
+    this->log.record(event, detail);
+}
+
+}
--- a/libs/runtime/src/Log.cpp
+++ b/libs/runtime/src/Log.cpp
@@ -1,6 +1,7 @@
 #include "cowslipdoor/runtime/Log.h"
 #include <cowslipdoor/core/Error.h>
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 #include <utility>
@@ -9,6 +10,9 @@
 
 namespace {
 
+    /// Lines that wait to be written at most; some seconds of a leader's busiest log.
+    constexpr std::size_t mostWaitingLines = 4096;
+
     spdlog::level::level_enum toSpdlog(EventLevel level) noexcept
     {
         switch (level) {
@@ -42,7 +46,8 @@
     : process(std::move(process))
     , form(form)
     , least(least)
-    , logger(std::make_shared<spdlog::logger>("cowslipdoor", std::make_shared<spdlog::sinks::stderr_sink_mt>()))
+    , writer(std::make_shared<spdlog::details::thread_pool>(mostWaitingLines, 1))
+    , logger(std::make_shared<spdlog::async_logger>("cowslipdoor", std::make_shared<spdlog::sinks::stdout_sink_mt>(), this->writer, spdlog::async_overflow_policy::overrun_oldest))
 {
     this->logger->set_level(toSpdlog(least));
     this->logger->flush_on(spdlog::level::debug);
--- a/libs/runtime/src/Process.cpp
+++ b/libs/runtime/src/Process.cpp
@@ -18,7 +18,7 @@
         { "name", TextSetting {}, std::nullopt, "Name of this process, different from that of every other process." },
         { "failure-domain", TextSetting {}, std::nullopt, "Failure domain that the VM is in." },
         { "admin-listen", AddressSetting {}, std::nullopt, "Address for /metrics, /healthz, /readyz and /status." },
-        { "log-form", ChoiceSetting { { "text", "json" } }, "text", "Form of the log's lines on standard error." },
+        { "log-form", ChoiceSetting { { "text", "json" } }, "text", "Form of the log's lines on standard output." },
         { "log-level", ChoiceSetting { { "debug", "info", "warning", "error" } }, "info", "Events below this level are left out." },
         { "drain-limit", DurationSetting { std::chrono::seconds(1), std::chrono::hours(1) }, "60s", "Longest planned stop; what is not finished by then is cut off." },
     };
--- a/libs/runtime/tests/LogTests.cpp
+++ b/libs/runtime/tests/LogTests.cpp
@@ -10,17 +10,17 @@
 
 namespace {
 
-/// Runs something and returns what it wrote to standard error.
+/// Runs something and returns what it wrote to standard output.
 template <typename Body>
-std::string errorOutputOf(const Body& body)
+std::string outputOf(const Body& body)
 {
     std::FILE* const file = std::tmpfile();
-    std::fflush(stderr);
-    const int saved = ::dup(STDERR_FILENO);
-    ::dup2(::fileno(file), STDERR_FILENO);
+    std::fflush(stdout);
+    const int saved = ::dup(STDOUT_FILENO);
+    ::dup2(::fileno(file), STDOUT_FILENO);
     body();
-    std::fflush(stderr);
-    ::dup2(saved, STDERR_FILENO);
+    std::fflush(stdout);
+    ::dup2(saved, STDOUT_FILENO);
     ::close(saved);
     std::string text(static_cast<std::size_t>(std::ftell(file)), '\0');
     std::rewind(file);
@@ -33,7 +33,7 @@
 
 TEST_CASE("log: a JSON line has number, name, level, process and detail", "[log]")
 {
-    const std::string text = errorOutputOf([]() { Log("entry-1", LogForm::Json, EventLevel::Info).record(EventId::LinkOpened, "say \"hi\"\n"); });
+    const std::string text = outputOf([]() { Log("entry-1", LogForm::Json, EventLevel::Info).record(EventId::LinkOpened, "say \"hi\"\n"); });
     const nlohmann::json line = nlohmann::json::parse(text);
     CHECK(line.at("event") == 300);
     CHECK(line.at("name") == "link_opened");
@@ -44,7 +44,7 @@
 
 TEST_CASE("log: a text line has the number, and events below the level are left out", "[log]")
 {
-    const std::string text = errorOutputOf([]() {
+    const std::string text = outputOf([]() {
         const Log log("entry-1", LogForm::Text, EventLevel::Warning);
         log.record(EventId::LinkOpened, "left out");
         log.record(EventId::LinkSilent, "kept");
