--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -87,6 +87,11 @@
     const CallNumber call {};
 };
 
+/// @brief The worker has seen a greater fencing token than the call's; nothing was done.
+struct CallFenced {
+    const CallNumber call {};
+};
+
 /// @brief Another life of the worker answered than the one that was meant; nothing was done.
 struct CallMisdirected {
     const CallNumber call {};
@@ -109,7 +114,7 @@
 };
 
 /// @brief What the agent's machine reacts to.
-using WorkerEvent = std::variant<TimePassed, GenerationGranted, WorkerBeat, WorkerSignedOff, LookAnswered, OrderAnswered, CallUnanswered, CallMisdirected, LeaderAttached, LeaderDetached, LeaderSaid>;
+using WorkerEvent = std::variant<TimePassed, GenerationGranted, WorkerBeat, WorkerSignedOff, LookAnswered, OrderAnswered, CallUnanswered, CallFenced, CallMisdirected, LeaderAttached, LeaderDetached, LeaderSaid>;
 
 /// @brief Look at the worker, acknowledge ends and renew leases.
 struct CallLook {
@@ -248,6 +253,7 @@
     void on(const LookAnswered& event, TimePoint now, Effects& effects);
     void on(const OrderAnswered& event, TimePoint now, Effects& effects);
     void on(const CallUnanswered& event, TimePoint now, Effects& effects);
+    void on(const CallFenced& event, TimePoint now, Effects& effects);
     void on(const CallMisdirected& event, TimePoint now, Effects& effects);
     void on(const LeaderAttached& event, TimePoint now, Effects& effects);
     void on(const LeaderDetached& event, TimePoint now, Effects& effects);
@@ -277,6 +283,7 @@
     void beginLife(const WorkerInfo& info, TimePoint now, Effects& effects);
     void endLife(const std::string& reason, Effects& effects);
     void settleDoubts(Effects& effects);
+    void repeatStops();
     void reportMissing(CallNumber look, Effects& effects);
     void reportEnds(Effects& effects);
     void reportProgress(TimePoint now, Effects& effects);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -39,6 +39,8 @@
     bool settled = false;
     /// When the agent was last allowed to renew the leases of its worker.
     TimePoint lastWord {};
+    /// Time of the ping that it answered, by the agent's clock.
+    std::int64_t lastPing = 0;
     Room used {};
     std::uint32_t fillingMilliCores = 0;
     std::uint32_t lastingMilliCores = 0;
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -166,6 +166,7 @@
     if (!this->leaderLease.valid(now))
         return;
     worker.lastWord = now;
+    worker.lastPing = report.sentAt;
     this->send(worker, Pong { report.sentAt }, effects);
 }
 
@@ -353,7 +354,7 @@
             task.order = ++this->orders;
             const WorkerEntry& worker = this->knownWorkers[task.record.assignment->agent];
             const StepSpec& spec = entry.spec->steps[step];
-            this->send(worker, StartRun { { id, task.record.run }, task.record.assignment->worker, entry.spec->payload, task.record.checkpoint, { spec.fills, spec.target }, task.order }, effects);
+            this->send(worker, StartRun { { id, task.record.run }, task.record.assignment->worker, entry.spec->payload, task.record.checkpoint, { spec.fills, spec.target }, task.order, worker.lastPing }, effects);
         }
     }
 }
@@ -433,10 +434,11 @@
 {
     for (const RunStatus& status : running) {
         TaskState* const task = this->book.openRun(status.run);
-        if (!task || task->record.assignment->agent != worker.agent || task->record.assignment->worker != worker.info->identity) {
+        const bool open = task && task->record.assignment->agent == worker.agent && task->record.assignment->worker == worker.info->identity;
+        if (!open || task->stopping || isTerminal(this->book.find(status.run.task.job)->state))
             this->send(worker, StopRun { status.run }, effects);
+        if (!open)
             continue;
-        }
         if (!status.checkpoint.empty())
             task->record.checkpoint = status.checkpoint;
         if (status.percent > task->percent)
@@ -459,9 +461,13 @@
         const bool sameLife = snapshot.worker && snapshot.worker->identity == item.second;
         if (!sameLife || !named.contains({ item.first, task->record.run }))
             this->loseRun(worker, item.first, sameLife ? "the worker does not list it" : "the worker's life has ended", now, effects);
-        else if (task->stopping)
+        else if (task->stopping || isTerminal(this->book.find(item.first.job)->state))
             this->send(worker, StopRun { { item.first, task->record.run } }, effects);
     }
+    for (const RunId& run : snapshot.pending) {
+        if (!this->book.openRun(run))
+            this->send(worker, StopRun { run }, effects);
+    }
 }
 
 void Scheduler::loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects)
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -127,6 +127,7 @@
     }
     this->reportEnds(effects);
     this->reportProgress(now, effects);
+    this->repeatStops();
     this->regulatePace(now);
     this->lookAt = this->life->ended.empty() ? now : now + this->config.acknowledgeWait;
 }
@@ -159,6 +160,25 @@
     this->sendSnapshot(effects);
 }
 
+void WorkerMachine::on(const CallFenced& event, TimePoint now, Effects& effects)
+{
+    const bool ofLook = this->looking && this->looking->call == event.call;
+    const bool ofOrder = this->ordering && this->ordering->call == event.call;
+    if (!ofLook && !ofOrder)
+        return;
+    if (ofOrder) {
+        const Order order = std::exchange(this->ordering, std::nullopt)->order;
+        const StartOrder* const start = std::get_if<StartOrder>(&order);
+        if (start)
+            this->reject(start->order.run, "an earlier run of the agent used a greater fencing token", effects);
+    }
+    // No other agent calls this worker, so the greater token is that of an earlier run of this one.
+    this->generation = this->generation.value_or(0) + 1;
+    this->looking.reset();
+    this->lookAt = now + this->config.retryDelay;
+    effects.emplace_back(RecordEvent { EventId::GenerationTaken, std::to_string(*this->generation) + ", after a refusal by the worker's fence" });
+}
+
 void WorkerMachine::on(const CallMisdirected& event, TimePoint now, Effects& effects)
 {
     const bool ours = (this->looking && this->looking->call == event.call) || (this->ordering && this->ordering->call == event.call);
@@ -214,9 +234,10 @@
     this->paceControl.describe(message.run, message.traits);
 }
 
-void WorkerMachine::hear(LinkId, const StartRun& message, TimePoint, Effects& effects)
+void WorkerMachine::hear(LinkId link, const StartRun& message, TimePoint now, Effects& effects)
 {
     this->lastOrder = std::max(this->lastOrder, message.order);
+    this->hear(link, Pong { message.word }, now, effects);
     if (!this->life || this->life->info.identity != message.worker) {
         this->reject(message.run, "the worker's life has ended", effects);
         return;
@@ -242,8 +263,8 @@
         this->reject(message.run, "stopped before its start", effects);
         return;
     }
-    if (this->life->toStop.insert(message.run).second)
-        this->orders.emplace_front(StopOrder { message.run });
+    this->life->toStop.insert(message.run);
+    this->orders.emplace_front(StopOrder { message.run });
 }
 
 void WorkerMachine::hear(LinkId, const AcknowledgeEnds& message, TimePoint now, Effects&)
@@ -362,7 +383,14 @@
 
 void WorkerMachine::sendOrder(TimePoint now, Effects& effects)
 {
-    const bool start = std::holds_alternative<StartOrder>(this->orders.front());
+    const StartOrder* const start = std::get_if<StartOrder>(&this->orders.front());
+    // An order that came late, or waited long, may have been given up by the leader.
+    if (start && now > TimePoint(Duration(start->order.word)) + this->config.wordValidity) {
+        const RunId run = start->order.run;
+        this->orders.pop_front();
+        this->reject(run, "the order is out of date", effects);
+        return;
+    }
     if (start && !this->mayRenew(now))
         return;
     const Order order = this->orders.front();
@@ -406,6 +434,13 @@
         else
             this->reject(run, "its order had no answer and was voided", effects);
     }
+}
+
+void WorkerMachine::repeatStops()
+{
+    const bool stopQueued = std::any_of(this->orders.begin(), this->orders.end(), [](const Order& order) { return std::holds_alternative<StopOrder>(order); });
+    if (stopQueued)
+        return;
     for (const RunStatus& status : this->life->running) {
         if (this->life->toStop.contains(status.run))
             this->orders.emplace_front(StopOrder { status.run });
--- /dev/null
+++ b/libs/scheduling/tests/JobWorld.cpp
@@ -0,0 +1,858 @@
+#include "JobWorld.h"
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace cowslipdoor::tests {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr Room workerRoom { 8000, 16000, 0 };
+    constexpr Duration storeDelay = milliseconds(2);
+    constexpr Duration linkDelay = milliseconds(1);
+    constexpr Duration workerDelay = std::chrono::microseconds(500);
+    constexpr Duration beatInterval = milliseconds(1500);
+    constexpr Duration stopTime = milliseconds(150);
+    /// Time in which a stored cancellation must stop new starts: 3 s by contract.
+    constexpr Duration cancelBound = milliseconds(3000);
+    constexpr Duration longestLease = milliseconds(6000);
+
+    std::string describeTime(TimePoint time)
+    {
+        char text[32];
+        std::snprintf(text, sizeof text, "%.3f ", static_cast<double>(time.time_since_epoch().count()) / 1e6 - 1000);
+        return text;
+    }
+
+}
+
+JobWorld::JobWorld(JobWorldConfig config)
+    : config(std::move(config))
+    , random(this->config.seed)
+    , entries(this->config.entries)
+    , agents(this->config.agents)
+    , workers(this->config.agents)
+{
+    for (std::size_t index = 0; index < this->entries.size(); ++index) {
+        this->entries[index].name = "entry-" + std::to_string(index);
+        this->startEntry(index);
+    }
+    for (std::size_t index = 0; index < this->agents.size(); ++index) {
+        this->agents[index].name = "agent-" + std::to_string(index);
+        this->workers[index].id = "worker-" + std::to_string(index);
+        this->startAgent(index);
+        this->startWorker(index);
+    }
+}
+
+void JobWorld::play()
+{
+    this->runUntil(this->now + seconds(4));
+    const TimePoint end = this->now + this->config.faultsFor;
+    for (std::size_t number = 0; number < this->config.jobs; ++number)
+        this->after(this->jitter(this->config.faultsFor), [this, number]() { this->handIn(number); });
+    for (TimePoint time = this->now; this->config.faultEvery > Duration {} && time < end; time += this->jitter(this->config.faultEvery * 2))
+        this->at(time, [this]() { this->injectFault(); });
+    this->runUntil(end);
+    this->heal();
+    this->runUntil(this->now + seconds(60));
+    this->checkEnd();
+}
+
+void JobWorld::at(TimePoint time, Action action)
+{
+    this->agenda.emplace(std::max(time, this->now), std::move(action));
+}
+
+void JobWorld::runUntil(TimePoint time)
+{
+    while (!this->agenda.empty() && this->agenda.begin()->first <= time) {
+        this->now = this->agenda.begin()->first;
+        const Action action = std::move(this->agenda.begin()->second);
+        this->agenda.erase(this->agenda.begin());
+        action();
+    }
+    this->now = time;
+}
+
+Duration JobWorld::jitter(Duration most)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, std::max<Duration::rep>(1, most.count()))(this->random));
+}
+
+bool JobWorld::chance(double probability)
+{
+    return std::bernoulli_distribution(probability)(this->random);
+}
+
+std::size_t JobWorld::pick(std::size_t count)
+{
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(this->random);
+}
+
+void JobWorld::note(const std::string& line)
+{
+    this->lines.push_back(describeTime(this->now) + line);
+}
+
+void JobWorld::violate(const std::string& line)
+{
+    this->note("VIOLATION " + line);
+    this->broken.push_back(describeTime(this->now) + line);
+}
+
+void JobWorld::startEntry(std::size_t index)
+{
+    EntryNode& node = this->entries[index];
+    SchedulerConfig settings = this->config.scheduler;
+    settings.lease.holder = node.name;
+    settings.lease.incarnation = ++node.life;
+    node.machine = std::make_unique<Scheduler>(settings);
+    node.up = true;
+    node.wanted.clear();
+    node.following = false;
+    this->toEntry(index, node.life, TimePassed {});
+}
+
+void JobWorld::startAgent(std::size_t index)
+{
+    AgentNode& node = this->agents[index];
+    WorkerMachineConfig settings = this->config.agent;
+    settings.agent = node.name;
+    ++node.life;
+    node.machine = std::make_unique<WorkerMachine>(settings, this->now);
+    node.up = true;
+    this->registerAgent(index);
+    this->armAgent(index);
+}
+
+void JobWorld::startWorker(std::size_t index)
+{
+    WorkerNode& worker = this->workers[index];
+    const std::string id = worker.id;
+    const std::int64_t born = std::max<std::int64_t>(worker.born + 1, this->now.time_since_epoch().count() / 1000);
+    worker = WorkerNode();
+    worker.id = id;
+    worker.born = born;
+    worker.up = true;
+    worker.bornAt = this->now;
+    worker.clockRate = 0.98 + 0.02 * static_cast<double>(this->pick(100)) / 100;
+    this->note(id + " born " + std::to_string(born));
+    this->beat(index, born);
+}
+
+void JobWorld::beat(std::size_t index, std::int64_t born)
+{
+    const WorkerNode& worker = this->workers[index];
+    if (!worker.up || worker.born != born)
+        return;
+    const WorkerInfo info { { worker.id, born }, "service", workerRoom, {}, false, {} };
+    const Duration delay = this->chance(0.02) ? milliseconds(3000) : workerDelay;
+    this->after(delay, [this, index, info]() { this->toAgent(index, this->agents[index].life, WorkerBeat { info }); });
+    this->after(beatInterval, [this, index, born]() { this->beat(index, born); });
+}
+
+void JobWorld::toEntry(std::size_t index, std::uint64_t life, SchedulerEvent event)
+{
+    EntryNode& node = this->entries[index];
+    if (!node.up || node.life != life)
+        return;
+    if (this->now < node.frozenUntil) {
+        this->at(node.frozenUntil, [this, index, life, event]() { this->toEntry(index, life, event); });
+        return;
+    }
+    for (const SchedulerEffect& effect : node.machine->step(event, this->now))
+        this->carryOut(index, effect);
+    this->armEntry(index);
+}
+
+void JobWorld::toAgent(std::size_t index, std::uint64_t life, WorkerEvent event)
+{
+    AgentNode& node = this->agents[index];
+    if (!node.up || node.life != life)
+        return;
+    if (this->now < node.frozenUntil) {
+        this->at(node.frozenUntil, [this, index, life, event]() { this->toAgent(index, life, event); });
+        return;
+    }
+    for (const WorkerEffect& effect : node.machine->step(event, this->now))
+        this->carryOut(index, effect);
+    this->armAgent(index);
+}
+
+void JobWorld::armEntry(std::size_t index)
+{
+    EntryNode& node = this->entries[index];
+    const std::optional<TimePoint> wakeup = node.machine->nextWakeup();
+    const std::uint64_t timer = ++node.timer;
+    const std::uint64_t life = node.life;
+    if (!wakeup)
+        return;
+    this->at(std::max(*wakeup, this->now + std::chrono::microseconds(100)), [this, index, life, timer]() {
+        if (this->entries[index].timer == timer)
+            this->toEntry(index, life, TimePassed {});
+    });
+}
+
+void JobWorld::armAgent(std::size_t index)
+{
+    AgentNode& node = this->agents[index];
+    const std::optional<TimePoint> wakeup = node.machine->nextWakeup();
+    const std::uint64_t timer = ++node.timer;
+    const std::uint64_t life = node.life;
+    if (!wakeup)
+        return;
+    this->at(std::max(*wakeup, this->now + std::chrono::microseconds(100)), [this, index, life, timer]() {
+        if (this->agents[index].timer == timer)
+            this->toAgent(index, life, TimePassed {});
+    });
+}
+
+void JobWorld::carryOut(std::size_t entry, const SchedulerEffect& effect)
+{
+    EntryNode& node = this->entries[entry];
+    const std::uint64_t life = node.life;
+    if (std::holds_alternative<ReadLeaderRow>(effect)) {
+        const bool refused = node.storeCut || this->now < this->storeDownUntil;
+        this->after(storeDelay, [this, entry, life, refused]() {
+            if (refused) {
+                this->toEntry(entry, life, LeaderRowUnread {});
+                return;
+            }
+            const std::map<RowKey, Row>::const_iterator it = this->rows.find(leaderRowKey());
+            const bool present = it != this->rows.end();
+            const LeaderRowRead read { present ? parseLeaderRecord(it->second.value) : std::nullopt, present ? it->second.version : 0 };
+            this->after(storeDelay, [this, entry, life, read]() { this->toEntry(entry, life, read); });
+        });
+    } else if (const SubmitCommit* const commit = std::get_if<SubmitCommit>(&effect)) {
+        this->submit(entry, commit->transaction, [this, entry, life](const TransactionResult& result) { this->toEntry(entry, life, CommitFinished { result }); });
+    } else if (const ReadTables* const read = std::get_if<ReadTables>(&effect)) {
+        ++this->takeoverCount;
+        this->note(node.name + " leads epoch " + std::to_string(read->epoch));
+        this->readTables(entry, read->epoch);
+    } else if (std::holds_alternative<StopLeading>(effect)) {
+        this->note(node.name + " no longer leads");
+        node.following = false;
+        node.wanted.clear();
+        for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
+            if (item.second.entry == entry && item.second.entryOpen)
+                this->closeLink(item.first);
+        }
+    } else if (const KeepAgentLinked* const keep = std::get_if<KeepAgentLinked>(&effect)) {
+        node.wanted.insert(keep->agent);
+        for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
+            if (this->agents[agent].name == keep->agent)
+                this->dial(entry, life, agent);
+        }
+    } else if (const SendToAgent* const message = std::get_if<SendToAgent>(&effect)) {
+        const std::uint64_t link = static_cast<std::uint64_t>(message->link);
+        const std::size_t agent = this->links.at(link).agent;
+        const std::uint64_t agentLife = this->agents[agent].life;
+        const LeaderMessage said = message->message;
+        this->sendOnLink(link, true, [this, agent, agentLife, link, said]() { this->toAgent(agent, agentLife, LeaderSaid { LinkId { link }, said }); });
+    } else if (const RecordEvent* const record = std::get_if<RecordEvent>(&effect)) {
+        this->note(node.name + " E" + std::to_string(static_cast<unsigned>(record->event)) + " " + record->detail);
+    }
+}
+
+void JobWorld::carryOut(std::size_t agent, const WorkerEffect& effect)
+{
+    AgentNode& node = this->agents[agent];
+    const std::uint64_t life = node.life;
+    if (const CallLook* const look = std::get_if<CallLook>(&effect)) {
+        this->answerLook(agent, life, *look, true);
+    } else if (const CallStart* const start = std::get_if<CallStart>(&effect)) {
+        const std::int64_t born = this->workers[agent].born;
+        this->callWorker(agent, start->call, [this, agent, born, call = *start]() { return this->execute(agent, call, born); });
+    } else if (const CallStop* const stop = std::get_if<CallStop>(&effect)) {
+        this->callWorker(agent, stop->call, [this, agent, call = *stop]() { return this->execute(agent, call); });
+    } else if (const CallPace* const pace = std::get_if<CallPace>(&effect)) {
+        this->callWorker(agent, pace->call, [call = *pace]() { return OrderAnswered { call.call, true, "" }; });
+    } else if (const SendToLeader* const message = std::get_if<SendToLeader>(&effect)) {
+        const std::uint64_t link = static_cast<std::uint64_t>(message->link);
+        const std::size_t entry = this->links.at(link).entry;
+        const std::uint64_t entryLife = this->entries[entry].life;
+        const AgentReport report = message->report;
+        this->sendOnLink(link, false, [this, entry, entryLife, link, report, name = node.name]() { this->toEntry(entry, entryLife, AgentSaid { name, LinkId { link }, report }); });
+    } else if (const CloseLeaderLink* const close = std::get_if<CloseLeaderLink>(&effect)) {
+        this->closeLink(static_cast<std::uint64_t>(close->link));
+    } else if (const RecordEvent* const record = std::get_if<RecordEvent>(&effect)) {
+        this->note(node.name + " E" + std::to_string(static_cast<unsigned>(record->event)) + " " + record->detail);
+    }
+}
+
+void JobWorld::submit(std::size_t entry, Transaction transaction, std::function<void(TransactionResult)> done)
+{
+    const bool refused = this->entries[entry].storeCut || this->now < this->storeDownUntil;
+    if (refused && this->chance(0.5)) {
+        this->after(storeDelay, [done]() { done(StoreRefused { "refused" }); });
+        return;
+    }
+    if (refused || this->chance(this->answerLoss)) {
+        // The answer is lost; the transaction may have applied, may apply seconds later, or never.
+        if (this->chance(0.7))
+            this->after(this->chance(0.5) ? storeDelay : milliseconds(1000) + this->jitter(milliseconds(5000)), [this, transaction]() { static_cast<void>(this->apply(transaction)); });
+        this->after(milliseconds(800), [done]() { done(OutcomeAmbiguous { "no answer" }); });
+        return;
+    }
+    this->after(storeDelay + this->jitter(milliseconds(3)), [this, transaction, done]() {
+        const TransactionResult result = this->apply(transaction);
+        this->after(storeDelay, [done, result]() { done(result); });
+    });
+}
+
+TransactionResult JobWorld::apply(const Transaction& transaction)
+{
+    Conflict conflict;
+    bool holds = true;
+    for (const RowCondition& condition : transaction.conditions) {
+        const std::map<RowKey, Row>::const_iterator it = this->rows.find(condition.key);
+        if (it != this->rows.end())
+            conflict.rows.push_back(it->second);
+        holds = holds && (it == this->rows.end() ? 0 : it->second.version) == condition.version;
+    }
+    if (!holds)
+        return conflict;
+    ++this->version;
+    for (const RowWrite& write : transaction.writes) {
+        const Row row { write.key, write.value, this->version, false };
+        this->rows[write.key] = row;
+        this->changes.push_back(row);
+    }
+    return Applied { this->version };
+}
+
+void JobWorld::readTables(std::size_t entry, std::uint64_t epoch)
+{
+    const std::uint64_t life = this->entries[entry].life;
+    if (this->entries[entry].storeCut || this->now < this->storeDownUntil) {
+        this->after(milliseconds(150), [this, entry, life, epoch]() {
+            if (this->entries[entry].life == life && this->entries[entry].machine->lease().epoch() == epoch)
+                this->readTables(entry, epoch);
+        });
+        return;
+    }
+    this->after(storeDelay * 5, [this, entry, life, epoch]() {
+        std::vector<JobSpecHandle> specs;
+        std::map<JobId, ProgressRecord> progress;
+        std::vector<JobId> cancelled;
+        std::vector<KnownAgent> known;
+        for (const std::map<RowKey, Row>::value_type& item : this->rows) {
+            const std::optional<JobId> gone = cancelledJob(item.first);
+            if (item.first.table == agentTable)
+                known.push_back({ item.first.key, *parseAgentRecord(item.second.value) });
+            else if (item.first.table == progressTable)
+                progress.emplace(JobId { item.first.key }, *parseProgressRecord(item.second.value));
+            else if (item.first.table == jobTable && gone)
+                cancelled.push_back(*gone);
+            else if (item.first.table == jobTable)
+                specs.push_back(std::make_shared<const JobSpec>(*parseJobSpec(item.second.value)));
+        }
+        const RowVersion asOf = this->version;
+        const TablesRead read { epoch, specs, progress, cancelled, known };
+        this->after(storeDelay, [this, entry, life, read, asOf]() {
+            this->toEntry(entry, life, read);
+            EntryNode& node = this->entries[entry];
+            if (node.life != life)
+                return;
+            node.followed = asOf;
+            if (!std::exchange(node.following, true))
+                this->follow(entry, life);
+        });
+    });
+}
+
+void JobWorld::follow(std::size_t entry, std::uint64_t life)
+{
+    EntryNode& node = this->entries[entry];
+    if (node.life != life || !node.following)
+        return;
+    if (!node.storeCut && this->now >= this->storeDownUntil) {
+        for (const Row& row : this->changes) {
+            if (row.version <= node.followed)
+                continue;
+            const std::optional<JobId> gone = cancelledJob(row.key);
+            if (row.key.table == agentTable)
+                this->toEntry(entry, life, AgentStored { { row.key.key, *parseAgentRecord(row.value) } });
+            else if (row.key.table == jobTable && gone)
+                this->toEntry(entry, life, JobCancelStored { *gone });
+            else if (row.key.table == jobTable)
+                this->toEntry(entry, life, JobStored { std::make_shared<const JobSpec>(*parseJobSpec(row.value)) });
+        }
+        node.followed = this->version;
+    }
+    this->after(milliseconds(10), [this, entry, life]() { this->follow(entry, life); });
+}
+
+void JobWorld::registerAgent(std::size_t agent)
+{
+    const std::uint64_t life = this->agents[agent].life;
+    if (this->now < this->storeDownUntil) {
+        this->after(milliseconds(200), [this, agent, life]() {
+            if (this->agents[agent].life == life)
+                this->registerAgent(agent);
+        });
+        return;
+    }
+    const RowKey key = agentRowKey(this->agents[agent].name);
+    const std::map<RowKey, Row>::const_iterator it = this->rows.find(key);
+    const std::uint64_t generation = it == this->rows.end() ? 1 : parseAgentRecord(it->second.value)->generation + 1;
+    const Transaction transaction { {}, { { key, print(AgentRecord { "address", generation }) } }, {} };
+    static_cast<void>(this->apply(transaction));
+    this->after(storeDelay * 2, [this, agent, life, generation]() { this->toAgent(agent, life, GenerationGranted { generation }); });
+}
+
+void JobWorld::dial(std::size_t entry, std::uint64_t life, std::size_t agent)
+{
+    EntryNode& node = this->entries[entry];
+    if (node.life != life || !node.up || !node.wanted.contains(this->agents[agent].name))
+        return;
+    const bool linked = std::any_of(this->links.begin(), this->links.end(), [entry, agent](const std::map<std::uint64_t, Link>::value_type& item) {
+        return item.second.entry == entry && item.second.agent == agent && item.second.entryOpen;
+    });
+    if (!linked && this->agents[agent].up && !this->cut(entry, agent) && this->now >= node.frozenUntil) {
+        const std::uint64_t link = ++this->lastLink;
+        this->links[link] = { entry, agent, true, true, this->now, this->now, this->now, {} };
+        this->toAgent(agent, this->agents[agent].life, LeaderAttached { LinkId { link } });
+        this->toEntry(entry, life, AgentLinked { this->agents[agent].name, LinkId { link } });
+        this->watchLink(link);
+    }
+    this->after(milliseconds(200), [this, entry, life, agent]() { this->dial(entry, life, agent); });
+}
+
+void JobWorld::sendOnLink(std::uint64_t link, bool toAgentSide, Action deliver)
+{
+    Link& state = this->links.at(link);
+    if (!(toAgentSide ? state.entryOpen : state.agentOpen))
+        return;
+    const Action receive = [this, link, toAgentSide, deliver]() {
+        Link& arrived = this->links.at(link);
+        if (!(toAgentSide ? arrived.agentOpen : arrived.entryOpen))
+            return;
+        if (!toAgentSide)
+            arrived.lastHeard = this->now;
+        deliver();
+    };
+    if (this->cut(state.entry, state.agent)) {
+        state.held.push_back(receive);
+        return;
+    }
+    TimePoint& last = toAgentSide ? state.lastToAgent : state.lastToEntry;
+    last = std::max(last, this->now + linkDelay + this->jitter(milliseconds(2)));
+    this->at(last, receive);
+}
+
+void JobWorld::closeLink(std::uint64_t link)
+{
+    Link& state = this->links.at(link);
+    state.held.clear();
+    if (std::exchange(state.entryOpen, false))
+        this->toEntry(state.entry, this->entries[state.entry].life, AgentUnlinked { this->agents[state.agent].name, LinkId { link } });
+    if (std::exchange(state.agentOpen, false))
+        this->toAgent(state.agent, this->agents[state.agent].life, LeaderDetached { LinkId { link } });
+}
+
+void JobWorld::watchLink(std::uint64_t link)
+{
+    Link& state = this->links.at(link);
+    if (!state.entryOpen)
+        return;
+    if (this->now - state.lastHeard > milliseconds(1300) && this->now >= this->entries[state.entry].frozenUntil) {
+        // The entry closes for silence; the agent's end stays open until it hears of it.
+        state.entryOpen = false;
+        this->toEntry(state.entry, this->entries[state.entry].life, AgentUnlinked { this->agents[state.agent].name, LinkId { link } });
+        return;
+    }
+    this->after(milliseconds(250), [this, link]() { this->watchLink(link); });
+}
+
+bool JobWorld::cut(std::size_t entry, std::size_t agent) const
+{
+    return this->cuts.contains({ entry, agent });
+}
+
+void JobWorld::callWorker(std::size_t agent, CallNumber call, std::function<std::optional<WorkerEvent>()> execute)
+{
+    const std::uint64_t life = this->agents[agent].life;
+    const std::int64_t born = this->workers[agent].born;
+    const bool late = this->chance(this->lateOrders);
+    const Duration delay = late ? milliseconds(2000) + this->jitter(seconds(10)) : workerDelay;
+    this->after(delay, [this, agent, life, born, late, execute]() {
+        if (!this->workers[agent].up || (late && this->workers[agent].born != born))
+            return;
+        const std::optional<WorkerEvent> answer = execute();
+        if (answer && !late)
+            this->after(workerDelay, [this, agent, life, answer]() { this->toAgent(agent, life, *answer); });
+    });
+    if (late || !this->workers[agent].up)
+        this->after(milliseconds(400), [this, agent, life, call]() { this->toAgent(agent, life, CallUnanswered { call }); });
+}
+
+void JobWorld::answerLook(std::size_t agent, std::uint64_t life, const CallLook& call, bool mayWait)
+{
+    WorkerNode& worker = this->workers[agent];
+    if (mayWait) {
+        if (!worker.up || this->chance(this->lateOrders)) {
+            this->after(call.wait + milliseconds(400), [this, agent, life, call]() { this->toAgent(agent, life, CallUnanswered { call.call }); });
+            return;
+        }
+        if (call.token < worker.token) {
+            this->after(workerDelay * 2, [this, agent, life, call]() { this->toAgent(agent, life, CallFenced { call.call }); });
+            return;
+        }
+        worker.token = call.token;
+        this->acknowledge(worker, call.acknowledgeUpTo);
+        if (call.leaseUntilMs)
+            this->extendLease(agent, *call.leaseUntilMs);
+        if (call.wait > Duration {} && worker.ended.empty()) {
+            const std::int64_t born = worker.born;
+            const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+            const Action answer = [this, agent, life, call, born, answered]() {
+                if (!std::exchange(*answered, true) && this->workers[agent].up && this->workers[agent].born == born)
+                    this->answerLook(agent, life, call, false);
+            };
+            worker.waiters.push_back(answer);
+            this->after(call.wait, answer);
+            this->after(call.wait + milliseconds(400), [this, agent, life, call]() { this->toAgent(agent, life, CallUnanswered { call.call }); });
+            return;
+        }
+    }
+    std::vector<RunStatus> running;
+    for (const std::map<RunId, Run>::value_type& item : worker.running)
+        running.push_back({ item.first, "", 50, 0 });
+    const LookAnswered answer { call.call, worker.born, this->clockMs(worker), running, worker.ended };
+    this->after(workerDelay + this->jitter(milliseconds(2)), [this, agent, life, answer]() { this->toAgent(agent, life, answer); });
+}
+
+std::optional<WorkerEvent> JobWorld::execute(std::size_t index, const CallStart& call, std::int64_t born)
+{
+    WorkerNode& worker = this->workers[index];
+    if (worker.born != born)
+        return CallMisdirected { call.call };
+    if (call.token < worker.token)
+        return CallFenced { call.call };
+    worker.token = call.token;
+    if (worker.running.contains(call.run))
+        return OrderAnswered { call.call, true, "" };
+    const std::map<TaskId, std::uint32_t>::const_iterator highest = worker.highestEnded.find(call.run.task);
+    if (highest != worker.highestEnded.end() && call.run.number <= highest->second)
+        return OrderAnswered { call.call, false, "old" };
+    if (call.leaseUntilMs <= this->clockMs(worker))
+        return OrderAnswered { call.call, false, "late" };
+    this->extendLease(index, call.leaseUntilMs);
+    this->checkStart(index, call.run, call.payload);
+    worker.running[call.run] = { call.payload, this->now, false };
+    ++this->startCount;
+    this->note(worker.id + " starts " + describe(call.run));
+    const StepSpec& step = this->jobs.at(call.run.task.job).spec->steps[call.run.task.step];
+    const bool fails = this->chance(0.05);
+    if (!step.longRunning || fails) {
+        const Duration time = milliseconds(100) + this->jitter(milliseconds(1500));
+        this->after(time, [this, index, born, run = call.run, fails]() {
+            if (this->workers[index].up && this->workers[index].born == born)
+                this->endRun(index, run, fails ? RunEndKind::Failed : RunEndKind::Done);
+        });
+    }
+    return OrderAnswered { call.call, true, "" };
+}
+
+std::optional<WorkerEvent> JobWorld::execute(std::size_t index, const CallStop& call)
+{
+    WorkerNode& worker = this->workers[index];
+    if (call.token < worker.token)
+        return CallFenced { call.call };
+    worker.token = call.token;
+    const std::map<RunId, Run>::iterator it = worker.running.find(call.run);
+    if (it == worker.running.end()) {
+        std::uint32_t& highest = worker.highestEnded[call.run.task];
+        highest = std::max(highest, call.run.number);
+        return OrderAnswered { call.call, false, "old" };
+    }
+    it->second.stopping = true;
+    const std::int64_t born = worker.born;
+    this->after(this->jitter(stopTime), [this, index, born, run = call.run]() {
+        if (this->workers[index].up && this->workers[index].born == born)
+            this->endRun(index, run, RunEndKind::Stopped);
+    });
+    return OrderAnswered { call.call, true, "" };
+}
+
+std::int64_t JobWorld::clockMs(const WorkerNode& worker) const
+{
+    return 1000 + static_cast<std::int64_t>(static_cast<double>(toMilliseconds(this->now - worker.bornAt)) * worker.clockRate);
+}
+
+void JobWorld::extendLease(std::size_t index, std::int64_t untilMs)
+{
+    WorkerNode& worker = this->workers[index];
+    worker.leaseMs = std::max(worker.leaseMs, std::min<std::int64_t>(untilMs, this->clockMs(worker) + toMilliseconds(longestLease)));
+    const std::int64_t born = worker.born;
+    const Duration left = std::chrono::duration_cast<Duration>(milliseconds(worker.leaseMs - this->clockMs(worker)) / worker.clockRate);
+    this->after(left + milliseconds(2), [this, index, born]() { this->checkLease(index, born); });
+}
+
+void JobWorld::checkLease(std::size_t index, std::int64_t born)
+{
+    WorkerNode& worker = this->workers[index];
+    if (!worker.up || worker.born != born || this->clockMs(worker) < worker.leaseMs)
+        return;
+    const std::map<RunId, Run> running = worker.running;
+    for (const std::map<RunId, Run>::value_type& item : running)
+        this->endRun(index, item.first, RunEndKind::LeaseExpired);
+}
+
+void JobWorld::endRun(std::size_t index, const RunId& run, RunEndKind kind)
+{
+    WorkerNode& worker = this->workers[index];
+    if (worker.running.erase(run) == 0)
+        return;
+    std::uint32_t& highest = worker.highestEnded[run.task];
+    highest = std::max(highest, run.number);
+    worker.ended.push_back({ ++worker.lastEnd, run, kind, "" });
+    this->note(worker.id + " ends " + describe(run) + " " + std::string(toString(kind)));
+    Truth& truth = this->jobs.at(run.task.job);
+    if (kind == RunEndKind::Done)
+        truth.done.insert(run.task);
+    if (kind == RunEndKind::Failed)
+        ++truth.failures[run.task];
+    for (const Action& waiter : std::exchange(worker.waiters, {}))
+        waiter();
+}
+
+void JobWorld::acknowledge(WorkerNode& worker, std::uint64_t upTo)
+{
+    for (const RunEnd& end : worker.ended) {
+        if (end.number > upTo)
+            continue;
+        Truth& truth = this->jobs.at(end.run.task.job);
+        if (end.kind == RunEndKind::Failed)
+            ++truth.failuresNoted[end.run.task];
+        const std::map<RowKey, Row>::const_iterator row = this->rows.find(progressRowKey(end.run.task.job));
+        if (row == this->rows.end())
+            this->violate("an end of " + describe(end.run) + " is acknowledged and nothing of its job is stored");
+    }
+    std::erase_if(worker.ended, [upTo](const RunEnd& end) { return end.number <= upTo; });
+    worker.acknowledged = std::max(worker.acknowledged, upTo);
+}
+
+void JobWorld::checkStart(std::size_t index, const RunId& run, const std::string& payload)
+{
+    const std::map<JobId, Truth>::const_iterator job = this->jobs.find(run.task.job);
+    if (job == this->jobs.end()) {
+        this->violate(describe(run) + " starts and no such job is stored");
+        return;
+    }
+    const Truth& truth = job->second;
+    const StepSpec& step = truth.spec->steps[run.task.step];
+    if (payload != truth.spec->payload)
+        this->violate(describe(run) + " starts with another payload");
+    Room used = step.countedDemand();
+    for (const std::map<RunId, Run>::value_type& item : this->workers[index].running)
+        used = used.plus(this->jobs.at(item.first.task.job).spec->steps[item.first.task.step].countedDemand());
+    if (!workerRoom.covers(used))
+        this->violate(describe(run) + " overfills " + this->workers[index].id);
+    for (const WorkerNode& other : this->workers) {
+        for (const std::map<RunId, Run>::value_type& item : other.running) {
+            if (other.up && item.first.task == run.task)
+                this->violate(describe(run) + " starts on " + this->workers[index].id + " while " + describe(item.first) + " runs on " + other.id);
+        }
+    }
+    for (const std::uint32_t earlier : step.after) {
+        for (std::uint32_t task = 0; task < truth.spec->steps[earlier].count; ++task) {
+            if (!truth.done.contains({ run.task.job, earlier, task }))
+                this->violate(describe(run) + " starts before step " + std::to_string(earlier) + " is done");
+        }
+    }
+    const std::map<TaskId, std::uint32_t>::const_iterator failures = truth.failuresNoted.find(run.task);
+    if (!step.longRunning && failures != truth.failuresNoted.end() && failures->second >= truth.spec->attempts)
+        this->violate(describe(run) + " starts after its last attempt");
+    if (truth.cancelledAt && this->now > *truth.cancelledAt + cancelBound + longestLease)
+        this->violate(describe(run) + " starts long after its job was cancelled");
+}
+
+void JobWorld::handIn(std::size_t number)
+{
+    const std::uint64_t hash = this->random();
+    char id[17];
+    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(hash));
+    JobSpec spec;
+    spec.id = { id };
+    spec.queue = "queue";
+    spec.service = "service";
+    spec.priority = number % 3 == 0 ? 2 : 0;
+    spec.attempts = 4;
+    spec.stretch = 2;
+    spec.payload = "payload-" + std::to_string(number);
+    const bool lasts = this->chance(0.15);
+    const std::size_t steps = lasts ? 1 : 1 + this->pick(3);
+    for (std::size_t step = 0; step < steps; ++step) {
+        StepSpec next;
+        next.count = static_cast<std::uint32_t>(1 + this->pick(6));
+        next.demand = { static_cast<std::uint32_t>(500 + 500 * this->pick(6)), 1000, 0 };
+        next.estimate = milliseconds(800);
+        next.longRunning = lasts;
+        next.fills = !lasts && this->chance(0.2);
+        if (step > 0)
+            next.after = { static_cast<std::uint32_t>(step - 1) };
+        spec.steps.push_back(next);
+    }
+    const JobSpecHandle handle = std::make_shared<const JobSpec>(spec);
+    const Transaction transaction { { { jobRowKey(spec.id), 0 } }, { { jobRowKey(spec.id), print(spec) } }, {} };
+    if (this->now < this->storeDownUntil || !std::holds_alternative<Applied>(this->apply(transaction)))
+        return;
+    this->jobs[spec.id].spec = handle;
+    this->note("job " + spec.id.text + (lasts ? " lasts" : ""));
+    if (lasts || this->chance(0.15))
+        this->after(milliseconds(200) + this->jitter(seconds(10)), [this, job = spec.id]() { this->cancel(job); });
+}
+
+void JobWorld::cancel(const JobId& job)
+{
+    if (this->now < this->storeDownUntil) {
+        this->after(milliseconds(500), [this, job]() { this->cancel(job); });
+        return;
+    }
+    const Transaction transaction { { { cancelRowKey(job), 0 } }, { { cancelRowKey(job), "{}" } }, {} };
+    static_cast<void>(this->apply(transaction));
+    this->jobs[job].cancelledAt = this->now;
+    this->note("cancel " + job.text);
+}
+
+void JobWorld::injectFault()
+{
+    const Duration length = milliseconds(200) + this->jitter(milliseconds(6000));
+    const std::size_t entry = this->pick(this->entries.size());
+    const std::size_t agent = this->pick(this->agents.size());
+    switch (this->pick(11)) {
+    case 0:
+        this->note("fault: entry killed " + std::to_string(entry));
+        this->entries[entry].up = false;
+        for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
+            if (item.second.entry == entry)
+                this->closeLink(item.first);
+        }
+        this->after(milliseconds(300) + this->jitter(milliseconds(4000)), [this, entry]() {
+            if (!this->entries[entry].up)
+                this->startEntry(entry);
+        });
+        break;
+    case 1:
+        this->note("fault: entry frozen " + std::to_string(entry));
+        this->entries[entry].frozenUntil = std::max(this->entries[entry].frozenUntil, this->now + length);
+        break;
+    case 2:
+        this->note("fault: entry cut from the store " + std::to_string(entry));
+        this->entries[entry].storeCut = true;
+        this->after(length, [this, entry]() { this->entries[entry].storeCut = false; });
+        break;
+    case 3:
+        this->note("fault: store down");
+        this->storeDownUntil = this->now + length / 2;
+        break;
+    case 4:
+        this->note("fault: answers of the store lost");
+        this->answerLoss = 0.35;
+        this->after(length, [this]() { this->answerLoss = 0; });
+        break;
+    case 5:
+        this->note("fault: agent killed " + std::to_string(agent));
+        this->agents[agent].up = false;
+        for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
+            if (item.second.agent == agent)
+                this->closeLink(item.first);
+        }
+        this->after(milliseconds(300) + this->jitter(milliseconds(4000)), [this, agent]() {
+            if (!this->agents[agent].up)
+                this->startAgent(agent);
+        });
+        break;
+    case 6:
+        this->note("fault: agent frozen " + std::to_string(agent));
+        this->agents[agent].frozenUntil = std::max(this->agents[agent].frozenUntil, this->now + length);
+        break;
+    case 7:
+        this->note("fault: links cut " + std::to_string(entry) + "-" + std::to_string(agent));
+        this->cuts.insert({ entry, agent });
+        this->after(length, [this, entry, agent]() {
+            this->cuts.erase({ entry, agent });
+            for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
+                if (item.second.entry != entry || item.second.agent != agent)
+                    continue;
+                for (const Action& held : std::exchange(item.second.held, {}))
+                    held();
+            }
+        });
+        break;
+    case 8:
+        this->note("fault: worker dies " + std::to_string(agent));
+        this->workers[agent].up = false;
+        this->workers[agent].running.clear();
+        this->after(length / 2, [this, agent]() {
+            if (!this->workers[agent].up)
+                this->startWorker(agent);
+        });
+        break;
+    case 9:
+        this->note("fault: orders late");
+        this->lateOrders = 0.2;
+        this->after(length, [this]() { this->lateOrders = 0; });
+        break;
+    default:
+        this->note("fault: all dark");
+        for (std::size_t index = 0; index < this->entries.size(); ++index)
+            this->entries[index].up = false;
+        for (std::size_t index = 0; index < this->agents.size(); ++index)
+            this->agents[index].up = false;
+        for (std::map<std::uint64_t, Link>::value_type& item : this->links)
+            this->closeLink(item.first);
+        this->after(milliseconds(700), [this]() {
+            for (std::size_t index = 0; index < this->entries.size(); ++index) {
+                if (!this->entries[index].up)
+                    this->startEntry(index);
+            }
+            for (std::size_t index = 0; index < this->agents.size(); ++index) {
+                if (!this->agents[index].up)
+                    this->startAgent(index);
+            }
+        });
+        break;
+    }
+}
+
+void JobWorld::heal()
+{
+    this->note("healed");
+    this->answerLoss = 0;
+    this->lateOrders = 0;
+    this->storeDownUntil = this->now;
+}
+
+void JobWorld::checkEnd()
+{
+    for (const std::map<JobId, Truth>::value_type& item : this->jobs) {
+        const std::map<RowKey, Row>::const_iterator row = this->rows.find(progressRowKey(item.first));
+        const std::optional<ProgressRecord> record = row == this->rows.end() ? std::nullopt : parseProgressRecord(row->second.value);
+        if (!record || !isTerminal(record->state)) {
+            this->violate("job " + item.first.text + " has not ended");
+            continue;
+        }
+        if (record->state == JobState::Failed && std::none_of(item.second.failures.begin(), item.second.failures.end(), [&item](const std::map<TaskId, std::uint32_t>::value_type& failures) { return failures.second >= item.second.spec->attempts; }))
+            this->violate("job " + item.first.text + " is stored as failed without cause");
+        std::size_t tasks = 0;
+        for (const StepSpec& step : item.second.spec->steps)
+            tasks += step.count;
+        if (record->state == JobState::Done && item.second.done.size() != tasks)
+            this->violate("job " + item.first.text + " is stored as done and is not");
+    }
+    for (const WorkerNode& worker : this->workers) {
+        if (worker.up && !worker.running.empty())
+            this->violate(worker.id + " still runs " + describe(worker.running.begin()->first));
+        if (worker.up && !worker.ended.empty())
+            this->violate(worker.id + " still lists " + describe(worker.ended.front().run));
+    }
+}
+
+}
--- /dev/null
+++ b/libs/scheduling/tests/JobWorld.h
@@ -0,0 +1,198 @@
+#pragma once
+
+/// @file
+/// @brief Schedulers, agents' machines, a store and workers joined in virtual time, with faults and an oracle.
+
+#include <cowslipdoor/scheduling/Scheduler.h>
+#include <cowslipdoor/scheduling/WorkerMachine.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cowslipdoor::tests {
+
+/// @brief Sizes of a world, and which guards the machines work with.
+struct JobWorldConfig {
+    std::uint64_t seed = 1;
+    std::size_t entries = 2;
+    std::size_t agents = 3;
+    std::size_t jobs = 30;
+    /// Mean time between two faults; zero means none.
+    Duration faultEvery = std::chrono::milliseconds(700);
+    Duration faultsFor = std::chrono::seconds(25);
+    SchedulerConfig scheduler {};
+    WorkerMachineConfig agent {};
+};
+
+/// @brief Plays one world; every broken promise becomes a text in violations().
+class JobWorld {
+public:
+    explicit JobWorld(JobWorldConfig config);
+
+    /// @brief Hands in jobs under faults, heals everything, and lets time pass until every job has ended.
+    void play();
+
+    /// @return promises that were broken
+    [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return this->broken; }
+
+    /// @return runs that workers have begun
+    [[nodiscard]] std::size_t starts() const noexcept { return this->startCount; }
+
+    /// @return jobs that are stored
+    [[nodiscard]] std::size_t accepted() const noexcept { return this->jobs.size(); }
+
+    /// @return changes of leadership
+    [[nodiscard]] std::size_t takeovers() const noexcept { return this->takeoverCount; }
+
+    /// @return what happened, one line each
+    [[nodiscard]] const std::vector<std::string>& history() const noexcept { return this->lines; }
+
+private:
+    struct EntryNode {
+        std::string name {};
+        std::unique_ptr<Scheduler> machine {};
+        std::uint64_t life = 0;
+        bool up = false;
+        bool storeCut = false;
+        TimePoint frozenUntil {};
+        std::uint64_t timer = 0;
+        /// Address of each agent that is to be linked.
+        std::set<std::string> wanted {};
+        /// Feed of jobs: versions after this one are told.
+        bool following = false;
+        RowVersion followed = 0;
+    };
+
+    struct AgentNode {
+        std::string name {};
+        std::unique_ptr<WorkerMachine> machine {};
+        std::uint64_t life = 0;
+        bool up = false;
+        TimePoint frozenUntil {};
+        std::uint64_t timer = 0;
+    };
+
+    struct Run {
+        std::string payload {};
+        TimePoint began {};
+        bool stopping = false;
+    };
+
+    /// The worker beside each agent.
+    struct WorkerNode {
+        std::string id {};
+        std::int64_t born = 0;
+        bool up = false;
+        double clockRate = 1;
+        TimePoint bornAt {};
+        std::uint64_t token = 0;
+        std::int64_t leaseMs = 0;
+        std::map<RunId, Run> running {};
+        std::vector<RunEnd> ended {};
+        std::map<TaskId, std::uint32_t> highestEnded {};
+        std::uint64_t lastEnd = 0;
+        std::uint64_t acknowledged = 0;
+        /// Answers looks that wait for an end.
+        std::vector<std::function<void()>> waiters {};
+    };
+
+    struct Link {
+        std::size_t entry = 0;
+        std::size_t agent = 0;
+        bool entryOpen = false;
+        bool agentOpen = false;
+        TimePoint lastToAgent {};
+        TimePoint lastToEntry {};
+        TimePoint lastHeard {};
+        std::vector<std::function<void()>> held {};
+    };
+
+    /// What the oracle knows of a job.
+    struct Truth {
+        JobSpecHandle spec {};
+        std::optional<TimePoint> cancelledAt {};
+        std::set<TaskId> done {};
+        std::map<TaskId, std::uint32_t> failuresNoted {};
+        std::map<TaskId, std::uint32_t> failures {};
+    };
+
+    using Action = std::function<void()>;
+
+    void at(TimePoint time, Action action);
+    void after(Duration delay, Action action) { this->at(this->now + delay, std::move(action)); }
+    void runUntil(TimePoint time);
+    [[nodiscard]] Duration jitter(Duration most);
+    [[nodiscard]] bool chance(double probability);
+    [[nodiscard]] std::size_t pick(std::size_t count);
+    void note(const std::string& line);
+    void violate(const std::string& line);
+
+    void startEntry(std::size_t index);
+    void startAgent(std::size_t index);
+    void startWorker(std::size_t index);
+    void beat(std::size_t index, std::int64_t born);
+    void toEntry(std::size_t index, std::uint64_t life, SchedulerEvent event);
+    void toAgent(std::size_t index, std::uint64_t life, WorkerEvent event);
+    void armEntry(std::size_t index);
+    void armAgent(std::size_t index);
+    void carryOut(std::size_t entry, const SchedulerEffect& effect);
+    void carryOut(std::size_t agent, const WorkerEffect& effect);
+
+    void submit(std::size_t entry, Transaction transaction, std::function<void(TransactionResult)> done);
+    [[nodiscard]] TransactionResult apply(const Transaction& transaction);
+    void readTables(std::size_t entry, std::uint64_t epoch);
+    void follow(std::size_t entry, std::uint64_t life);
+    void registerAgent(std::size_t agent);
+
+    void dial(std::size_t entry, std::uint64_t life, std::size_t agent);
+    void sendOnLink(std::uint64_t link, bool toAgentSide, Action deliver);
+    void closeLink(std::uint64_t link);
+    void watchLink(std::uint64_t link);
+    [[nodiscard]] bool cut(std::size_t entry, std::size_t agent) const;
+
+    void callWorker(std::size_t agent, CallNumber call, std::function<std::optional<WorkerEvent>()> execute);
+    void answerLook(std::size_t agent, std::uint64_t life, const CallLook& call, bool mayWait);
+    [[nodiscard]] std::optional<WorkerEvent> execute(std::size_t worker, const CallStart& call, std::int64_t born);
+    [[nodiscard]] std::optional<WorkerEvent> execute(std::size_t worker, const CallStop& call);
+    [[nodiscard]] std::int64_t clockMs(const WorkerNode& worker) const;
+    void extendLease(std::size_t worker, std::int64_t untilMs);
+    void checkLease(std::size_t worker, std::int64_t born);
+    void endRun(std::size_t worker, const RunId& run, RunEndKind kind);
+    void acknowledge(WorkerNode& worker, std::uint64_t upTo);
+    void checkStart(std::size_t worker, const RunId& run, const std::string& payload);
+
+    void handIn(std::size_t number);
+    void cancel(const JobId& job);
+    void injectFault();
+    void heal();
+    void checkEnd();
+
+    JobWorldConfig config;
+    std::mt19937_64 random;
+    TimePoint now { std::chrono::seconds(1000) };
+    std::multimap<TimePoint, Action> agenda;
+    std::map<RowKey, Row> rows;
+    std::vector<Row> changes;
+    RowVersion version = 0;
+    TimePoint storeDownUntil {};
+    double answerLoss = 0;
+    double lateOrders = 0;
+    std::vector<EntryNode> entries;
+    std::vector<AgentNode> agents;
+    std::vector<WorkerNode> workers;
+    std::map<std::uint64_t, Link> links;
+    std::uint64_t lastLink = 0;
+    std::set<std::pair<std::size_t, std::size_t>> cuts;
+    std::map<JobId, Truth> jobs;
+    std::vector<std::string> broken;
+    std::vector<std::string> lines;
+    std::size_t startCount = 0;
+    std::size_t takeoverCount = 0;
+};
+
+}
--- /dev/null
+++ b/libs/scheduling/tests/JobWorldTests.cpp
@@ -0,0 +1,60 @@
+#include "JobWorld.h"
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::tests;
+
+namespace {
+
+/// Seeds of one run; COWSLIPDOOR_WORLDS asks for more of them, COWSLIPDOOR_WORLD_SEED for other ones.
+std::uint64_t fromEnvironment(const char* name, std::uint64_t fallback)
+{
+    const char* const text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+void playSeeds(JobWorldConfig config, std::uint64_t count)
+{
+    const std::uint64_t first = fromEnvironment("COWSLIPDOOR_WORLD_SEED", 1);
+    for (std::uint64_t seed = first; seed < first + fromEnvironment("COWSLIPDOOR_WORLDS", count); ++seed) {
+        config.seed = seed;
+        JobWorld world(config);
+        world.play();
+        if (world.violations().empty())
+            continue;
+        std::string story;
+        for (const std::string& line : world.history())
+            story += line + "\n";
+        if (std::getenv("COWSLIPDOOR_WORLD_STORY"))
+            WARN(story);
+        FAIL_CHECK("seed " << seed << ": " << world.violations().front() << " (and " << world.violations().size() - 1 << " more)");
+    }
+}
+
+}
+
+TEST_CASE("world: a calm day runs every job once", "[jobs][world]")
+{
+    JobWorldConfig config;
+    config.faultEvery = Duration {};
+    JobWorld world(config);
+    world.play();
+    CHECK(world.violations() == std::vector<std::string> {});
+    CHECK(world.accepted() == config.jobs);
+    CHECK(world.starts() > config.jobs);
+    CHECK(world.takeovers() == 1);
+}
+
+TEST_CASE("world: promises hold under faults of every kind", "[jobs][world][fuzz]")
+{
+    playSeeds(JobWorldConfig {}, 150);
+}
+
+TEST_CASE("world: promises hold when faults come close together", "[jobs][world][fuzz]")
+{
+    JobWorldConfig config;
+    config.faultEvery = std::chrono::milliseconds(200);
+    config.entries = 3;
+    playSeeds(config, 100);
+}
--- a/libs/wire/src/JobCodec.cpp
+++ b/libs/wire/src/JobCodec.cpp
@@ -164,6 +164,7 @@
             table.checkpoint = message.checkpoint;
             table.traits = pack(message.traits);
             table.order = message.order;
+            table.word = message.word;
             this->body.Set(std::move(table));
         }
 
@@ -253,7 +254,7 @@
             return DescribeRun { unpack(required(body.AsDescribeRun()->run)), unpack(required(body.AsDescribeRun()->traits)) };
         case jobs::Body::StartRun: {
             const jobs::StartRunT& table = *body.AsStartRun();
-            return StartRun { unpack(required(table.run)), unpack(required(table.worker)), table.payload, table.checkpoint, unpack(required(table.traits)), table.order };
+            return StartRun { unpack(required(table.run)), unpack(required(table.worker)), table.payload, table.checkpoint, unpack(required(table.traits)), table.order, table.word };
         }
         case jobs::Body::StopRun:
             return StopRun { unpack(required(body.AsStopRun()->run)) };
