--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -10,7 +10,7 @@
     constexpr int hopelessFactor = 3;
 
     /// Share of its cores that a lasting task uses on average; the rest is left to filling tasks.
-    constexpr double lastingUse = 0.5;
+    constexpr double lastingUse = 0.0;
 
     bool hopeless(const JobEntry& job, TimePoint now)
     {
@@ -49,7 +49,7 @@
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
         const double freeShare = static_cast<double>(worker.free().milliCores) / std::max(1U, worker.info->capacity.milliCores);
         if (step.longRunning)
-            return { elsewhere, nearData, -static_cast<double>(worker.countOf(job.spec->id, number)), freeShare };
+            return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
         if (step.fills)
             return { elsewhere, nearData, unusedCores(worker), freeShare };
         return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
