Trial: admit filling tasks by tails and cores instead of all at once

Change: serving workers take filling tasks one by one while their tails are calm, others as many as have a core each.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
@@ -109,6 +109,10 @@
 struct RunProgress {
     WorkerIdentity worker;
     std::vector<RunStatus> running;
+    /// Pace of the filling runs.
+    std::uint32_t pacePercent = 100;
+    /// Worst tail of the serving runs as a share of its target.
+    std::uint32_t tailPercent = 0;
 
     bool operator==(const RunProgress&) const = default;
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -65,11 +65,15 @@
     /// @return the present pace in percent
     [[nodiscard]] std::uint32_t percent() const noexcept { return this->current; }
 
+    /// @return the worst tail as a share of its target, as of the last list
+    [[nodiscard]] double worst() const noexcept { return this->worstTail; }
+
 private:
     [[nodiscard]] double worstShare(const std::vector<RunStatus>& running) const;
 
     PaceConfig config;
     std::uint32_t current = 100;
+    double worstTail = 0;
     TimePoint changedAt {};
     std::map<RunId, PaceTraits> traits;
     std::map<RunId, std::uint32_t> inForce;
--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -37,8 +37,8 @@
     Duration acknowledgeWait = std::chrono::milliseconds(300);
     /// Pause before an unanswered look is repeated.
     Duration retryDelay = std::chrono::milliseconds(100);
-    /// How often progress is reported.
-    Duration progressInterval = std::chrono::milliseconds(1000);
+    /// How often progress is reported: as often as tails are read.
+    Duration progressInterval = std::chrono::milliseconds(500);
     /// How long after its sign-off a worker's runs may still be ending.
     Duration signOffMargin = std::chrono::milliseconds(300);
     /// Ends that a worker lists at most in one answer.
@@ -288,7 +288,7 @@
     void reportMissing(CallNumber look, Effects& effects);
     void reportEnds(Effects& effects);
     void reportProgress(TimePoint now, Effects& effects);
-    void regulatePace(TimePoint now);
+    void regulatePace(TimePoint now, Effects& effects);
     void reject(const RunId& run, const std::string& reason, Effects& effects);
     void sendSnapshot(Effects& effects);
     void report(AgentReport report, Effects& effects) const;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -44,6 +44,12 @@
     Room used {};
     std::uint32_t fillingMilliCores = 0;
     std::uint32_t lastingMilliCores = 0;
+    /// Pace of the filling runs, as the agent told last.
+    std::uint32_t pacePercent = 100;
+    /// Worst tail of the serving runs as a share of its target, as the agent told last.
+    std::uint32_t tailPercent = 0;
+    /// When a filling run was sent here last.
+    TimePoint filledAt {};
     /// Tasks with a run here, with the life of the worker that they were sent to.
     std::map<TaskId, WorkerIdentity> tasks {};
     /// Jobs that failed here since the last success.
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -22,6 +22,7 @@
 std::vector<PaceOrder> PaceControl::update(const std::vector<RunStatus>& running, TimePoint now)
 {
     const double worst = this->worstShare(running);
+    this->worstTail = worst;
     if (now >= this->changedAt + this->config.figureLag) {
         const std::uint32_t before = this->current;
         if (worst > this->config.slowAbove)
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -9,8 +9,13 @@
     /// Multiple of the objective after which a job earns nothing.
     constexpr int hopelessFactor = 3;
 
-    /// Share of its cores that a lasting task uses on average; the rest is left to filling tasks.
-    constexpr double lastingUse = 0.0;
+    /// Time until the tail shows what a filling task does to it: the window of the figure, the pace loop's and a report.
+    constexpr Duration tailLag = std::chrono::milliseconds(1200);
+
+    /// Share of its target under which a tail leaves room for one more filling task.
+    constexpr std::uint32_t calmTailPercent = 65;
+
+    constexpr std::uint32_t fullPace = 100;
 
     bool hopeless(const JobEntry& job, TimePoint now)
     {
@@ -22,6 +27,18 @@
         return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
     }
 
+    /// Whether a worker can bear one more filling task.
+    ///
+    /// Pattern it answers: filling tasks come in bursts. Sent all at once they share the cores, press on the tails, are
+    /// paced down together, and all end late. So a worker that serves takes them one by one while its tails are calm; one
+    /// that does not serve takes as many as have a core each; the rest waits for its turn.
+    bool bearsFilling(const WorkerEntry& worker, const StepSpec& step, TimePoint now)
+    {
+        if (worker.lastingMilliCores == 0)
+            return worker.fillingMilliCores == 0 || worker.fillingMilliCores + step.demand.milliCores <= worker.free().milliCores;
+        return worker.pacePercent == fullPace && worker.tailPercent < calmTailPercent && now >= worker.filledAt + tailLag;
+    }
+
     bool eligible(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, TimePoint now)
     {
         const StepSpec& step = job.spec->steps[number];
@@ -29,14 +46,15 @@
             return false;
         if (!worker.free().covers(step.countedDemand()))
             return false;
+        if (step.fills && !bearsFilling(worker, step, now))
+            return false;
         return step.maximumPerWorker == 0 || worker.countOf(job.spec->id, number) < step.maximumPerWorker;
     }
 
     /// Cores that filling tasks can use beside what is there.
     double unusedCores(const WorkerEntry& worker)
     {
-        const double free = static_cast<double>(worker.free().milliCores);
-        return free + lastingUse * worker.lastingMilliCores - worker.fillingMilliCores;
+        return static_cast<double>(worker.free().milliCores) - worker.fillingMilliCores;
     }
 
     /// Greater is better; parts are compared one after another.
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -210,8 +210,13 @@
 
 void Scheduler::heard(WorkerEntry& worker, const RunProgress& report, TimePoint now, Effects& effects)
 {
-    if (worker.info && worker.info->identity == report.worker)
-        this->takeStatus(worker, report.running, now, effects);
+    if (!worker.info || worker.info->identity != report.worker)
+        return;
+    worker.pacePercent = report.pacePercent;
+    worker.tailPercent = report.tailPercent;
+    this->takeStatus(worker, report.running, now, effects);
+    if (!this->book.waiting().empty())
+        this->wantPass(now);
 }
 
 void Scheduler::advance(TimePoint now, Effects& effects)
@@ -310,6 +315,8 @@
             const TaskId id { job.spec->id, step, index };
             const RunId run = this->book.assign(id, { worker.agent, worker.info->identity }, now);
             worker.take(id, job.spec->steps[step], worker.info->identity);
+            if (job.spec->steps[step].fills)
+                worker.filledAt = now;
             effects.emplace_back(RecordEvent { EventId::RunAssigned, describe(run) + " to " + worker.agent + "; " + describeTrack(job, now) + "; free there " + std::to_string(worker.free().milliCores) + " milli-cores, " + std::to_string(worker.free().memoryMb) + " MB" });
         }
     }
--- a/libs/wire/src/JobCodec.cpp
+++ b/libs/wire/src/JobCodec.cpp
@@ -233,6 +233,8 @@
             jobs::RunProgressT table;
             table.worker = pack(message.worker);
             table.running = packAll<jobs::StatusT>(message.running);
+            table.pace_percent = message.pacePercent;
+            table.tail_percent = message.tailPercent;
             this->body.Set(std::move(table));
         }
     };
@@ -271,7 +273,7 @@
         case jobs::Body::RunRejected:
             return RunRejected { unpack(required(body.AsRunRejected()->run)), body.AsRunRejected()->reason };
         case jobs::Body::RunProgress:
-            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running) };
+            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running), body.AsRunProgress()->pace_percent, body.AsRunProgress()->tail_percent };
         case jobs::Body::NONE:
             break;
         }
