Admit filling tasks more freely, and bound the wait of a job that has nothing running

Change: a serving worker takes one more filling task each 600 ms while its pace is at least half and its worst tail under 85%; a job with nothing running goes anywhere after a second (the rule allows 3 s).

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -44,6 +44,8 @@
     JobSpecHandle spec;
     JobState state = JobState::Queued;
     TimePoint arrived {};
+    /// Since when the job has had a task to place and none placed.
+    TimePoint waitingSince {};
     /// Objective: later the job is worth less.
     TimePoint due {};
     std::vector<std::vector<TaskState>> steps {};
@@ -93,8 +95,9 @@
 
     /// @brief Cancels a job that has not ended.
     /// @param job the job
+    /// @param now the present
     /// @return whether its state changed
-    bool cancel(const JobId& job);
+    bool cancel(const JobId& job, TimePoint now);
 
     /// @brief Places a task.
     /// @param task a task that waits for a place
@@ -114,8 +117,9 @@
     /// @brief Takes in that a run never began or can no longer act; it does not count as an attempt.
     /// @param run the run
     /// @param notBefore earliest time of its next start
+    /// @param now the present
     /// @return whether the book had it open
-    bool release(const RunId& run, TimePoint notBefore);
+    bool release(const RunId& run, TimePoint notBefore, TimePoint now);
 
     /// @brief Notes that another life of the worker runs a run than the one that it was sent to.
     /// @param run an open run
@@ -157,11 +161,11 @@
 
 private:
     JobEntry& entry(const JobId& job);
-    void finishJob(JobEntry& job, JobState state);
-    RunVerdict finishTask(JobEntry& job, TaskState& task, std::size_t step);
+    void finishJob(JobEntry& job, JobState state, TimePoint now);
+    RunVerdict finishTask(JobEntry& job, TaskState& task, std::size_t step, TimePoint now);
     RunVerdict requeueTask(JobEntry& job, TaskState& task, bool countsAsAttempt, TimePoint now);
     void unassign(JobEntry& job, TaskState& task);
-    void refresh(const JobEntry& job);
+    void refresh(JobEntry& job, TimePoint now);
 
     std::map<JobId, JobEntry> entries;
     std::set<JobId> waitingJobs;
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -40,8 +40,8 @@
 {
     if (this->entries.contains(spec->id))
         return false;
-    const JobEntry& added = this->entries.emplace(spec->id, makeEntry(spec, now)).first->second;
-    this->refresh(added);
+    JobEntry& added = this->entries.emplace(spec->id, makeEntry(spec, now)).first->second;
+    this->refresh(added, now);
     return true;
 }
 
@@ -64,15 +64,15 @@
             job.remaining[step] -= task.record.done ? 1 : 0;
         }
     }
-    this->refresh(job);
+    this->refresh(job, now);
 }
 
-bool JobBook::cancel(const JobId& job)
+bool JobBook::cancel(const JobId& job, TimePoint now)
 {
     const std::map<JobId, JobEntry>::iterator it = this->entries.find(job);
     if (it == this->entries.end() || isTerminal(it->second.state))
         return false;
-    this->finishJob(it->second, JobState::Cancelled);
+    this->finishJob(it->second, JobState::Cancelled, now);
     return true;
 }
 
@@ -89,10 +89,11 @@
     state.progressedAt = now;
     state.percent = 0;
     ++job.assigned;
+    job.waitingSince = now;
     if (job.state == JobState::Queued)
         job.state = JobState::Running;
     this->changedJobs.insert(task.job);
-    this->refresh(job);
+    this->refresh(job, now);
     return { task, state.record.run };
 }
 
@@ -119,12 +120,12 @@
     this->changedJobs.insert(run.task.job);
     if (!checkpoint.empty())
         state->record.checkpoint = checkpoint;
-    const RunVerdict verdict = finished || state->record.done ? this->finishTask(job, *state, run.task.step) : this->requeueTask(job, *state, freshFailure, now);
-    this->refresh(job);
+    const RunVerdict verdict = finished || state->record.done ? this->finishTask(job, *state, run.task.step, now) : this->requeueTask(job, *state, freshFailure, now);
+    this->refresh(job, now);
     return verdict;
 }
 
-RunVerdict JobBook::finishTask(JobEntry& job, TaskState& task, std::size_t step)
+RunVerdict JobBook::finishTask(JobEntry& job, TaskState& task, std::size_t step, TimePoint now)
 {
     if (task.record.done)
         return RunVerdict::TaskDone;
@@ -134,7 +135,7 @@
     const bool allDone = std::all_of(job.remaining.begin(), job.remaining.end(), [](std::uint32_t left) { return left == 0; });
     if (!allDone || isTerminal(job.state))
         return RunVerdict::TaskDone;
-    this->finishJob(job, JobState::Done);
+    this->finishJob(job, JobState::Done, now);
     return RunVerdict::JobEnded;
 }
 
@@ -145,11 +146,11 @@
     task.notBefore = now + failurePause;
     if (task.record.failedRuns.size() < job.spec->attempts || isTerminal(job.state))
         return RunVerdict::Requeued;
-    this->finishJob(job, JobState::Failed);
+    this->finishJob(job, JobState::Failed, now);
     return RunVerdict::JobEnded;
 }
 
-bool JobBook::release(const RunId& run, TimePoint notBefore)
+bool JobBook::release(const RunId& run, TimePoint notBefore, TimePoint now)
 {
     TaskState* const state = this->openRun(run);
     if (!state)
@@ -158,7 +159,7 @@
     this->unassign(job, *state);
     state->notBefore = notBefore;
     this->changedJobs.insert(run.task.job);
-    this->refresh(job);
+    this->refresh(job, now);
     return true;
 }
 
@@ -225,11 +226,11 @@
     return this->entries.at(job);
 }
 
-void JobBook::finishJob(JobEntry& job, JobState state)
+void JobBook::finishJob(JobEntry& job, JobState state, TimePoint now)
 {
     job.state = state;
     this->changedJobs.insert(job.spec->id);
-    this->refresh(job);
+    this->refresh(job, now);
 }
 
 void JobBook::unassign(JobEntry& job, TaskState& task)
@@ -238,14 +239,14 @@
     --job.assigned;
 }
 
-void JobBook::refresh(const JobEntry& job)
+void JobBook::refresh(JobEntry& job, TimePoint now)
 {
     bool waits = false;
     for (std::size_t step = 0; step < job.steps.size() && !waits && !isTerminal(job.state); ++step)
         waits = job.stepReady(step) && std::any_of(job.steps[step].begin(), job.steps[step].end(), [](const TaskState& task) { return task.unplaced(); });
-    if (waits)
-        this->waitingJobs.insert(job.spec->id);
-    else
+    if (waits && this->waitingJobs.insert(job.spec->id).second)
+        job.waitingSince = now;
+    if (!waits)
         this->waitingJobs.erase(job.spec->id);
 }
 
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -10,12 +10,16 @@
     constexpr int hopelessFactor = 3;
 
     /// Time until the tail shows what a filling task does to it: the window of the figure, the pace loop's and a report.
-    constexpr Duration tailLag = std::chrono::milliseconds(1200);
+    constexpr Duration tailLag = std::chrono::milliseconds(600);
 
-    /// Share of its target under which a tail leaves room for one more filling task.
-    constexpr std::uint32_t calmTailPercent = 65;
+    /// Share of its target under which a tail leaves room for one more filling task; the pace loop slows above it.
+    constexpr std::uint32_t calmTailPercent = 85;
 
-    constexpr std::uint32_t fullPace = 100;
+    /// Pace under which a worker's filling tasks are slow enough that one more would gain nothing.
+    constexpr std::uint32_t usefulPacePercent = 50;
+
+    /// How long a job may have nothing running before its tasks go anywhere that has room: a third of the 3 s by contract.
+    constexpr Duration longestFillingWait = std::chrono::milliseconds(1000);
 
     bool hopeless(const JobEntry& job, TimePoint now)
     {
@@ -36,7 +40,7 @@
     {
         if (worker.lastingMilliCores == 0)
             return worker.fillingMilliCores == 0 || worker.fillingMilliCores + step.demand.milliCores <= worker.free().milliCores;
-        return worker.pacePercent == fullPace && worker.tailPercent < calmTailPercent && now >= worker.filledAt + tailLag;
+        return worker.pacePercent >= usefulPacePercent && worker.tailPercent < calmTailPercent && now >= worker.filledAt + tailLag;
     }
 
     bool eligible(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, TimePoint now)
@@ -46,7 +50,8 @@
             return false;
         if (!worker.free().covers(step.countedDemand()))
             return false;
-        if (step.fills && !bearsFilling(worker, step, now))
+        const bool overdue = job.assigned == 0 && now > job.waitingSince + longestFillingWait;
+        if (step.fills && !overdue && !bearsFilling(worker, step, now))
             return false;
         return step.maximumPerWorker == 0 || worker.countOf(job.spec->id, number) < step.maximumPerWorker;
     }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -391,7 +391,7 @@
 
 void Scheduler::cancelJob(const JobId& job, TimePoint now, Effects& effects)
 {
-    if (!this->book.cancel(job))
+    if (!this->book.cancel(job, now))
         return;
     this->observeEnd(job, now, effects);
     this->stopLeftovers(job, now, effects);
@@ -495,7 +495,7 @@
     const TaskState* const state = this->book.task(task);
     const RunId run { task, state->record.run };
     worker.giveBack(task, this->book.find(task.job)->spec->steps[task.step]);
-    if (!this->book.release(run, now + this->config.rejectionPause))
+    if (!this->book.release(run, now + this->config.rejectionPause, now))
         return;
     effects.emplace_back(RecordEvent { EventId::RunLost, describe(run) + " at " + worker.agent + ": " + reason });
     this->wantPass(now);
