Tell images of filling tasks apart by what they do to tails

Change: the leader learns the pressure of each image by least mean squares; pressing tasks go where nothing serves, harmless ones beside serving tasks; the agent slows pressing runs first.

--- a/libs/runtime/include/cowslipdoor/runtime/WorkerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/WorkerTask.h
@@ -26,7 +26,8 @@
 struct WorkerTaskStatus {
     std::optional<WorkerInfo> worker {};
     bool settled = false;
-    std::uint32_t pacePercent = 100;
+    /// Throttle of the filling runs, from 0 to 200.
+    std::uint32_t throttleLevel = 200;
 };
 
 /// @brief Asks for the status.
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
@@ -109,8 +109,8 @@
 struct RunProgress {
     WorkerIdentity worker;
     std::vector<RunStatus> running;
-    /// Pace of the filling runs.
-    std::uint32_t pacePercent = 100;
+    /// Throttle of the filling runs, from 0 to 200.
+    std::uint32_t throttleLevel = 200;
     /// Worst tail of the serving runs as a share of its target.
     std::uint32_t tailPercent = 0;
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -34,6 +34,18 @@
     bool operator==(const PaceOrder&) const = default;
 };
 
+/// @brief Throttle of a worker's filling runs: the runs that press are slowed first, the others only after them.
+struct Throttle {
+    /// From 0 (all filling runs stand still) over 100 (those that press stand still) to 200 (all at full pace).
+    std::uint32_t level = 200;
+
+    bool operator==(const Throttle&) const = default;
+
+    /// @param presses whether a run presses
+    /// @return its pace in percent
+    [[nodiscard]] std::uint32_t paceOf(bool presses) const noexcept;
+};
+
 /// @brief Regulates all filling runs of one worker by the worst tail of the serving runs there.
 ///
 /// Pattern it answers: a filling run of a noisy image lands beside serving runs, or the load of these swings up; the tail
@@ -62,17 +74,18 @@
     /// @return paces that differ from those in force
     [[nodiscard]] std::vector<PaceOrder> update(const std::vector<RunStatus>& running, TimePoint now);
 
-    /// @return the present pace in percent
-    [[nodiscard]] std::uint32_t percent() const noexcept { return this->current; }
+    /// @return the present throttle
+    [[nodiscard]] Throttle throttle() const noexcept { return this->current; }
 
     /// @return the worst tail as a share of its target, as of the last list
     [[nodiscard]] double worst() const noexcept { return this->worstTail; }
 
 private:
+    void slow();
     [[nodiscard]] double worstShare(const std::vector<RunStatus>& running) const;
 
     PaceConfig config;
-    std::uint32_t current = 100;
+    Throttle current {};
     double worstTail = 0;
     TimePoint changedAt {};
     std::map<RunId, PaceTraits> traits;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -4,6 +4,7 @@
 /// @brief Where a task goes, and in which order jobs get places.
 
 #include "JobBook.h"
+#include "PressureModel.h"
 #include "Workers.h"
 #include <vector>
 
@@ -23,13 +24,15 @@
 /// @brief Chooses a worker for one task.
 ///
 /// Lasting tasks are spread over workers, so that the loss of one takes few of a step. Short tasks go to the fullest
-/// worker that has room, so that wide holes stay for wide tasks. Filling tasks go where most processor time is unused.
+/// worker that has room, so that wide holes stay for wide tasks. Filling tasks that press
+/// go where nothing serves; others go beside serving tasks and leave those workers free.
 /// @param job the job
 /// @param step number of the step
 /// @param task state of the task
 /// @param workers all workers
+/// @param pressures what filling tasks do to tails
 /// @param now the present
 /// @return the chosen worker, or nothing when none has room
-[[nodiscard]] const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, TimePoint now);
+[[nodiscard]] const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, const PressureModel& pressures, TimePoint now);
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -6,6 +6,7 @@
 #include "JobBook.h"
 #include "JobMessages.h"
 #include "LeaderLease.h"
+#include "PressureModel.h"
 #include "Workers.h"
 #include <cowslipdoor/core/EventCatalogue.h>
 #include <cowslipdoor/core/Ids.h>
@@ -214,6 +215,7 @@
     void cancelJob(const JobId& job, TimePoint now, Effects& effects);
     void takeEnds(WorkerEntry& worker, const WorkerIdentity& life, const std::vector<RunEnd>& ends, TimePoint now, Effects& effects);
     void takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects);
+    void learnPressure(const WorkerEntry& worker, const RunProgress& report);
     void takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
     void adoptRuns(WorkerEntry& worker, const WorkerSnapshot& snapshot);
     void dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
@@ -229,6 +231,7 @@
     LeaderLease leaderLease;
     JobBook book;
     Workers knownWorkers;
+    PressureModel pressures;
     bool tablesRead = false;
     TimePoint ledSince {};
     /// When tasks are placed and changes are written next, if anything calls for it.
--- a/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
@@ -74,6 +74,8 @@
 /// @brief What an agent must know of a run to regulate its pace.
 struct PaceTraits {
     bool fills = false;
+    /// Whether the image is known, or feared, to raise the tails of serving runs.
+    bool presses = false;
     Duration target {};
 
     bool operator==(const PaceTraits&) const = default;
--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -199,8 +199,8 @@
     /// @return the worker, or nothing while none is known
     [[nodiscard]] std::optional<WorkerInfo> worker() const;
 
-    /// @return the pace of filling runs in percent
-    [[nodiscard]] std::uint32_t pace() const noexcept { return this->paceControl.percent(); }
+    /// @return the throttle of filling runs
+    [[nodiscard]] Throttle throttle() const noexcept { return this->paceControl.throttle(); }
 
     /// @return whether all runs on the worker are known
     [[nodiscard]] bool settled() const noexcept;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -4,6 +4,7 @@
 /// @brief Workers that the leader knows through their agents, and the room that is taken on each.
 
 #include "Job.h"
+#include "PaceControl.h"
 #include "Worker.h"
 #include <cowslipdoor/core/Ids.h>
 #include <cowslipdoor/core/Time.h>
@@ -44,8 +45,8 @@
     Room used {};
     std::uint32_t fillingMilliCores = 0;
     std::uint32_t lastingMilliCores = 0;
-    /// Pace of the filling runs, as the agent told last.
-    std::uint32_t pacePercent = 100;
+    /// Throttle of the filling runs, as the agent told last.
+    Throttle throttle {};
     /// Worst tail of the serving runs as a share of its target, as the agent told last.
     std::uint32_t tailPercent = 0;
     /// When a filling run was sent here last.
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -6,7 +6,18 @@
 namespace {
 
     constexpr std::uint32_t fullPace = 100;
+    constexpr std::uint32_t fullLevel = 2 * fullPace;
 
+    /// Pace of pressing runs under which slowing them further gains nothing and the others are slowed.
+    constexpr std::uint32_t leastPressingPace = 5;
+
+}
+
+std::uint32_t Throttle::paceOf(bool presses) const noexcept
+{
+    if (!presses)
+        return std::min(this->level, fullPace);
+    return this->level > fullPace ? this->level - fullPace : 0;
 }
 
 PaceControl::PaceControl(PaceConfig config)
@@ -24,11 +35,11 @@
     const double worst = this->worstShare(running);
     this->worstTail = worst;
     if (now >= this->changedAt + this->config.figureLag) {
-        const std::uint32_t before = this->current;
+        const Throttle before = this->current;
         if (worst > this->config.slowAbove)
-            this->current = static_cast<std::uint32_t>(this->current * this->config.slowFactor);
+            this->slow();
         else if (worst < this->config.quickenBelow)
-            this->current = std::min(fullPace, this->current + this->config.quickenStep);
+            this->current.level = std::min(fullLevel, this->current.level + this->config.quickenStep);
         if (this->current != before)
             this->changedAt = now;
     }
@@ -41,14 +52,24 @@
         if (!it->second.fills)
             continue;
         const std::map<RunId, std::uint32_t>::const_iterator old = this->inForce.find(status.run);
-        if ((old == this->inForce.end() ? fullPace : old->second) != this->current)
-            orders.push_back({ status.run, this->current });
-        present.emplace(status.run, this->current);
+        const std::uint32_t wanted = this->current.paceOf(it->second.presses);
+        if ((old == this->inForce.end() ? fullPace : old->second) != wanted)
+            orders.push_back({ status.run, wanted });
+        present.emplace(status.run, wanted);
     }
     this->inForce = std::move(present);
     return orders;
 }
 
+void PaceControl::slow()
+{
+    const std::uint32_t pressing = this->current.paceOf(true);
+    if (pressing > leastPressingPace)
+        this->current.level = fullPace + static_cast<std::uint32_t>(pressing * this->config.slowFactor);
+    else
+        this->current.level = static_cast<std::uint32_t>(std::min(this->current.level, fullPace) * this->config.slowFactor);
+}
+
 void PaceControl::forget(const RunId& run)
 {
     this->traits.erase(run);
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -9,14 +9,16 @@
     /// Multiple of the objective after which a job earns nothing.
     constexpr int hopelessFactor = 3;
 
-    /// Time until the tail shows what a filling task does to it: the window of the figure, the pace loop's and a report.
-    constexpr Duration tailLag = std::chrono::milliseconds(600);
+    /// Time until the tail shows what a filling task does to it: the window of the figure and a report.
+    constexpr Duration tailLag = std::chrono::milliseconds(1000);
 
-    /// Share of its target under which a tail leaves room for one more filling task; the pace loop slows above it.
-    constexpr std::uint32_t calmTailPercent = 85;
+    /// Share of its target that a tail may be expected to reach; the pace loop slows above it.
+    constexpr double highestTail = 0.85;
 
-    /// Pace under which a worker's filling tasks are slow enough that one more would gain nothing.
-    constexpr std::uint32_t usefulPacePercent = 50;
+    /// Share of its cores that a lasting task leaves unused at the crest of its load.
+    constexpr double lastingUnused = 0.4;
+
+    constexpr std::uint32_t fullLevel = 200;
 
     /// How long a job may have nothing running before its tasks go anywhere that has room: a third of the 3 s by contract.
     constexpr Duration longestFillingWait = std::chrono::milliseconds(1000);
@@ -31,19 +33,30 @@
         return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
     }
 
+    /// Cores that filling tasks can use beside what is there.
+    double unusedCores(const WorkerEntry& worker)
+    {
+        return static_cast<double>(worker.free().milliCores) + lastingUnused * worker.lastingMilliCores - worker.fillingMilliCores;
+    }
+
     /// Whether a worker can bear one more filling task.
     ///
     /// Pattern it answers: filling tasks come in bursts. Sent all at once they share the cores, press on the tails, are
-    /// paced down together, and all end late. So a worker that serves takes them one by one while its tails are calm; one
-    /// that does not serve takes as many as have a core each; the rest waits for its turn.
-    bool bearsFilling(const WorkerEntry& worker, const StepSpec& step, TimePoint now)
+    /// paced down together, and all end late. So each needs its cores; one that presses goes beside serving tasks only
+    /// while their tails leave it room, one at a time; the rest waits for its turn.
+    bool bearsFilling(const WorkerEntry& worker, const StepSpec& step, const PressureModel& pressures, TimePoint now)
     {
+        if (worker.fillingMilliCores > 0 && unusedCores(worker) < step.demand.milliCores)
+            return false;
         if (worker.lastingMilliCores == 0)
-            return worker.fillingMilliCores == 0 || worker.fillingMilliCores + step.demand.milliCores <= worker.free().milliCores;
-        return worker.pacePercent >= usefulPacePercent && worker.tailPercent < calmTailPercent && now >= worker.filledAt + tailLag;
+            return true;
+        if (!pressures.presses(step.image))
+            return worker.throttle.level >= fullLevel / 2;
+        const double expected = worker.tailPercent / 100.0 + pressures.pressureOf(step.image);
+        return worker.throttle.level == fullLevel && expected < highestTail && now >= worker.filledAt + tailLag;
     }
 
-    bool eligible(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, TimePoint now)
+    bool eligible(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const PressureModel& pressures, TimePoint now)
     {
         const StepSpec& step = job.spec->steps[number];
         if (!worker.usable(now) || worker.info->service != job.spec->service || !hasLabel(*worker.info, step.requiredLabel))
@@ -51,30 +64,23 @@
         if (!worker.free().covers(step.countedDemand()))
             return false;
         const bool overdue = job.assigned == 0 && now > job.waitingSince + longestFillingWait;
-        if (step.fills && !overdue && !bearsFilling(worker, step, now))
+        if (step.fills && !overdue && !bearsFilling(worker, step, pressures, now))
             return false;
         return step.maximumPerWorker == 0 || worker.countOf(job.spec->id, number) < step.maximumPerWorker;
     }
 
-    /// Cores that filling tasks can use beside what is there.
-    double unusedCores(const WorkerEntry& worker)
-    {
-        return static_cast<double>(worker.free().milliCores) - worker.fillingMilliCores;
-    }
-
     /// Greater is better; parts are compared one after another.
     using Score = std::tuple<bool, bool, double, double>;
 
-    Score scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task)
+    Score scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task, const PressureModel& pressures)
     {
         const StepSpec& step = job.spec->steps[number];
         const bool elsewhere = worker.agent != task.failedOn;
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
-        const double freeShare = static_cast<double>(worker.free().milliCores) / std::max(1U, worker.info->capacity.milliCores);
         if (step.longRunning)
             return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
         if (step.fills)
-            return { elsewhere, nearData, unusedCores(worker), freeShare };
+            return { elsewhere, nearData, (worker.lastingMilliCores == 0) == pressures.presses(step.image) ? 1.0 : 0.0, unusedCores(worker) };
         return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
     }
 
@@ -90,14 +96,14 @@
     return order;
 }
 
-const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, TimePoint now)
+const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, const PressureModel& pressures, TimePoint now)
 {
     const WorkerEntry* best = nullptr;
     Score bestScore {};
     for (const Workers::value_type& item : workers) {
-        if (!eligible(item.second, job, step, now))
+        if (!eligible(item.second, job, step, pressures, now))
             continue;
-        const Score score = scoreOf(item.second, job, step, task);
+        const Score score = scoreOf(item.second, job, step, task, pressures);
         if (!best || score > bestScore) {
             best = &item.second;
             bestScore = score;
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -487,16 +487,16 @@
     if (now < this->progressAt || this->life->running.empty() || !this->settled())
         return;
     this->progressAt = now + this->config.progressInterval;
-    this->report(RunProgress { this->life->info.identity, this->life->running, this->paceControl.percent(), static_cast<std::uint32_t>(this->paceControl.worst() * 100) }, effects);
+    this->report(RunProgress { this->life->info.identity, this->life->running, this->paceControl.throttle().level, static_cast<std::uint32_t>(this->paceControl.worst() * 100) }, effects);
 }
 
 void WorkerMachine::regulatePace(TimePoint now, Effects& effects)
 {
-    const std::uint32_t before = this->paceControl.percent();
+    const Throttle before = this->paceControl.throttle();
     for (const PaceOrder& order : this->paceControl.update(this->life->running, now))
         this->orders.emplace_front(ChangePace { order.run, order.percent });
-    if (this->paceControl.percent() != before)
-        effects.emplace_back(RecordEvent { EventId::PaceChanged, std::to_string(before) + "% to " + std::to_string(this->paceControl.percent()) + "%, worst tail " + std::to_string(static_cast<int>(this->paceControl.worst() * 100)) + "% of its target, " + std::to_string(this->life->running.size()) + " runs" });
+    if (this->paceControl.throttle() != before)
+        effects.emplace_back(RecordEvent { EventId::PaceChanged, "level " + std::to_string(before.level) + " to " + std::to_string(this->paceControl.throttle().level) + ", worst tail " + std::to_string(static_cast<int>(this->paceControl.worst() * 100)) + "% of its target, " + std::to_string(this->life->running.size()) + " runs" });
 }
 
 void WorkerMachine::reject(const RunId& run, const std::string& reason, Effects& effects)
--- a/libs/wire/src/JobCodec.cpp
+++ b/libs/wire/src/JobCodec.cpp
@@ -57,12 +57,13 @@
         std::unique_ptr<jobs::PaceTraitsT> table = std::make_unique<jobs::PaceTraitsT>();
         table->fills = traits.fills;
         table->target_us = traits.target.count();
+        table->presses = traits.presses;
         return table;
     }
 
     PaceTraits unpack(const jobs::PaceTraitsT& table)
     {
-        return { table.fills, Duration(table.target_us) };
+        return { table.fills, table.presses, Duration(table.target_us) };
     }
 
     std::unique_ptr<jobs::WorkerT> pack(const WorkerInfo& worker)
@@ -233,7 +234,7 @@
             jobs::RunProgressT table;
             table.worker = pack(message.worker);
             table.running = packAll<jobs::StatusT>(message.running);
-            table.pace_percent = message.pacePercent;
+            table.throttle_level = message.throttleLevel;
             table.tail_percent = message.tailPercent;
             this->body.Set(std::move(table));
         }
@@ -273,7 +274,7 @@
         case jobs::Body::RunRejected:
             return RunRejected { unpack(required(body.AsRunRejected()->run)), body.AsRunRejected()->reason };
         case jobs::Body::RunProgress:
-            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running), body.AsRunProgress()->pace_percent, body.AsRunProgress()->tail_percent };
+            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running), body.AsRunProgress()->throttle_level, body.AsRunProgress()->tail_percent };
         case jobs::Body::NONE:
             break;
         }
