Stop pressing runs after a second over the target, all after 2.4 s

Change: time over the target stops first the pressing runs, then all; harmless ones recover in steps of 40.

--- a/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -6,6 +6,7 @@
 #include "Worker.h"
 #include <cowslipdoor/core/Time.h>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace cowslipdoor {
@@ -18,8 +19,14 @@
     double quickenBelow = 0.65;
     /// Factor on the pace when a tail is above the limit.
     double slowFactor = 0.6;
+    /// How long a tail may be above its target before the runs that press stand still: a quarter of the 4 s that harm may last.
+    Duration stopPressingAfter = std::chrono::milliseconds(1000);
+    /// How long before all filling runs stand still: it leaves the figure's lag and a look until the 4 s are over.
+    Duration stopAllAfter = std::chrono::milliseconds(2400);
     /// Added to the pace, in percent, when every tail is low.
     std::uint32_t quickenStep = 10;
+    /// The same while only runs that don't press are slowed: they are seldom the cause.
+    std::uint32_t quickenHarmlessStep = 40;
     /// Time from a change until the figure shows it: the window of the figure and the time until a pace acts.
     Duration figureLag = std::chrono::milliseconds(600);
 
@@ -68,6 +75,11 @@
     /// @param run the run
     void forget(const RunId& run);
 
+    /// @brief Takes in that a run has been started; it runs at full pace until it is told another.
+    /// @param run the run
+    /// @return the pace to give it, or nothing when that is the full one
+    [[nodiscard]] std::optional<PaceOrder> started(const RunId& run);
+
     /// @brief Takes in a list of the worker.
     /// @param running all runs
     /// @param now the present
@@ -82,12 +94,16 @@
 
 private:
     void slow();
+    void quicken();
+    [[nodiscard]] bool overFor(Duration time, TimePoint now) const;
     [[nodiscard]] double worstShare(const std::vector<RunStatus>& running) const;
 
     PaceConfig config;
     Throttle current {};
     double worstTail = 0;
     TimePoint changedAt {};
+    /// Since when a tail has been above its target.
+    std::optional<TimePoint> overSince {};
     std::map<RunId, PaceTraits> traits;
     std::map<RunId, std::uint32_t> inForce;
 };
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -34,12 +34,20 @@
 {
     const double worst = this->worstShare(running);
     this->worstTail = worst;
+    if (worst <= 1)
+        this->overSince.reset();
+    else if (!this->overSince)
+        this->overSince = now;
     if (now >= this->changedAt + this->config.figureLag) {
         const Throttle before = this->current;
-        if (worst > this->config.slowAbove)
+        if (this->overFor(this->config.stopAllAfter, now))
+            this->current.level = 0;
+        else if (this->overFor(this->config.stopPressingAfter, now))
+            this->current.level = std::min(this->current.level, fullPace);
+        else if (worst > this->config.slowAbove)
             this->slow();
         else if (worst < this->config.quickenBelow)
-            this->current.level = std::min(fullLevel, this->current.level + this->config.quickenStep);
+            this->quicken();
         if (this->current != before)
             this->changedAt = now;
     }
@@ -61,6 +69,19 @@
     return orders;
 }
 
+bool PaceControl::overFor(Duration time, TimePoint now) const
+{
+    return this->overSince && now >= *this->overSince + time;
+}
+
+void PaceControl::quicken()
+{
+    if (this->current.level < fullPace)
+        this->current.level = std::min(fullPace, this->current.level + this->config.quickenHarmlessStep);
+    else
+        this->current.level = std::min(fullLevel, this->current.level + this->config.quickenStep);
+}
+
 void PaceControl::slow()
 {
     const std::uint32_t pressing = this->current.paceOf(true);
@@ -70,6 +91,16 @@
         this->current.level = static_cast<std::uint32_t>(std::min(this->current.level, fullPace) * this->config.slowFactor);
 }
 
+std::optional<PaceOrder> PaceControl::started(const RunId& run)
+{
+    const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(run);
+    if (it == this->traits.end() || !it->second.fills)
+        return std::nullopt;
+    const std::uint32_t wanted = this->current.paceOf(it->second.presses);
+    this->inForce.insert_or_assign(run, wanted);
+    return wanted == fullPace ? std::nullopt : std::optional<PaceOrder>({ run, wanted });
+}
+
 void PaceControl::forget(const RunId& run)
 {
     this->traits.erase(run);
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -293,6 +293,9 @@
         return;
     }
     this->life->started.insert_or_assign(run, CallNumber { this->lastCall + 1 });
+    const std::optional<PaceOrder> pace = this->paceControl.started(run);
+    if (pace)
+        this->orders.emplace_front(ChangePace { pace->run, pace->percent });
 }
 
 void WorkerMachine::answered(const StopOrder&, const OrderAnswered&, Effects&)
