Share a budget of pressure among filling runs, least pressing first

Change: the agent holds a budget of pressure that the tails bear, shrinks it fast and grows it slowly, and gives it to the runs that press least first; the leader sends a pressing task beside serving ones only where half its pace is left.

--- a/libs/runtime/include/cowslipdoor/runtime/WorkerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/WorkerTask.h
@@ -26,8 +26,8 @@
 struct WorkerTaskStatus {
     std::optional<WorkerInfo> worker {};
     bool settled = false;
-    /// Throttle of the filling runs, from 0 to 200.
-    std::uint32_t throttleLevel = 200;
+    /// Pressure of filling runs that the tails are taken to bear, as a share of their targets.
+    double pressureBudget = 0;
 };
 
 /// @brief Asks for the status.
--- a/libs/runtime/src/WorkerTask.cpp
+++ b/libs/runtime/src/WorkerTask.cpp
@@ -82,7 +82,7 @@
 
 void WorkerTask::on(const WorkerStatusQuery& query)
 {
-    trySend(*query.reply, WorkerTaskStatus { this->machine.worker(), this->machine.settled(), this->machine.throttle().level });
+    trySend(*query.reply, WorkerTaskStatus { this->machine.worker(), this->machine.settled(), this->machine.pressureBudget() });
 }
 
 void WorkerTask::carryOut(const CallLook& effect)
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -22,8 +22,6 @@
     bool ordered = false;
     /// Number of that order; zero for one of an earlier leader.
     std::uint64_t order = 0;
-    /// Whether the image was taken for a pressing one at the start.
-    bool presses = false;
     /// Whether a stop has been ordered.
     bool stopping = false;
     /// Agent on whose worker the task failed last, or empty.
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
@@ -109,8 +109,8 @@
 struct RunProgress {
     WorkerIdentity worker;
     std::vector<RunStatus> running;
-    /// Throttle of the filling runs, from 0 to 200.
-    std::uint32_t throttleLevel = 200;
+    /// What the tails there still bear of pressure, as a share of their targets.
+    std::uint32_t headroomPercent = 0;
     /// Worst tail of the serving runs as a share of its target.
     std::uint32_t tailPercent = 0;
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -11,22 +11,23 @@
 
 namespace cowslipdoor {
 
-/// @brief Settings of the pace loop.
+/// @brief Settings of the pace loop; tails and pressures are shares of the target of the serving run.
 struct PaceConfig {
-    /// Share of the target above which filling runs are slowed. Below one, as the figure is rough and late.
+    /// Tail above which filling runs are slowed. Below one, as the figure is rough and late.
     double slowAbove = 0.85;
-    /// Share of the target below which they may go faster.
+    /// Tail below which they may go faster.
     double quickenBelow = 0.65;
-    /// Factor on the pace when a tail is above the limit.
-    double slowFactor = 0.6;
-    /// How long a tail may be above its target before the runs that press stand still: a quarter of the 4 s that harm may last.
-    Duration stopPressingAfter = std::chrono::milliseconds(1000);
-    /// How long before all filling runs stand still: it leaves the figure's lag and a look until the 4 s are over.
+    /// Pressure that tails are taken to bear until they have shown it: what lies between a usual tail and the limit.
+    double firstBudget = 0.35;
+    /// Most that they are taken to bear; a run of more pressure is not worth its pace.
+    double largestBudget = 4.0;
+    /// Factor on the budget when a tail is above the limit.
+    double slowFactor = 0.5;
+    /// Added to the budget when every tail is low.
+    double quickenStep = 0.07;
+    /// How long a tail may be above its target before all filling runs stand still: it leaves the figure's lag and a look
+    /// until the 4 s that harm may last are over.
     Duration stopAllAfter = std::chrono::milliseconds(2400);
-    /// Added to the pace, in percent, when every tail is low.
-    std::uint32_t quickenStep = 10;
-    /// The same while only runs that don't press are slowed: they are seldom the cause.
-    std::uint32_t quickenHarmlessStep = 40;
     /// Time from a change until the figure shows it: the window of the figure and the time until a pace acts.
     Duration figureLag = std::chrono::milliseconds(600);
 
@@ -41,22 +42,12 @@
     bool operator==(const PaceOrder&) const = default;
 };
 
-/// @brief Throttle of a worker's filling runs: the runs that press are slowed first, the others only after them.
-struct Throttle {
-    /// From 0 (all filling runs stand still) over 100 (those that press stand still) to 200 (all at full pace).
-    std::uint32_t level = 200;
-
-    bool operator==(const Throttle&) const = default;
-
-    /// @param presses whether a run presses
-    /// @return its pace in percent
-    [[nodiscard]] std::uint32_t paceOf(bool presses) const noexcept;
-};
-
 /// @brief Regulates all filling runs of one worker by the worst tail of the serving runs there.
 ///
-/// Pattern it answers: a filling run of a noisy image lands beside serving runs, or the load of these swings up; the tail
-/// rises within half a second and shows late. Fast down, slow up; a figure from before the last change triggers nothing.
+/// Pattern it answers: filling runs of noisy images land beside serving runs, or the load of these swings up; the tail
+/// rises within half a second and shows late. The tails bear a budget of pressure, which shrinks fast and grows slowly; a
+/// figure from before the last change triggers nothing. The runs that press least are given theirs first, so that
+/// harmless ones run at full pace whatever the noisy ones do.
 /// @code
 /// for (const PaceOrder& order : pace.update(running, now))
 ///     callPace(order);
@@ -77,8 +68,8 @@
 
     /// @brief Takes in that a run has been started; it runs at full pace until it is told another.
     /// @param run the run
-    /// @return the pace to give it, or nothing when that is the full one
-    [[nodiscard]] std::optional<PaceOrder> started(const RunId& run);
+    /// @return paces that differ from those in force
+    [[nodiscard]] std::vector<PaceOrder> started(const RunId& run);
 
     /// @brief Takes in a list of the worker.
     /// @param running all runs
@@ -86,25 +77,33 @@
     /// @return paces that differ from those in force
     [[nodiscard]] std::vector<PaceOrder> update(const std::vector<RunStatus>& running, TimePoint now);
 
-    /// @return the present throttle
-    [[nodiscard]] Throttle throttle() const noexcept { return this->current; }
+    /// @param run a run
+    /// @return its pace in percent
+    [[nodiscard]] std::uint32_t paceOf(const RunId& run) const;
 
-    /// @return the worst tail as a share of its target, as of the last list
+    /// @return the worst tail, as of the last list
     [[nodiscard]] double worst() const noexcept { return this->worstTail; }
 
+    /// @return the pressure that the tails are taken to bear
+    [[nodiscard]] double budget() const noexcept { return this->currentBudget; }
+
+    /// @return what no run has been given of the budget
+    [[nodiscard]] double headroom() const noexcept { return this->unusedBudget; }
+
 private:
-    void slow();
-    void quicken();
-    [[nodiscard]] bool overFor(Duration time, TimePoint now) const;
+    void regulate(double worst, TimePoint now);
+    [[nodiscard]] std::vector<PaceOrder> share();
     [[nodiscard]] double worstShare(const std::vector<RunStatus>& running) const;
 
     PaceConfig config;
-    Throttle current {};
+    double currentBudget;
+    double unusedBudget;
     double worstTail = 0;
     TimePoint changedAt {};
     /// Since when a tail has been above its target.
     std::optional<TimePoint> overSince {};
     std::map<RunId, PaceTraits> traits;
+    /// Paces of the filling runs that are at work.
     std::map<RunId, std::uint32_t> inForce;
 };
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -215,7 +215,7 @@
     void cancelJob(const JobId& job, TimePoint now, Effects& effects);
     void takeEnds(WorkerEntry& worker, const WorkerIdentity& life, const std::vector<RunEnd>& ends, TimePoint now, Effects& effects);
     void takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects);
-    void learnPressure(const WorkerEntry& worker, const RunProgress& report);
+    void learnPressure(const RunProgress& report);
     void takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
     void adoptRuns(WorkerEntry& worker, const WorkerSnapshot& snapshot);
     void dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
@@ -67,6 +67,8 @@
     std::uint32_t percent = 0;
     /// Tail latency in milliseconds of a serving task, or milli-cores in use of another.
     std::uint32_t figure = 0;
+    /// Pace that the agent gave it, in percent.
+    std::uint32_t pace = 100;
 
     bool operator==(const RunStatus&) const = default;
 };
@@ -74,8 +76,8 @@
 /// @brief What an agent must know of a run to regulate its pace.
 struct PaceTraits {
     bool fills = false;
-    /// Whether the image is known, or feared, to raise the tails of serving runs.
-    bool presses = false;
+    /// By how much the run is expected to raise a tail beside it, as a share of its target.
+    double pressure = 0;
     Duration target {};
 
     bool operator==(const PaceTraits&) const = default;
--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -199,8 +199,8 @@
     /// @return the worker, or nothing while none is known
     [[nodiscard]] std::optional<WorkerInfo> worker() const;
 
-    /// @return the throttle of filling runs
-    [[nodiscard]] Throttle throttle() const noexcept { return this->paceControl.throttle(); }
+    /// @return the pressure that the tails are taken to bear, as a share of their targets
+    [[nodiscard]] double pressureBudget() const noexcept { return this->paceControl.budget(); }
 
     /// @return whether all runs on the worker are known
     [[nodiscard]] bool settled() const noexcept;
@@ -289,6 +289,7 @@
     void reportEnds(Effects& effects);
     void reportProgress(TimePoint now, Effects& effects);
     void regulatePace(TimePoint now, Effects& effects);
+    void orderPaces(const std::vector<PaceOrder>& paces);
     void reject(const RunId& run, const std::string& reason, Effects& effects);
     void sendSnapshot(Effects& effects);
     void report(AgentReport report, Effects& effects) const;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -45,12 +45,10 @@
     Room used {};
     std::uint32_t fillingMilliCores = 0;
     std::uint32_t lastingMilliCores = 0;
-    /// Throttle of the filling runs, as the agent told last.
-    Throttle throttle {};
+    /// Pressure that the tails there still bear, as the agent told last, less what has been sent there since.
+    double headroom = PaceConfig {}.firstBudget;
     /// Worst tail of the serving runs as a share of its target, as the agent told last.
     std::uint32_t tailPercent = 0;
-    /// When a filling run was sent here last.
-    TimePoint filledAt {};
     /// Tasks with a run here, with the life of the worker that they were sent to.
     std::map<TaskId, WorkerIdentity> tasks {};
     /// Jobs that failed here since the last success.
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -1,109 +1,103 @@
 #include "cowslipdoor/scheduling/PaceControl.h"
 #include <algorithm>
+#include <utility>
 
 namespace cowslipdoor {
 
 namespace {
 
     constexpr std::uint32_t fullPace = 100;
-    constexpr std::uint32_t fullLevel = 2 * fullPace;
 
-    /// Pace of pressing runs under which slowing them further gains nothing and the others are slowed.
-    constexpr std::uint32_t leastPressingPace = 5;
+    /// Pressure under which a run cannot be told from one without any.
+    constexpr double leastPressure = 0.01;
 
 }
 
-std::uint32_t Throttle::paceOf(bool presses) const noexcept
-{
-    if (!presses)
-        return std::min(this->level, fullPace);
-    return this->level > fullPace ? this->level - fullPace : 0;
-}
-
 PaceControl::PaceControl(PaceConfig config)
     : config(config)
+    , currentBudget(config.firstBudget)
+    , unusedBudget(config.firstBudget)
 {
 }
 
-void PaceControl::describe(const RunId& run, const PaceTraits& traits)
+void PaceControl::describe(const RunId& run, const PaceTraits& described)
 {
-    this->traits.insert_or_assign(run, traits);
+    this->traits.insert_or_assign(run, described);
 }
 
-std::vector<PaceOrder> PaceControl::update(const std::vector<RunStatus>& running, TimePoint now)
+void PaceControl::forget(const RunId& run)
 {
-    const double worst = this->worstShare(running);
-    this->worstTail = worst;
-    if (worst <= 1)
-        this->overSince.reset();
-    else if (!this->overSince)
-        this->overSince = now;
-    if (now >= this->changedAt + this->config.figureLag) {
-        const Throttle before = this->current;
-        if (this->overFor(this->config.stopAllAfter, now))
-            this->current.level = 0;
-        else if (this->overFor(this->config.stopPressingAfter, now))
-            this->current.level = std::min(this->current.level, fullPace);
-        else if (worst > this->config.slowAbove)
-            this->slow();
-        else if (worst < this->config.quickenBelow)
-            this->quicken();
-        if (this->current != before)
-            this->changedAt = now;
-    }
-    std::vector<PaceOrder> orders;
-    std::map<RunId, std::uint32_t> present;
-    for (const RunStatus& status : running) {
-        const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
-        if (it == this->traits.end())
-            continue;
-        if (!it->second.fills)
-            continue;
-        const std::map<RunId, std::uint32_t>::const_iterator old = this->inForce.find(status.run);
-        const std::uint32_t wanted = this->current.paceOf(it->second.presses);
-        if ((old == this->inForce.end() ? fullPace : old->second) != wanted)
-            orders.push_back({ status.run, wanted });
-        present.emplace(status.run, wanted);
-    }
-    this->inForce = std::move(present);
-    return orders;
+    this->traits.erase(run);
+    this->inForce.erase(run);
 }
 
-bool PaceControl::overFor(Duration time, TimePoint now) const
+std::vector<PaceOrder> PaceControl::started(const RunId& run)
 {
-    return this->overSince && now >= *this->overSince + time;
+    const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(run);
+    if (it == this->traits.end() || !it->second.fills)
+        return {};
+    this->inForce.try_emplace(run, fullPace);
+    return this->share();
 }
 
-void PaceControl::quicken()
+std::vector<PaceOrder> PaceControl::update(const std::vector<RunStatus>& running, TimePoint now)
 {
-    if (this->current.level < fullPace)
-        this->current.level = std::min(fullPace, this->current.level + this->config.quickenHarmlessStep);
-    else
-        this->current.level = std::min(fullLevel, this->current.level + this->config.quickenStep);
+    this->worstTail = this->worstShare(running);
+    this->regulate(this->worstTail, now);
+    for (const RunStatus& status : running) {
+        const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
+        if (it != this->traits.end() && it->second.fills)
+            this->inForce.try_emplace(status.run, fullPace);
+    }
+    return this->share();
 }
 
-void PaceControl::slow()
+std::uint32_t PaceControl::paceOf(const RunId& run) const
 {
-    const std::uint32_t pressing = this->current.paceOf(true);
-    if (pressing > leastPressingPace)
-        this->current.level = fullPace + static_cast<std::uint32_t>(pressing * this->config.slowFactor);
-    else
-        this->current.level = static_cast<std::uint32_t>(std::min(this->current.level, fullPace) * this->config.slowFactor);
+    const std::map<RunId, std::uint32_t>::const_iterator it = this->inForce.find(run);
+    return it == this->inForce.end() ? fullPace : it->second;
 }
 
-std::optional<PaceOrder> PaceControl::started(const RunId& run)
+void PaceControl::regulate(double worst, TimePoint now)
 {
-    const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(run);
-    if (it == this->traits.end() || !it->second.fills)
-        return std::nullopt;
-    const std::uint32_t wanted = this->current.paceOf(it->second.presses);
-    this->inForce.insert_or_assign(run, wanted);
-    return wanted == fullPace ? std::nullopt : std::optional<PaceOrder>({ run, wanted });
+    if (worst <= 1)
+        this->overSince.reset();
+    else if (!this->overSince)
+        this->overSince = now;
+    if (now < this->changedAt + this->config.figureLag)
+        return;
+    const double before = this->currentBudget;
+    if (this->overSince && now >= *this->overSince + this->config.stopAllAfter)
+        this->currentBudget = 0;
+    else if (worst > this->config.slowAbove)
+        this->currentBudget *= this->config.slowFactor;
+    else if (worst < this->config.quickenBelow)
+        this->currentBudget = std::min(this->config.largestBudget, this->currentBudget + this->config.quickenStep);
+    if (this->currentBudget != before)
+        this->changedAt = now;
 }
 
-void PaceControl::forget(const RunId& run)
+std::vector<PaceOrder> PaceControl::share()
 {
-    this->traits.erase(run);
+    std::vector<std::pair<double, RunId>> byPressure;
+    for (const std::map<RunId, std::uint32_t>::value_type& item : this->inForce) {
+        const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(item.first);
+        byPressure.emplace_back(it == this->traits.end() ? 0 : it->second.pressure, item.first);
+    }
+    std::sort(byPressure.begin(), byPressure.end());
+    const bool serving = std::any_of(this->traits.begin(), this->traits.end(), [](const std::map<RunId, PaceTraits>::value_type& item) { return item.second.target > Duration {}; });
+    double left = this->currentBudget;
+    std::vector<PaceOrder> orders;
+    for (const std::pair<double, RunId>& item : byPressure) {
+        const double pressure = std::max(item.first, leastPressure);
+        const double share = serving ? std::min(1.0, left / pressure) : 1.0;
+        left -= share * pressure;
+        const std::uint32_t percent = static_cast<std::uint32_t>(share * fullPace);
+        if (std::exchange(this->inForce[item.second], percent) != percent)
+            orders.push_back({ item.second, percent });
+    }
+    this->unusedBudget = std::max(0.0, left);
+    return orders;
 }
 
 double PaceControl::worstShare(const std::vector<RunStatus>& running) const
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -9,17 +9,12 @@
     /// Multiple of the objective after which a job earns nothing.
     constexpr int hopelessFactor = 3;
 
-    /// Time until the tail shows what a filling task does to it: the window of the figure and a report.
-    constexpr Duration tailLag = std::chrono::milliseconds(1000);
-
-    /// Share of its target that a tail may be expected to reach; the pace loop slows above it.
-    constexpr double highestTail = 0.85;
+    /// Pace under which a pressing task is not worth its place beside serving tasks.
+    constexpr double leastUsefulPace = 0.5;
 
     /// Share of its cores that a lasting task leaves unused at the crest of its load.
     constexpr double lastingUnused = 0.4;
 
-    constexpr std::uint32_t fullLevel = 200;
-
     /// How long a job may have nothing running before its tasks go anywhere that has room: a third of the 3 s by contract.
     constexpr Duration longestFillingWait = std::chrono::milliseconds(1000);
 
@@ -42,18 +37,15 @@
     /// Whether a worker can bear one more filling task.
     ///
     /// Pattern it answers: filling tasks come in bursts. Sent all at once they share the cores, press on the tails, are
-    /// paced down together, and all end late. So each needs its cores; one that presses goes beside serving tasks only
-    /// while their tails leave it room, one at a time; the rest waits for its turn.
-    bool bearsFilling(const WorkerEntry& worker, const StepSpec& step, const PressureModel& pressures, TimePoint now)
+    /// paced down together, and all end late. So each needs its cores, and beside serving tasks as much of what their
+    /// tails still bear as gives it a useful pace; the rest waits for its turn.
+    bool bearsFilling(const WorkerEntry& worker, const StepSpec& step, const PressureModel& pressures)
     {
         if (worker.fillingMilliCores > 0 && unusedCores(worker) < step.demand.milliCores)
             return false;
         if (worker.lastingMilliCores == 0)
             return true;
-        if (!pressures.presses(step.image))
-            return worker.throttle.level >= fullLevel / 2;
-        const double expected = worker.tailPercent / 100.0 + pressures.pressureOf(step.image);
-        return worker.throttle.level == fullLevel && expected < highestTail && now >= worker.filledAt + tailLag;
+        return worker.headroom >= leastUsefulPace * pressures.pressureOf(step.image);
     }
 
     bool eligible(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const PressureModel& pressures, TimePoint now)
@@ -64,7 +56,7 @@
         if (!worker.free().covers(step.countedDemand()))
             return false;
         const bool overdue = job.assigned == 0 && now > job.waitingSince + longestFillingWait;
-        if (step.fills && !overdue && !bearsFilling(worker, step, pressures, now))
+        if (step.fills && !overdue && !bearsFilling(worker, step, pressures))
             return false;
         return step.maximumPerWorker == 0 || worker.countOf(job.spec->id, number) < step.maximumPerWorker;
     }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -212,9 +212,9 @@
 {
     if (!worker.info || worker.info->identity != report.worker)
         return;
-    worker.throttle = { report.throttleLevel };
+    worker.headroom = report.headroomPercent / 100.0;
     worker.tailPercent = report.tailPercent;
-    this->learnPressure(worker, report);
+    this->learnPressure(report);
     this->takeStatus(worker, report.running, now, effects);
     if (!this->book.waiting().empty())
         this->wantPass(now);
@@ -316,10 +316,8 @@
             const TaskId id { job.spec->id, step, index };
             const RunId run = this->book.assign(id, { worker.agent, worker.info->identity }, now);
             worker.take(id, job.spec->steps[step], worker.info->identity);
-            if (job.spec->steps[step].fills) {
-                worker.filledAt = now;
-                this->book.task(id)->presses = this->pressures.presses(job.spec->steps[step].image);
-            }
+            if (job.spec->steps[step].fills)
+                worker.headroom -= this->pressures.pressureOf(job.spec->steps[step].image);
             effects.emplace_back(RecordEvent { EventId::RunAssigned, describe(run) + " to " + worker.agent + "; " + describeTrack(job, now) + "; free there " + std::to_string(worker.free().milliCores) + " milli-cores, " + std::to_string(worker.free().memoryMb) + " MB" });
         }
     }
@@ -365,7 +363,7 @@
             task.order = ++this->orders;
             const WorkerEntry& worker = this->knownWorkers[task.record.assignment->agent];
             const StepSpec& spec = entry.spec->steps[step];
-            this->send(worker, StartRun { { id, task.record.run }, task.record.assignment->worker, entry.spec->payload, task.record.checkpoint, { spec.fills, task.presses, spec.target }, task.order, worker.lastPing }, effects);
+            this->send(worker, StartRun { { id, task.record.run }, task.record.assignment->worker, entry.spec->payload, task.record.checkpoint, { spec.fills, spec.fills ? this->pressures.pressureOf(spec.image) : 0, spec.target }, task.order, worker.lastPing }, effects);
         }
     }
 }
@@ -441,19 +439,18 @@
     }
 }
 
-void Scheduler::learnPressure(const WorkerEntry& worker, const RunProgress& report)
+void Scheduler::learnPressure(const RunProgress& report)
 {
     double tails = 0;
     std::size_t serving = 0;
     std::map<std::string, double> work;
     for (const RunStatus& status : report.running) {
         const JobEntry* const job = this->book.find(status.run.task.job);
-        const TaskState* const task = this->book.openRun(status.run);
-        if (!job || !task)
+        if (!job || !this->book.openRun(status.run))
             continue;
         const StepSpec& step = job->spec->steps[status.run.task.step];
         if (step.fills)
-            work[step.image] += worker.throttle.paceOf(task->presses) / 100.0;
+            work[step.image] += status.pace / 100.0;
         if (step.target <= Duration {})
             continue;
         tails += static_cast<double>(status.figure) / static_cast<double>(std::max(1LL, toMilliseconds(step.target)));
@@ -550,7 +547,7 @@
         const StepSpec& step = job.spec->steps[item.first.step];
         const TaskState& task = job.steps[item.first.step][item.first.index];
         if (step.fills || step.target > Duration {})
-            this->send(worker, DescribeRun { { item.first, task.record.run }, { step.fills, this->pressures.presses(step.image), step.target } }, effects);
+            this->send(worker, DescribeRun { { item.first, task.record.run }, { step.fills, step.fills ? this->pressures.pressureOf(step.image) : 0, step.target } }, effects);
     }
 }
 
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -293,9 +293,7 @@
         return;
     }
     this->life->started.insert_or_assign(run, CallNumber { this->lastCall + 1 });
-    const std::optional<PaceOrder> pace = this->paceControl.started(run);
-    if (pace)
-        this->orders.emplace_front(ChangePace { pace->run, pace->percent });
+    this->orderPaces(this->paceControl.started(run));
 }
 
 void WorkerMachine::answered(const StopOrder&, const OrderAnswered&, Effects&)
@@ -490,16 +488,30 @@
     if (now < this->progressAt || this->life->running.empty() || !this->settled())
         return;
     this->progressAt = now + this->config.progressInterval;
-    this->report(RunProgress { this->life->info.identity, this->life->running, this->paceControl.throttle().level, static_cast<std::uint32_t>(this->paceControl.worst() * 100) }, effects);
+    std::vector<RunStatus> running = this->life->running;
+    for (RunStatus& status : running)
+        status.pace = this->paceControl.paceOf(status.run);
+    this->report(RunProgress { this->life->info.identity, std::move(running), static_cast<std::uint32_t>(this->paceControl.headroom() * 100), static_cast<std::uint32_t>(this->paceControl.worst() * 100) }, effects);
 }
 
 void WorkerMachine::regulatePace(TimePoint now, Effects& effects)
 {
-    const Throttle before = this->paceControl.throttle();
-    for (const PaceOrder& order : this->paceControl.update(this->life->running, now))
-        this->orders.emplace_front(ChangePace { order.run, order.percent });
-    if (this->paceControl.throttle() != before)
-        effects.emplace_back(RecordEvent { EventId::PaceChanged, "level " + std::to_string(before.level) + " to " + std::to_string(this->paceControl.throttle().level) + ", worst tail " + std::to_string(static_cast<int>(this->paceControl.worst() * 100)) + "% of its target, " + std::to_string(this->life->running.size()) + " runs" });
+    const double before = this->paceControl.budget();
+    this->orderPaces(this->paceControl.update(this->life->running, now));
+    if (this->paceControl.budget() < before)
+        effects.emplace_back(RecordEvent { EventId::PaceChanged, "budget " + std::to_string(before) + " to " + std::to_string(this->paceControl.budget()) + ", worst tail " + std::to_string(static_cast<int>(this->paceControl.worst() * 100)) + "% of its target, " + std::to_string(this->life->running.size()) + " runs" });
+}
+
+void WorkerMachine::orderPaces(const std::vector<PaceOrder>& paces)
+{
+    for (const PaceOrder& pace : paces) {
+        // Only the newest pace of a run matters.
+        std::erase_if(this->orders, [&pace](const Order& order) {
+            const ChangePace* const older = std::get_if<ChangePace>(&order);
+            return older && older->run == pace.run;
+        });
+        this->orders.emplace_front(ChangePace { pace.run, pace.percent });
+    }
 }
 
 void WorkerMachine::reject(const RunId& run, const std::string& reason, Effects& effects)
--- a/libs/wire/src/JobCodec.cpp
+++ b/libs/wire/src/JobCodec.cpp
@@ -57,13 +57,13 @@
         std::unique_ptr<jobs::PaceTraitsT> table = std::make_unique<jobs::PaceTraitsT>();
         table->fills = traits.fills;
         table->target_us = traits.target.count();
-        table->presses = traits.presses;
+        table->pressure = traits.pressure;
         return table;
     }
 
     PaceTraits unpack(const jobs::PaceTraitsT& table)
     {
-        return { table.fills, table.presses, Duration(table.target_us) };
+        return { table.fills, table.pressure, Duration(table.target_us) };
     }
 
     std::unique_ptr<jobs::WorkerT> pack(const WorkerInfo& worker)
@@ -92,12 +92,13 @@
         table->checkpoint = status.checkpoint;
         table->percent = status.percent;
         table->figure = status.figure;
+        table->pace = status.pace;
         return table;
     }
 
     RunStatus unpack(const jobs::StatusT& table)
     {
-        return { unpack(required(table.run)), table.checkpoint, table.percent, table.figure };
+        return { unpack(required(table.run)), table.checkpoint, table.percent, table.figure, table.pace };
     }
 
     std::unique_ptr<jobs::EndT> pack(const RunEnd& end)
@@ -234,7 +235,7 @@
             jobs::RunProgressT table;
             table.worker = pack(message.worker);
             table.running = packAll<jobs::StatusT>(message.running);
-            table.throttle_level = message.throttleLevel;
+            table.headroom_percent = message.headroomPercent;
             table.tail_percent = message.tailPercent;
             this->body.Set(std::move(table));
         }
@@ -274,7 +275,7 @@
         case jobs::Body::RunRejected:
             return RunRejected { unpack(required(body.AsRunRejected()->run)), body.AsRunRejected()->reason };
         case jobs::Body::RunProgress:
-            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running), body.AsRunProgress()->throttle_level, body.AsRunProgress()->tail_percent };
+            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running), body.AsRunProgress()->headroom_percent, body.AsRunProgress()->tail_percent };
         case jobs::Body::NONE:
             break;
         }
