--- a/libs/scheduling/include/cowslipdoor/scheduling/PressureModel.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PressureModel.h
@@ -23,6 +23,8 @@
     double firstBase = 0.45;
     /// Tails above this share of the target teach no more than one at it, as they grow without bound under overload.
     double worstTail = 2.0;
+    /// Square of the work at which half of the learning rate takes effect: half a task is enough to learn from.
+    double regularisation = 0.25;
     /// Tasks' worth of work under which an observation is too faint to teach.
     double faintestWork = 0.05;
 
--- a/libs/scheduling/src/PressureModel.cpp
+++ b/libs/scheduling/src/PressureModel.cpp
@@ -24,7 +24,7 @@
     }
     if (square < this->config.faintestWork * this->config.faintestWork)
         return;
-    const double step = this->config.learningRate * (seen - expected) / (1 + square);
+    const double step = this->config.learningRate * (seen - expected) / (this->config.regularisation + square);
     for (const FillingWork& item : filling) {
         double& pressure = this->pressures.try_emplace(item.image, this->config.prior).first->second;
         pressure = std::max(0.0, pressure + step * item.work);
--- /dev/null
+++ b/libs/scheduling/tests/LeaderLeaseTests.cpp
@@ -0,0 +1,113 @@
+#include <catch2/catch.hpp>
+#include <cowslipdoor/scheduling/LeaderLease.h>
+
+using namespace cowslipdoor;
+using std::chrono::milliseconds;
+
+namespace {
+
+const TimePoint start { std::chrono::seconds(100) };
+
+LeaderLease leaseOf(const std::string& holder)
+{
+    LeaseConfig config;
+    config.holder = holder;
+    config.incarnation = 5;
+    return LeaderLease(config);
+}
+
+Conflict conflictWith(const LeaderRecord& record, RowVersion version)
+{
+    return { { { leaderRowKey(), print(record), version, false } } };
+}
+
+/// A lease that leads with version 11 since the start.
+LeaderLease leadingLease()
+{
+    LeaderLease lease = leaseOf("me");
+    lease.rowRead(std::nullopt, 0, start);
+    static_cast<void>(lease.begin({}, start));
+    static_cast<void>(lease.finished(Applied { 11 }, start));
+    return lease;
+}
+
+}
+
+TEST_CASE("lease: a standby takes over only after it has seen one version for the whole lease", "[jobs]")
+{
+    LeaderLease lease = leaseOf("me");
+    const LeaderRecord other { 3, "other", 1, 9 };
+    lease.rowRead(other, 40, start);
+    lease.rowRead(other, 40, start + milliseconds(1900));
+    CHECK_FALSE(lease.wantsTakeover(start + milliseconds(1900)));
+    lease.rowRead(other, 41, start + milliseconds(1950));
+    CHECK_FALSE(lease.wantsTakeover(start + milliseconds(3900)));
+    CHECK(lease.wantsTakeover(start + milliseconds(3950)));
+    const Transaction transaction = lease.begin({}, start + milliseconds(3950));
+    CHECK(transaction.conditions.front().version == 41);
+    CHECK(lease.finished(Applied { 42 }, start + milliseconds(3960)) == CommitVerdict::TookOver);
+    CHECK(lease.epoch() == 4);
+}
+
+TEST_CASE("lease: what was seen before the store fell silent proves nothing", "[jobs]")
+{
+    LeaderLease lease = leaseOf("me");
+    lease.rowRead(LeaderRecord { 3, "other", 1, 9 }, 40, start);
+    lease.rowUnread(start + milliseconds(1000));
+    lease.rowRead(LeaderRecord { 3, "other", 1, 9 }, 40, start + milliseconds(2500));
+    CHECK_FALSE(lease.wantsTakeover(start + milliseconds(2500)));
+    CHECK(lease.wantsTakeover(start + milliseconds(4500)));
+}
+
+TEST_CASE("lease: a released row and one of an earlier run of the process are taken at once", "[jobs]")
+{
+    LeaderLease lease = leaseOf("me");
+    lease.rowRead(LeaderRecord { 3, "", 0, 9 }, 40, start);
+    CHECK(lease.wantsTakeover(start));
+    LeaderLease again = leaseOf("me");
+    again.rowRead(LeaderRecord { 3, "me", 4, 9 }, 40, start);
+    CHECK(again.wantsTakeover(start));
+}
+
+TEST_CASE("lease: a write without an answer is repeated, and known by its own record if it was done", "[jobs]")
+{
+    LeaderLease lease = leadingLease();
+    const Transaction transaction = lease.begin({}, start + milliseconds(10));
+    CHECK(lease.finished(OutcomeAmbiguous { "" }, start + milliseconds(810)) == CommitVerdict::Repeat);
+    CHECK_FALSE(lease.repeat(start + milliseconds(850)));
+    CHECK(lease.repeat(start + milliseconds(910)) == transaction);
+    const std::optional<LeaderRecord> written = parseLeaderRecord(transaction.writes.back().value);
+    CHECK(lease.finished(conflictWith(*written, 12), start + milliseconds(920)) == CommitVerdict::Applied);
+    // The time of its first sending counts, as nobody knows when it was done.
+    CHECK(lease.valid(start + milliseconds(2009)));
+    CHECK_FALSE(lease.valid(start + milliseconds(2010)));
+}
+
+TEST_CASE("lease: a leader that finds another record is deposed", "[jobs]")
+{
+    LeaderLease lease = leadingLease();
+    static_cast<void>(lease.begin({}, start));
+    CHECK(lease.finished(conflictWith({ 2, "other", 1, 1 }, 20), start) == CommitVerdict::Deposed);
+    CHECK_FALSE(lease.leading());
+    CHECK_FALSE(lease.valid(start));
+}
+
+TEST_CASE("lease: a refused write is repeated and does not lengthen the lease", "[jobs]")
+{
+    LeaderLease lease = leadingLease();
+    static_cast<void>(lease.begin({}, start + milliseconds(500)));
+    CHECK(lease.finished(StoreRefused { "503" }, start + milliseconds(510)) == CommitVerdict::Repeat);
+    CHECK(lease.leading());
+    CHECK_FALSE(lease.valid(start + milliseconds(2000)));
+}
+
+TEST_CASE("lease: a retired leader gives the row up and contends no more", "[jobs]")
+{
+    LeaderLease lease = leadingLease();
+    lease.retire();
+    REQUIRE(lease.wantsRelease());
+    const Transaction transaction = lease.beginRelease(start);
+    CHECK(parseLeaderRecord(transaction.writes.back().value)->holder.empty());
+    CHECK(lease.finished(Applied { 12 }, start) == CommitVerdict::Deposed);
+    CHECK_FALSE(lease.wantsTakeover(start + std::chrono::seconds(10)));
+}
--- /dev/null
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -0,0 +1,74 @@
+#include "Values.h"
+#include <catch2/catch.hpp>
+#include <cowslipdoor/scheduling/Configuration.h>
+#include <cowslipdoor/scheduling/Submission.h>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::tests;
+using std::chrono::milliseconds;
+
+TEST_CASE("rows: every record is read as it was printed", "[jobs]")
+{
+    const LeaderRecord leader { 3, "entry", 17, 4 };
+    CHECK(parseLeaderRecord(print(leader)) == leader);
+    const AgentRecord agent { "10.0.0.1:7720", 9 };
+    CHECK(parseAgentRecord(print(agent)) == agent);
+    StepSpec step = stepOf(2, 300);
+    step.after = { 0 };
+    step.checkpointing = step.speculative = step.longRunning = step.fills = true;
+    step.requiredLabel = "label";
+    step.dataRack = "rack";
+    step.image = "image";
+    step.maximumPerWorker = 3;
+    step.target = milliseconds(50);
+    step.mayMiss = 1;
+    const JobSpecHandle spec = jobOf("a", { stepOf(1, 100), step });
+    CHECK(parseJobSpec(print(*spec)) == *spec);
+    const Assignment first { "agent-1", { "w1", 5 } };
+    const Assignment second { "agent-2", { "w2", 6 } };
+    const ProgressRecord progress { JobState::Running, { { true, 1, {}, std::nullopt, "" }, { false, 3, { 1, 2 }, first, "saved" }, { false, 2, {}, second, "" }, { false, 1, {}, first, "" } } };
+    CHECK(parseProgressRecord(print(progress)) == progress);
+    const PendingCounts counts { { "q", 4 } };
+    CHECK(parsePendingCounts(print(counts)) == counts);
+}
+
+TEST_CASE("rows: what another writer left is read as nothing", "[jobs]")
+{
+    for (const std::string text : { "", "{", "[]", "{\"epoch\":\"x\"}", "null", "{\"state\":1,\"places\":[],\"tasks\":[[1]]}" }) {
+        INFO(text);
+        CHECK_FALSE(parseLeaderRecord(text));
+        CHECK_FALSE(parseAgentRecord(text));
+        CHECK_FALSE(parseProgressRecord(text));
+        CHECK_FALSE(parseJobSpec(text));
+    }
+}
+
+TEST_CASE("rows: a cancellation lies in the part of its job and names it", "[jobs]")
+{
+    const JobId job { "00ff00ff00ff00ff" };
+    CHECK(cancelRowKey(job).part == jobRowKey(job).part);
+    CHECK(cancelledJob(cancelRowKey(job)) == job);
+    CHECK_FALSE(cancelledJob(jobRowKey(job)));
+    CHECK(progressRowKey(job).part == leaderRowKey().part);
+}
+
+TEST_CASE("configuration: the longest prefix of the host selects the queue", "[jobs]")
+{
+    const Configuration configuration { 1, { { .name = "short", .host = "A.example", .prefix = "/x/" }, { .name = "long", .host = "a.example", .prefix = "/x/y/" } }, {}, {} };
+    CHECK(configuration.queueOf("a.example:80", "/x/1")->name == "short");
+    CHECK(configuration.queueOf("a.EXAMPLE", "/x/y/1")->name == "long");
+    CHECK(configuration.queueOf("b.example", "/x/1") == nullptr);
+    CHECK(configuration.queueOf("a.example", "/z") == nullptr);
+}
+
+TEST_CASE("submission: 'not stored' is said only when no try can have been carried out", "[jobs]")
+{
+    Submission plain(start + milliseconds(3000));
+    CHECK(std::holds_alternative<RowNotStored>(plain.decide(StoreRefused { "503" }, start)));
+    Submission unsure(start + milliseconds(3000));
+    CHECK(std::holds_alternative<InsertAgain>(unsure.decide(OutcomeAmbiguous { "" }, start)));
+    CHECK(std::holds_alternative<InsertAgain>(unsure.decide(StoreRefused { "503" }, start)));
+    CHECK(std::holds_alternative<RowUnsettled>(unsure.decide(StoreRefused { "503" }, start + milliseconds(2900))));
+    CHECK(std::holds_alternative<RowStored>(unsure.decide(Conflict {}, start)));
+    CHECK(std::holds_alternative<RowStored>(plain.decide(Applied { 3 }, start)));
+}
--- /dev/null
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -0,0 +1,210 @@
+#include "Values.h"
+#include <catch2/catch.hpp>
+#include <cowslipdoor/scheduling/WorkerMachine.h>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+const LinkId leaderLink { 1 };
+const RunId run { { { "job" }, 0, 0 }, 1 };
+
+/// One agent's machine, its last effects, and shorthands for what drives it.
+struct AgentUnderTest {
+    WorkerMachine machine { WorkerMachineConfig { .agent = "agent" }, start };
+    WorkerMachine::Effects effects {};
+    TimePoint now = start;
+
+    void step(const WorkerEvent& event) { this->effects = this->machine.step(event, this->now); }
+
+    template <typename Effect>
+    std::optional<Effect> find() const
+    {
+        for (const WorkerEffect& effect : this->effects) {
+            if (const Effect* const found = std::get_if<Effect>(&effect))
+                return *found;
+        }
+        return std::nullopt;
+    }
+
+    template <typename Report>
+    std::optional<Report> reported() const
+    {
+        for (const WorkerEffect& effect : this->effects) {
+            const SendToLeader* const sent = std::get_if<SendToLeader>(&effect);
+            if (sent && std::holds_alternative<Report>(sent->report))
+                return std::get<Report>(sent->report);
+        }
+        return std::nullopt;
+    }
+
+    LookAnswered answerTo(const CallLook& look, std::vector<RunStatus> running = {}, std::vector<RunEnd> ended = {}) const
+    {
+        return { look.call, firstLife.born, 5000, std::move(running), std::move(ended) };
+    }
+
+    /// Brings the machine to where its worker is known, settled, and a leader's word is fresh.
+    void settle()
+    {
+        this->step(GenerationGranted { 2 });
+        this->step(WorkerBeat { WorkerInfo { firstLife, "service", { 8000, 8000, 0 }, {}, false, {} } });
+        const CallLook look = *this->find<CallLook>();
+        this->step(LeaderSaid { leaderLink, LeaderHello { 1, "entry", 2 } });
+        this->step(this->answerTo(look));
+        this->step(LeaderSaid { leaderLink, Pong { this->now.time_since_epoch().count() } });
+    }
+
+    StartRun order() const { return { run, firstLife, "text", "", {}, 1, this->now.time_since_epoch().count() }; }
+};
+
+}
+
+TEST_CASE("agent: a worker is settled once a look is answered under the present token", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.step(WorkerBeat { WorkerInfo { firstLife, "service", { 8000, 8000, 0 }, {}, false, {} } });
+    CHECK_FALSE(agent.find<CallLook>());
+    agent.step(GenerationGranted { 2 });
+    const std::optional<CallLook> look = agent.find<CallLook>();
+    REQUIRE(look);
+    CHECK(look->wait == Duration {});
+    CHECK_FALSE(look->leaseUntilMs);
+    agent.step(agent.answerTo(*look));
+    CHECK(agent.machine.settled());
+}
+
+TEST_CASE("agent: leases are renewed only while the leader's word is fresh", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.now += milliseconds(500);
+    agent.step(CallUnanswered { CallNumber { 2 } });
+    agent.now += milliseconds(200);
+    agent.step(TimePassed {});
+    REQUIRE(agent.find<CallLook>());
+    CHECK(agent.find<CallLook>()->leaseUntilMs);
+    agent.step(agent.answerTo(*agent.find<CallLook>()));
+    agent.now += milliseconds(900);
+    agent.step(agent.answerTo(*agent.find<CallLook>()));
+    CHECK_FALSE(agent.find<CallLook>()->leaseUntilMs);
+}
+
+TEST_CASE("agent: an order without an answer is voided by a higher token before its run is rejected", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(LeaderSaid { leaderLink, agent.order() });
+    const CallStart order = *agent.find<CallStart>();
+    agent.step(CallUnanswered { order.call });
+    CHECK_FALSE(agent.machine.settled());
+    CHECK_FALSE(agent.reported<RunRejected>());
+    const CallLook look = *agent.find<CallLook>();
+    CHECK(look.token > order.token);
+    agent.step(agent.answerTo(look));
+    REQUIRE(agent.reported<RunRejected>());
+    CHECK(agent.reported<RunRejected>()->run == run);
+}
+
+TEST_CASE("agent: an order that was carried out after all is not rejected", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(LeaderSaid { leaderLink, agent.order() });
+    agent.step(CallUnanswered { agent.find<CallStart>()->call });
+    agent.step(agent.answerTo(*agent.find<CallLook>(), { { run, "", 10, 0 } }));
+    CHECK_FALSE(agent.reported<RunRejected>());
+    CHECK(agent.machine.settled());
+}
+
+TEST_CASE("agent: an order that comes late, or for another life, is refused", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    StartRun late = agent.order();
+    late.word -= Duration(std::chrono::seconds(2)).count();
+    agent.step(LeaderSaid { leaderLink, late });
+    CHECK(agent.reported<RunRejected>());
+    CHECK_FALSE(agent.find<CallStart>());
+    StartRun other = agent.order();
+    other.worker.born = 99;
+    agent.step(LeaderSaid { leaderLink, other });
+    CHECK(agent.reported<RunRejected>());
+}
+
+TEST_CASE("agent: a leader of an older epoch is turned away, a newer one replaces the link", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(LeaderSaid { LinkId { 2 }, LeaderHello { 0, "old", 0 } });
+    CHECK(agent.find<CloseLeaderLink>()->link == LinkId { 2 });
+    agent.step(LeaderSaid { LinkId { 3 }, LeaderHello { 2, "new", 0 } });
+    CHECK(agent.find<CloseLeaderLink>()->link == leaderLink);
+    agent.step(LeaderSaid { leaderLink, agent.order() });
+    CHECK_FALSE(agent.find<CallStart>());
+}
+
+TEST_CASE("agent: ends are told once and acknowledged only at the leader's word", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    const RunEnd end { 4, run, RunEndKind::Done, "" };
+    agent.now += milliseconds(100);
+    agent.step(CallUnanswered { CallNumber { 2 } });
+    agent.now += milliseconds(200);
+    agent.step(TimePassed {});
+    const CallLook look = *agent.find<CallLook>();
+    CHECK(look.acknowledgeUpTo == 0);
+    agent.step(agent.answerTo(look, {}, { end }));
+    REQUIRE(agent.reported<RunsEnded>());
+    CHECK(agent.reported<RunsEnded>()->ends == std::vector<RunEnd> { end });
+    agent.step(LeaderSaid { leaderLink, AcknowledgeEnds { firstLife, 4 } });
+    REQUIRE(agent.find<CallLook>());
+    CHECK(agent.find<CallLook>()->acknowledgeUpTo == 4);
+}
+
+TEST_CASE("agent: a silent worker counts as gone only when its leases have surely expired", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    const TimePoint renewed = agent.now;
+    while (agent.now < renewed + milliseconds(3100)) {
+        const std::optional<CallLook> look = agent.find<CallLook>();
+        if (look)
+            agent.step(CallUnanswered { look->call });
+        agent.now += milliseconds(100);
+        agent.step(TimePassed {});
+        CHECK_FALSE((agent.reported<WorkerSnapshot>() && !agent.reported<WorkerSnapshot>()->worker));
+    }
+    agent.now += milliseconds(1200);
+    agent.step(TimePassed {});
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK_FALSE(agent.reported<WorkerSnapshot>()->worker);
+    CHECK(agent.reported<WorkerSnapshot>()->settled);
+}
+
+TEST_CASE("agent: a call that its predecessor's token fences off raises the generation", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(LeaderSaid { leaderLink, agent.order() });
+    const CallStart order = *agent.find<CallStart>();
+    agent.step(CallFenced { order.call });
+    CHECK(agent.reported<RunRejected>());
+    agent.now += milliseconds(200);
+    agent.step(TimePassed {});
+    REQUIRE(agent.find<CallLook>());
+    CHECK(agent.find<CallLook>()->token > order.token + 1000);
+}
+
+TEST_CASE("agent: a beat of an earlier life changes nothing, one of a new life begins anew", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(WorkerBeat { WorkerInfo { { "worker", 0 }, "service", { 1, 1, 0 }, {}, false, {} } });
+    CHECK(agent.machine.worker()->identity == firstLife);
+    agent.step(WorkerBeat { WorkerInfo { { "worker", 7 }, "service", { 1, 1, 0 }, {}, false, {} } });
+    CHECK(agent.machine.worker()->identity.born == 7);
+    CHECK_FALSE(agent.machine.settled());
+}
