Send all filling tasks first where nothing serves

Change: filling tasks of any image prefer workers without serving tasks; only when their cores are taken do harmless ones go beside serving tasks. The test that replays the burst says so now, and also that pressing ones wait then.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -24,8 +24,8 @@
 /// @brief Chooses a worker for one task.
 ///
 /// Lasting tasks are spread over workers, so that the loss of one takes few of a step. Short tasks go to the fullest
-/// worker that has room, so that wide holes stay for wide tasks. Filling tasks that press
-/// go where nothing serves; others go beside serving tasks and leave those workers free.
+/// worker that has room, so that wide holes stay for wide tasks. Filling tasks go where
+/// nothing serves while there are cores; then beside serving tasks, as far as their image presses little.
 /// @param job the job
 /// @param step number of the step
 /// @param task state of the task
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -64,7 +64,7 @@
     /// Greater is better; parts are compared one after another.
     using Score = std::tuple<bool, bool, double, double>;
 
-    Score scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task, const PressureModel& pressures)
+    Score scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task)
     {
         const StepSpec& step = job.spec->steps[number];
         const bool elsewhere = worker.agent != task.failedOn;
@@ -72,7 +72,7 @@
         if (step.longRunning)
             return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
         if (step.fills)
-            return { elsewhere, nearData, (worker.lastingMilliCores == 0) == pressures.presses(step.image) ? 1.0 : 0.0, unusedCores(worker) };
+            return { elsewhere, nearData, worker.lastingMilliCores == 0 ? 1.0 : 0.0, unusedCores(worker) };
         return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
     }
 
@@ -95,7 +95,7 @@
     for (const Workers::value_type& item : workers) {
         if (!eligible(item.second, job, step, pressures, now))
             continue;
-        const Score score = scoreOf(item.second, job, step, task, pressures);
+        const Score score = scoreOf(item.second, job, step, task);
         if (!best || score > bestScore) {
             best = &item.second;
             bestScore = score;
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -100,13 +100,17 @@
     CHECK(chosen(job, workers, PressureModel(), start + milliseconds(1)) == "b");
 }
 
-TEST_CASE("placement: in a burst, pressing tasks go where nothing serves and harmless ones leave that room free", "[jobs]")
+TEST_CASE("placement: in a burst, filling tasks go where nothing serves; then harmless ones beside serving tasks while pressing ones wait", "[jobs]")
 {
     const PressureModel pressures = learntPressures();
     Workers workers { { "free", workerOf("free", 16000) }, { "serving", workerOf("serving", 16000) } };
     addServing(workers.at("serving"), 12000);
     CHECK(chosen(fillingJob("noisy"), workers, pressures) == "free");
+    CHECK(chosen(fillingJob("calm"), workers, pressures) == "free");
+    for (std::uint32_t index = 0; index < 8; ++index)
+        workers.at("free").take({ { "other" }, 0, index }, fillingJob("calm").spec->steps[0], firstLife);
     CHECK(chosen(fillingJob("calm"), workers, pressures) == "serving");
+    CHECK(chosen(fillingJob("noisy"), workers, pressures).empty());
 }
 
 TEST_CASE("placement: a pressing task waits when only serving workers are left, but not for more than a second", "[jobs]")
