--- a/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -21,7 +21,8 @@
     double firstBudget = 0.35;
     /// Most that they are taken to bear; a run of more pressure is not worth its pace.
     double largestBudget = 4.0;
-    /// Factor on the budget when a tail is above the limit.
+    /// Factor on the budget when a tail is just above the limit; the square of how far it is above cuts deeper, as a tail
+    /// that is many times over has to be back within the 4 s that harm may last.
     double slowFactor = 0.5;
     /// Added to the budget when every tail is low.
     double quickenStep = 0.07;
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -1,5 +1,6 @@
 #include "cowslipdoor/scheduling/PaceControl.h"
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cowslipdoor {
@@ -70,7 +71,7 @@
     if (this->overSince && now >= *this->overSince + this->config.stopAllAfter)
         this->currentBudget = 0;
     else if (worst > this->config.slowAbove)
-        this->currentBudget *= this->config.slowFactor;
+        this->currentBudget *= std::min(this->config.slowFactor, std::pow(this->config.slowAbove / worst, 2));
     else if (worst < this->config.quickenBelow)
         this->currentBudget = std::min(this->config.largestBudget, this->currentBudget + this->config.quickenStep);
     if (this->currentBudget != before)
--- a/libs/scheduling/tests/PaceTests.cpp
+++ b/libs/scheduling/tests/PaceTests.cpp
@@ -71,6 +71,19 @@
     CHECK(pace.budget() < first / 2);
 }
 
+TEST_CASE("pace: a tail many times over its target stops all but a hundredth at the next look, whatever the image seemed", "[jobs]")
+{
+    // Replays side-kangar-2 on tebu-rota quiet-1 --seed 238323377131: an image taken for harmless drove a tail to 730%, and
+    // halving the budget left it at full pace.
+    PaceControl pace = loopWithRuns();
+    pace.describe(calm, { true, 0.02, {} });
+    static_cast<void>(pace.update(listWithTail(50), start));
+    CHECK(pace.paceOf(calm) == 100);
+    static_cast<void>(pace.update(listWithTail(730), start + milliseconds(700)));
+    CHECK(pace.paceOf(noisy) <= 1);
+    CHECK(pace.paceOf(calm) < 40);
+}
+
 TEST_CASE("pace: all filling runs stand still before a tail has been over its target for the time of harm", "[jobs]")
 {
     PaceControl pace = loopWithRuns();
