Add commands for jobs, and jobs in the demo

jobs submit|show|cancel|pending; the demo runs 12 jobs through a leader's kill and an outage of the store and keeps its last line. Found by the test of the commands: operands before flags were taken from the order before getopt_long permutes it; mended, with a test of the settings.

--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -6,7 +6,9 @@
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/runtime/HttpClient.h>
 #include <cowslipdoor/runtime/Process.h>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <string_view>
 
@@ -20,6 +22,8 @@
                                        "usage: cowslipdoor COMMAND [SETTINGS] [OPERANDS]\n\n"
                                        "commands:\n"
                                        "  entry              run an entry behind the balancer\n"
+                                       "  jobs submit ID FILE, jobs show ID, jobs cancel ID, jobs pending\n"
+                                       "                     hand in, look at and cancel jobs at an entry\n"
                                        "  jobs entry         run an entry that takes in jobs and may lead their scheduling\n"
                                        "  rules check FILE   print every fault of a rules file\n"
                                        "  rules show         print the rules in force at an entry, and whose request each serves\n"
@@ -76,6 +80,63 @@
         return EntryProcess(line.settings).run();
     }
 
+    std::vector<SettingSpec> jobClientSettings()
+    {
+        return {
+            { "entry", AddressSetting {}, std::nullopt, "Callers' address of an entry." },
+            { "host", TextSetting {}, std::nullopt, "Host of the queue." },
+            { "queue", TextSetting {}, std::nullopt, "Path of the queue, with a slash at its end." },
+        };
+    }
+
+    /// Calls an entry about a job and prints the answer; an answer that is no success gives a failure's exit code.
+    int callAboutJob(const CommandLine& line, const std::string& method, const std::string& job, std::string body)
+    {
+        HttpCall call { .address = line.settings.text("entry"), .method = method, .target = line.settings.text("queue") + job };
+        call.headers.push_back({ "Host", line.settings.text("host") });
+        call.body = std::move(body);
+        const Response response = fetch(call);
+        std::cout << response.body.view() << "\n";
+        return response.status == 200 ? 0 : exitFailure;
+    }
+
+    int actOnJob(const Words& words, const std::string& method, const std::string& synopsis, std::size_t operands)
+    {
+        const std::vector<SettingSpec> specs = jobClientSettings();
+        const CommandLine line = readCommandLine(specs, words, processEnvironment);
+        if (helped(line, synopsis, specs))
+            return 0;
+        expectOperands(line, operands, synopsis);
+        std::string body;
+        if (operands == 2) {
+            std::ifstream file(line.operands[1]);
+            if (!file)
+                throw Error(ErrorKind::BadSetting, line.operands[1] + ": the file cannot be read");
+            body.assign(std::istreambuf_iterator<char>(file), {});
+        }
+        return callAboutJob(line, method, operands == 0 ? "" : line.operands[0], std::move(body));
+    }
+
+    int submitJob(const Words& words)
+    {
+        return actOnJob(words, "POST", "jobs submit ID FILE --entry IP:PORT --host HOST --queue PATH", 2);
+    }
+
+    int showJob(const Words& words)
+    {
+        return actOnJob(words, "GET", "jobs show ID --entry IP:PORT --host HOST --queue PATH", 1);
+    }
+
+    int cancelJob(const Words& words)
+    {
+        return actOnJob(words, "DELETE", "jobs cancel ID --entry IP:PORT --host HOST --queue PATH", 1);
+    }
+
+    int showPendingJobs(const Words& words)
+    {
+        return actOnJob(words, "GET", "jobs pending --entry IP:PORT --host HOST --queue PATH", 0);
+    }
+
     int runJobsEntry(const Words& words)
     {
         const std::vector<SettingSpec> specs = jobsEntrySettings();
@@ -144,6 +205,10 @@
         static const std::vector<Command> all {
             { { "entry" }, runEntry },
             { { "jobs", "entry" }, runJobsEntry },
+            { { "jobs", "submit" }, submitJob },
+            { { "jobs", "show" }, showJob },
+            { { "jobs", "cancel" }, cancelJob },
+            { { "jobs", "pending" }, showPendingJobs },
             { { "rules", "check" }, checkRules },
             { { "rules", "show" }, showRules },
             { { "status" }, showStatus },
--- a/libs/runtime/src/Settings.cpp
+++ b/libs/runtime/src/Settings.cpp
@@ -156,7 +156,7 @@
                 flags.given[specs[static_cast<std::size_t>(code - firstSettingCode)].name] = optarg;
         }
         for (int index = optind; index < count; ++index)
-            flags.operands.push_back(copies[static_cast<std::size_t>(index)]);
+            flags.operands.emplace_back(pointers[static_cast<std::size_t>(index)]);
         return flags;
     }
 
--- a/libs/runtime/tests/SettingsTests.cpp
+++ b/libs/runtime/tests/SettingsTests.cpp
@@ -67,3 +67,14 @@
     CHECK(parseDuration("-5s") == std::nullopt);
     CHECK(parseDuration("5 s") == std::nullopt);
 }
+
+TEST_CASE("settings: operands are the same before, between and after flags", "[settings]")
+{
+    const std::vector<SettingSpec> specs { { "name", TextSetting {}, std::nullopt, "" } };
+    const EnvironmentLookup none = [](const std::string&) { return std::optional<std::string>(); };
+    for (const std::vector<std::string>& arguments : { std::vector<std::string> { "a", "b", "--name", "x" }, { "--name", "x", "a", "b" }, { "a", "--name", "x", "b" } }) {
+        const CommandLine line = readCommandLine(specs, arguments, none);
+        CHECK(line.operands == std::vector<std::string> { "a", "b" });
+        CHECK(line.settings.text("name") == "x");
+    }
+}
--- a/standins/DemoMain.cpp
+++ b/standins/DemoMain.cpp
@@ -1,5 +1,6 @@
 #include "CallerLoad.h"
 #include "Deployment.h"
+#include "JobsDeployment.h"
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -91,6 +92,52 @@
     return took < std::chrono::seconds(4);
 }
 
+/// What the part of the demo that runs jobs has seen.
+struct JobsVerdict {
+    std::size_t lost = 0;
+    std::size_t doubled = 0;
+    std::size_t overfilled = 0;
+};
+
+std::string demoJobId(unsigned number)
+{
+    const std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+JobsVerdict runJobs(const std::string& folder)
+{
+    constexpr unsigned jobCount = 12;
+    constexpr unsigned tasksPerJob = 6;
+    platform::JobsDeployment deployment({ .folder = folder });
+    say("jobs: 2 entries, 2 agents, stand-ins of the store and of 2 workers");
+    unsigned accepted = 0;
+    for (unsigned number = 0; number < jobCount; ++number) {
+        if (number == jobCount / 3) {
+            say("jobs: the leader is killed (SIGKILL)");
+            deployment.entry(*deployment.leader()).signal(SIGKILL);
+        }
+        if (number == 2 * jobCount / 3) {
+            say("jobs: the store is away for a second");
+            deployment.store().setDown(true);
+            sleepFor(std::chrono::seconds(1));
+            deployment.store().setDown(false);
+        }
+        platform::JobsDeployment::await("a job accepted", [&deployment, number]() { return deployment.submit(demoJobId(number), tasksPerJob); });
+        ++accepted;
+    }
+    JobsVerdict verdict;
+    for (unsigned number = 0; number < accepted; ++number)
+        platform::JobsDeployment::await("job " + demoJobId(number), [&deployment, number]() { return deployment.state(demoJobId(number)) == "done"; });
+    const std::map<std::string, std::size_t> done = deployment.done();
+    verdict.lost = accepted * tasksPerJob - std::min<std::size_t>(done.size(), accepted * tasksPerJob);
+    for (const std::map<std::string, std::size_t>::value_type& item : done)
+        verdict.doubled += item.second - 1;
+    verdict.overfilled = deployment.overfilled();
+    say("jobs: " + std::to_string(accepted) + " jobs accepted, " + std::to_string(done.size()) + " tasks done");
+    return verdict;
+}
+
 int runDemo()
 {
     const std::string folder = std::filesystem::temp_directory_path() / ("cowslipdoor-demo-" + std::to_string(::getpid()));
@@ -114,8 +161,12 @@
               << summarize(load.records()) << "\n";
     for (const std::string& reason : verdict.reasons)
         say(reason);
-    const bool ok = verdict.lost == 0 && verdict.doubled == 0 && verdict.overfilled == 0 && cleanStop && spread;
-    std::cout << "demo: lost " << verdict.lost << " doubled " << verdict.doubled << " overfilled " << verdict.overfilled << (ok ? " ok" : " failed") << std::endl;
+    const JobsVerdict jobs = runJobs(folder + "/jobs");
+    const std::size_t lost = verdict.lost + jobs.lost;
+    const std::size_t doubled = verdict.doubled + jobs.doubled;
+    const std::size_t overfilled = verdict.overfilled + jobs.overfilled;
+    const bool ok = lost == 0 && doubled == 0 && overfilled == 0 && cleanStop && spread;
+    std::cout << "demo: lost " << lost << " doubled " << doubled << " overfilled " << overfilled << (ok ? " ok" : " failed") << std::endl;
     return ok ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 
 using namespace cowslipdoor;
 using namespace cowslipdoor::platform;
@@ -51,6 +52,32 @@
     CHECK(deployment.call(0, "DELETE", jobId(98)).first == 410);
 }
 
+TEST_CASE("jobs: the commands hand in, show and cancel a job", "[system][jobs]")
+{
+    JobsDeploymentConfig config = configFor("commands");
+    config.taskTime = std::chrono::seconds(20);
+    JobsDeployment deployment(config);
+    const std::string file = config.folder + "/job.json";
+    std::ofstream(file) << R"({"spec":"text","phases":[{"count":2,"cpu":100,"mem-mb":10,"estimate-ms":100}]})";
+    const auto command = [&deployment, &config](std::vector<std::string> words) {
+        words.insert(words.begin(), "jobs");
+        for (const std::string& word : { std::string("--entry"), deployment.callerAddress(0), std::string("--host"), std::string("jobs.example"), std::string("--queue"), std::string("/jobs/") })
+            words.push_back(word);
+        const std::string output = config.folder + "/output-" + words[1];
+        std::filesystem::remove(output);
+        const int code = standins::ChildProcess(COWSLIPDOOR_ENTRY, words, output).wait();
+        std::ifstream text(output);
+        return std::to_string(code) + " " + std::string(std::istreambuf_iterator<char>(text), {});
+    };
+    CHECK(command({ "submit", jobId(1), file }) == "0 {}\n");
+    JobsDeployment::await("the job at work", [&command]() { return command({ "show", jobId(1) }) == "0 {\"state\":\"running\"}\n"; });
+    CHECK(command({ "pending" }) == "0 {\"pending\":0}\n");
+    CHECK(command({ "cancel", jobId(1) }) == "0 {}\n");
+    CHECK(command({ "show", jobId(1) }) == "0 {\"state\":\"cancelled\"}\n");
+    CHECK(command({ "show", jobId(2) }).starts_with("1 "));
+    CHECK(command({ "submit", jobId(3), config.folder + "/none" }).starts_with("2 "));
+}
+
 TEST_CASE("jobs: a cancelled job ends and starts no more", "[system][jobs]")
 {
     JobsDeploymentConfig config = configFor("cancel");
