--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,8 @@
 fuzz: build
 	RC_PARAMS="seed=$(SEED) max_success=$$(( ($(STEPS) + 99) / 100 )) max_size=100" \
 		$(BUILD)/libs/core/tests/cowslipdoor-core-tests "[fuzz]"
+	COWSLIPDOOR_WORLD_SEED=$(SEED) COWSLIPDOOR_WORLDS=$$(( ($(STEPS) + 99) / 100 )) \
+		$(BUILD)/libs/scheduling/tests/cowslipdoor-scheduling-tests "[fuzz]"
 
 sanitize:
 	$(MAKE) test PRESET=sanitize
