--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -134,6 +134,10 @@
     /// @return its state, or nothing
     [[nodiscard]] TaskState* task(const TaskId& task);
 
+    /// @param job a known job
+    /// @return its tasks that have a place
+    [[nodiscard]] std::vector<TaskId> placedTasks(const JobId& job) const;
+
     /// @param run the run
     /// @return the state of its task if the book has just this run open, else nothing
     [[nodiscard]] TaskState* openRun(const RunId& run);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -224,6 +224,7 @@
     void describeRuns(const WorkerEntry& worker, Effects& effects) const;
     void learnAgent(const KnownAgent& agent, Effects& effects);
     void send(const WorkerEntry& worker, LeaderMessage message, Effects& effects) const;
+    [[nodiscard]] PaceTraits traitsOf(const StepSpec& step) const;
     void observeEnd(const JobId& job, TimePoint now, Effects& effects) const;
     void wantPass(TimePoint now);
 
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -183,6 +183,19 @@
     return &it->second.steps[task.step][task.index];
 }
 
+std::vector<TaskId> JobBook::placedTasks(const JobId& job) const
+{
+    std::vector<TaskId> placed;
+    const JobEntry& entry = this->entries.at(job);
+    for (std::uint32_t step = 0; step < entry.steps.size(); ++step) {
+        for (std::uint32_t index = 0; index < entry.steps[step].size(); ++index) {
+            if (entry.steps[step][index].record.assignment)
+                placed.push_back({ job, step, index });
+        }
+    }
+    return placed;
+}
+
 TaskState* JobBook::openRun(const RunId& run)
 {
     TaskState* const state = this->task(run.task);
--- /dev/null
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -0,0 +1,209 @@
+#include "cowslipdoor/scheduling/Scheduler.h"
+#include <algorithm>
+#include <utility>
+
+namespace cowslipdoor {
+
+void Scheduler::heard(WorkerEntry& worker, const Ping& report, TimePoint now, Effects& effects)
+{
+    // A word after the lease has ended could keep runs alive that a new leader counts as expired.
+    if (!this->leaderLease.valid(now))
+        return;
+    worker.lastWord = now;
+    worker.lastPing = report.sentAt;
+    this->send(worker, Pong { report.sentAt }, effects);
+}
+
+void Scheduler::heard(WorkerEntry& worker, const WorkerSnapshot& report, TimePoint now, Effects& effects)
+{
+    worker.generation = std::max(worker.generation, report.generation);
+    const bool sameLife = worker.info && report.worker && worker.info->identity == report.worker->identity;
+    if (!sameLife) {
+        worker.failedJobs.clear();
+        worker.excludedUntil = {};
+    }
+    if (!worker.settled && report.settled)
+        effects.emplace_back(RecordEvent { EventId::WorkerSettled, worker.agent + ": " + (report.worker ? report.worker->identity.id : "no worker") + ", " + std::to_string(report.running.size()) + " runs" });
+    worker.info = report.worker;
+    worker.settled = report.settled;
+    if (report.settled) {
+        if (report.worker) {
+            this->adoptRuns(worker, report);
+            this->takeEnds(worker, report.worker->identity, report.ended, now, effects);
+            this->takeStatus(worker, report.running, now, effects);
+        }
+        this->dropUnnamed(worker, report, now, effects);
+    }
+    this->wantPass(now);
+}
+
+void Scheduler::heard(WorkerEntry& worker, const RunsEnded& report, TimePoint now, Effects& effects)
+{
+    this->takeEnds(worker, report.worker, report.ends, now, effects);
+}
+
+void Scheduler::heard(WorkerEntry& worker, const RunRejected& report, TimePoint now, Effects& effects)
+{
+    TaskState* const state = this->book.openRun(report.run);
+    if (!state || state->record.assignment->agent != worker.agent)
+        return;
+    state->failedOn = worker.agent;
+    effects.emplace_back(RecordEvent { EventId::RunRejectedByWorker, describe(report.run) + " at " + worker.agent + ": " + report.reason });
+    this->loseRun(worker, report.run.task, "rejected", now, effects);
+}
+
+void Scheduler::heard(WorkerEntry& worker, const RunProgress& report, TimePoint now, Effects& effects)
+{
+    if (!worker.info || worker.info->identity != report.worker)
+        return;
+    worker.headroom = report.headroomPercent / 100.0;
+    worker.tailPercent = report.tailPercent;
+    this->learnPressure(report);
+    this->takeStatus(worker, report.running, now, effects);
+    if (!this->book.waiting().empty())
+        this->wantPass(now);
+}
+
+void Scheduler::takeEnds(WorkerEntry& worker, const WorkerIdentity& life, const std::vector<RunEnd>& ends, TimePoint now, Effects& effects)
+{
+    if (ends.empty())
+        return;
+    std::uint64_t last = 0;
+    for (const RunEnd& end : ends) {
+        this->takeEnd(worker, end, now, effects);
+        last = std::max(last, end.number);
+    }
+    AcknowledgeEnds& acknowledge = this->acknowledgeNext[worker.agent];
+    acknowledge = { life, acknowledge.worker == life ? std::max(acknowledge.upTo, last) : last };
+    this->wantPass(now);
+}
+
+void Scheduler::takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects)
+{
+    const TaskState* const open = this->book.openRun(end.run);
+    const bool ofThisWorker = open && open->record.assignment->agent == worker.agent;
+    const RunVerdict verdict = this->book.end(end.run, end.kind, end.checkpoint, now);
+    const JobEntry* const job = this->book.find(end.run.task.job);
+    if (verdict == RunVerdict::Unknown || !job)
+        return;
+    if (ofThisWorker)
+        worker.giveBack(end.run.task, job->spec->steps[end.run.task.step]);
+    effects.emplace_back(RecordEvent { EventId::RunEndTaken, describe(end.run) + " at " + worker.agent + ": " + std::string(toString(end.kind)) + (end.checkpoint.empty() ? "" : ", checkpoint kept") });
+    const bool failed = end.kind == RunEndKind::Failed;
+    if ((failed || end.kind == RunEndKind::Done) && worker.judge(end.run.task.job, failed, this->config.health, now))
+        effects.emplace_back(RecordEvent { EventId::WorkerExcluded, worker.agent + ": runs of " + std::to_string(worker.failedJobs.size()) + " jobs failed in a row" });
+    if (verdict == RunVerdict::JobEnded) {
+        this->observeEnd(end.run.task.job, now, effects);
+        this->stopLeftovers(end.run.task.job, now, effects);
+    }
+    // A run that was given up turned out to have finished: its successor is stopped.
+    TaskState* const successor = this->book.task(end.run.task);
+    if (verdict == RunVerdict::TaskDone && successor->record.assignment && !successor->stopping) {
+        successor->stopping = true;
+        this->send(this->knownWorkers[successor->record.assignment->agent], StopRun { { end.run.task, successor->record.run } }, effects);
+    }
+}
+
+void Scheduler::takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects)
+{
+    for (const RunStatus& status : running) {
+        TaskState* const task = this->book.openRun(status.run);
+        const bool open = task && task->record.assignment->agent == worker.agent && task->record.assignment->worker == worker.info->identity;
+        if (!open || task->stopping || isTerminal(this->book.find(status.run.task.job)->state))
+            this->send(worker, StopRun { status.run }, effects);
+        if (!open)
+            continue;
+        if (!status.checkpoint.empty())
+            task->record.checkpoint = status.checkpoint;
+        if (status.percent > task->percent)
+            task->progressedAt = now;
+        task->percent = status.percent;
+    }
+}
+
+void Scheduler::learnPressure(const RunProgress& report)
+{
+    double tails = 0;
+    std::size_t serving = 0;
+    std::map<std::string, double> work;
+    for (const RunStatus& status : report.running) {
+        const JobEntry* const job = this->book.find(status.run.task.job);
+        if (!job || !this->book.openRun(status.run))
+            continue;
+        const StepSpec& step = job->spec->steps[status.run.task.step];
+        if (step.fills)
+            work[step.image] += status.pace / 100.0;
+        if (step.target <= Duration {})
+            continue;
+        tails += static_cast<double>(status.figure) / static_cast<double>(std::max(1LL, toMilliseconds(step.target)));
+        ++serving;
+    }
+    if (serving == 0)
+        return;
+    std::vector<FillingWork> filling;
+    filling.reserve(work.size());
+    for (const std::map<std::string, double>::value_type& item : work)
+        filling.push_back({ item.first, item.second });
+    this->pressures.observe(tails / static_cast<double>(serving), filling);
+}
+
+void Scheduler::adoptRuns(WorkerEntry& worker, const WorkerSnapshot& snapshot)
+{
+    // A worker that came back under its identifier may have carried out an order that was meant for its earlier life.
+    for (const RunStatus& status : snapshot.running) {
+        TaskState* const task = this->book.openRun(status.run);
+        if (!task || task->record.assignment->agent != worker.agent || task->record.assignment->worker == snapshot.worker->identity)
+            continue;
+        this->book.moveToLife(status.run, snapshot.worker->identity);
+        worker.tasks[status.run.task] = snapshot.worker->identity;
+    }
+}
+
+void Scheduler::dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects)
+{
+    std::set<RunId> named(snapshot.pending.begin(), snapshot.pending.end());
+    for (const RunStatus& status : snapshot.running)
+        named.insert(status.run);
+    const std::map<TaskId, WorkerIdentity> tasks = worker.tasks;
+    for (const std::map<TaskId, WorkerIdentity>::value_type& item : tasks) {
+        const TaskState* const task = this->book.task(item.first);
+        // An order that has not left, or not come in before the snapshot was made, is not the agent's to name.
+        if (!task->ordered || task->order > std::max(snapshot.lastOrder, worker.ordersBeforeLink))
+            continue;
+        const bool sameLife = snapshot.worker && snapshot.worker->identity == item.second;
+        if (!sameLife || !named.contains({ item.first, task->record.run }))
+            this->loseRun(worker, item.first, sameLife ? "the worker does not list it" : "the worker's life has ended", now, effects);
+        else if (task->stopping || isTerminal(this->book.find(item.first.job)->state))
+            this->send(worker, StopRun { { item.first, task->record.run } }, effects);
+    }
+    for (const RunId& run : snapshot.pending) {
+        if (!this->book.openRun(run))
+            this->send(worker, StopRun { run }, effects);
+    }
+}
+
+void Scheduler::loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects)
+{
+    const TaskState* const state = this->book.task(task);
+    const RunId run { task, state->record.run };
+    worker.giveBack(task, this->book.find(task.job)->spec->steps[task.step]);
+    if (!this->book.release(run, now + this->config.rejectionPause, now))
+        return;
+    effects.emplace_back(RecordEvent { EventId::RunLost, describe(run) + " at " + worker.agent + ": " + reason });
+    this->wantPass(now);
+}
+
+void Scheduler::loseSilentWorkers(TimePoint now, Effects& effects)
+{
+    for (Workers::value_type& item : this->knownWorkers) {
+        WorkerEntry& worker = item.second;
+        if (worker.link || worker.tasks.empty() || now < std::max(worker.lastWord, this->ledSince) + this->config.silenceLimit)
+            continue;
+        worker.info.reset();
+        const std::map<TaskId, WorkerIdentity> tasks = worker.tasks;
+        for (const std::map<TaskId, WorkerIdentity>::value_type& task : tasks)
+            this->loseRun(worker, task.first, "the agent is silent and its leases have expired", now, effects);
+    }
+}
+
+}
--- a/libs/scheduling/tests/JobWorld.cpp
+++ b/libs/scheduling/tests/JobWorld.cpp
@@ -237,10 +237,7 @@
         this->note(node.name + " no longer leads");
         node.following = false;
         node.wanted.clear();
-        for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
-            if (item.second.entry == entry && item.second.entryOpen)
-                this->closeLink(item.first);
-        }
+        this->closeLinks([entry](const Link& link) { return link.entry == entry && link.entryOpen; });
     } else if (const KeepAgentLinked* const keep = std::get_if<KeepAgentLinked>(&effect)) {
         node.wanted.insert(keep->agent);
         for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
@@ -454,6 +451,14 @@
         this->toAgent(state.agent, this->agents[state.agent].life, LeaderDetached { LinkId { link } });
 }
 
+void JobWorld::closeLinks(const std::function<bool(const Link&)>& which)
+{
+    for (const std::map<std::uint64_t, Link>::value_type& item : this->links) {
+        if (which(item.second))
+            this->closeLink(item.first);
+    }
+}
+
 void JobWorld::watchLink(std::uint64_t link)
 {
     Link& state = this->links.at(link);
@@ -729,10 +734,7 @@
     case 0:
         this->note("fault: entry killed " + std::to_string(entry));
         this->entries[entry].up = false;
-        for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
-            if (item.second.entry == entry)
-                this->closeLink(item.first);
-        }
+        this->closeLinks([entry](const Link& link) { return link.entry == entry; });
         this->after(milliseconds(300) + this->jitter(milliseconds(4000)), [this, entry]() {
             if (!this->entries[entry].up)
                 this->startEntry(entry);
@@ -759,10 +761,7 @@
     case 5:
         this->note("fault: agent killed " + std::to_string(agent));
         this->agents[agent].up = false;
-        for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
-            if (item.second.agent == agent)
-                this->closeLink(item.first);
-        }
+        this->closeLinks([agent](const Link& link) { return link.agent == agent; });
         this->after(milliseconds(300) + this->jitter(milliseconds(4000)), [this, agent]() {
             if (!this->agents[agent].up)
                 this->startAgent(agent);
@@ -805,8 +804,7 @@
             this->entries[index].up = false;
         for (std::size_t index = 0; index < this->agents.size(); ++index)
             this->agents[index].up = false;
-        for (std::map<std::uint64_t, Link>::value_type& item : this->links)
-            this->closeLink(item.first);
+        this->closeLinks([](const Link&) { return true; });
         this->after(milliseconds(700), [this]() {
             for (std::size_t index = 0; index < this->entries.size(); ++index) {
                 if (!this->entries[index].up)
--- a/libs/scheduling/tests/JobWorld.h
+++ b/libs/scheduling/tests/JobWorld.h
@@ -152,6 +152,7 @@
     void dial(std::size_t entry, std::uint64_t life, std::size_t agent);
     void sendOnLink(std::uint64_t link, bool toAgentSide, Action deliver);
     void closeLink(std::uint64_t link);
+    void closeLinks(const std::function<bool(const Link&)>& which);
     void watchLink(std::uint64_t link);
     [[nodiscard]] bool cut(std::size_t entry, std::size_t agent) const;
 
