Forget jobs that ended long ago and remove their rows

Change: 180 s after the end (120 s by contract, and late copies), with a write that carries no progress. Tests: SchedulerTests, also for the order of storing, ordering and acknowledging.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -44,6 +44,8 @@
     JobSpecHandle spec;
     JobState state = JobState::Queued;
     TimePoint arrived {};
+    /// When it ended, if it has.
+    TimePoint endedAt {};
     /// Since when the job has had a task to place and none placed.
     TimePoint waitingSince {};
     /// Objective: later the job is worth less.
@@ -160,6 +162,12 @@
     /// @param most how many at most
     [[nodiscard]] std::vector<JobId> takeChanged(std::size_t most);
 
+    /// @brief Forgets jobs that ended long ago and whose progress is stored.
+    /// @param before those that ended before this time
+    /// @param most how many at most
+    /// @return the jobs
+    [[nodiscard]] std::vector<JobId> takeExpired(TimePoint before, std::size_t most);
+
     /// @return whether a job's stored progress is behind
     [[nodiscard]] bool changed() const noexcept { return !this->changedJobs.empty(); }
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
@@ -52,7 +52,7 @@
 /// LeaderLease lease(config);
 /// lease.rowRead(record, version, now);
 /// if (lease.wantsTakeover(now))
-///     submit(lease.begin({}, now));
+///     submit(lease.begin({}, {}, now));
 /// @endcode
 class LeaderLease {
 public:
@@ -89,9 +89,10 @@
 
     /// @brief Begins a write, or contends when this process does not lead.
     /// @param writes rows to write with it
+    /// @param removals rows to remove with it
     /// @param now the present
     /// @return the transaction to submit
-    [[nodiscard]] Transaction begin(std::vector<RowWrite> writes, TimePoint now);
+    [[nodiscard]] Transaction begin(std::vector<RowWrite> writes, std::vector<RowKey> removals, TimePoint now);
 
     /// @brief Notes that this process is to stop: it contends no more, and gives up leadership.
     void retire() noexcept { this->retired = true; }
@@ -140,7 +141,7 @@
         std::optional<TimePoint> repeatAt;
     };
 
-    [[nodiscard]] Transaction send(LeaderRecord record, std::vector<RowWrite> writes, TimePoint now);
+    [[nodiscard]] Transaction send(LeaderRecord record, std::vector<RowWrite> writes, std::vector<RowKey> removals, TimePoint now);
     [[nodiscard]] CommitVerdict conflicted(const Conflict& conflict, TimePoint now);
     [[nodiscard]] CommitVerdict applied(RowVersion version, TimePoint sentAt);
     [[nodiscard]] bool ownRecord(const LeaderRecord& record) const noexcept;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -30,6 +30,12 @@
     Duration pendingInterval = std::chrono::milliseconds(500);
     /// Pause before a refused run is placed again.
     Duration rejectionPause = std::chrono::milliseconds(100);
+    /// How long an ended job can still be asked for: 120 s by contract, and time for late copies of its request.
+    Duration retention = std::chrono::seconds(180);
+    /// How often ended jobs are looked through.
+    Duration sweepInterval = std::chrono::seconds(5);
+    /// Jobs removed at once: three rows each, in a transaction over several parts.
+    std::size_t removedAtOnce = 20;
     /// Rows of jobs in one write; the rest of the store's limit is left to rows of the leader.
     std::size_t rowsPerWrite = maximumTransactionEntries - 4;
 
@@ -210,6 +216,7 @@
     void placeTasks(TimePoint now, Effects& effects);
     void placeJob(const JobEntry& job, TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<RowWrite> takeWrites(TimePoint now);
+    [[nodiscard]] std::vector<RowKey> takeRemovals(TimePoint now);
     void orderStored(const JobId& job, Effects& effects);
     void stopLeftovers(const JobId& job, TimePoint now, Effects& effects);
     void cancelJob(const JobId& job, TimePoint now, Effects& effects);
@@ -247,6 +254,7 @@
     std::map<std::string, AcknowledgeEnds> acknowledgeAfterWrite;
     PendingCounts pendingWritten;
     TimePoint pendingWrittenAt {};
+    TimePoint sweptAt {};
 };
 
 }
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -51,6 +51,7 @@
         return;
     JobEntry& job = this->entry(spec->id);
     job.state = record.state;
+    job.endedAt = now;
     std::size_t next = 0;
     for (std::size_t step = 0; step < job.steps.size(); ++step) {
         for (TaskState& task : job.steps[step]) {
@@ -234,6 +235,19 @@
     return taken;
 }
 
+std::vector<JobId> JobBook::takeExpired(TimePoint before, std::size_t most)
+{
+    std::vector<JobId> expired;
+    for (const std::map<JobId, JobEntry>::value_type& item : this->entries) {
+        const bool over = isTerminal(item.second.state) && item.second.assigned == 0 && item.second.endedAt < before && !this->changedJobs.contains(item.first);
+        if (over && expired.size() < most)
+            expired.push_back(item.first);
+    }
+    for (const JobId& job : expired)
+        this->entries.erase(job);
+    return expired;
+}
+
 JobEntry& JobBook::entry(const JobId& job)
 {
     return this->entries.at(job);
@@ -242,6 +256,7 @@
 void JobBook::finishJob(JobEntry& job, JobState state, TimePoint now)
 {
     job.state = state;
+    job.endedAt = now;
     this->changedJobs.insert(job.spec->id);
     this->refresh(job, now);
 }
--- a/libs/scheduling/src/LeaderLease.cpp
+++ b/libs/scheduling/src/LeaderLease.cpp
@@ -48,19 +48,19 @@
     return this->leads && !this->inFlight && now - this->lastWrite >= this->config.renewInterval;
 }
 
-Transaction LeaderLease::begin(std::vector<RowWrite> writes, TimePoint now)
+Transaction LeaderLease::begin(std::vector<RowWrite> writes, std::vector<RowKey> removals, TimePoint now)
 {
     LeaderRecord next { this->current.epoch, this->config.holder, this->config.incarnation, this->current.sequence + 1 };
     if (!this->leads) {
         next.epoch = this->current.epoch + 1;
         next.sequence = 1;
     }
-    return this->send(std::move(next), std::move(writes), now);
+    return this->send(std::move(next), std::move(writes), std::move(removals), now);
 }
 
 Transaction LeaderLease::beginRelease(TimePoint now)
 {
-    return this->send({ this->current.epoch, "", 0, this->current.sequence + 1 }, {}, now);
+    return this->send({ this->current.epoch, "", 0, this->current.sequence + 1 }, {}, {}, now);
 }
 
 CommitVerdict LeaderLease::finished(const TransactionResult& result, TimePoint now)
@@ -102,10 +102,10 @@
     return this->readAt;
 }
 
-Transaction LeaderLease::send(LeaderRecord record, std::vector<RowWrite> writes, TimePoint now)
+Transaction LeaderLease::send(LeaderRecord record, std::vector<RowWrite> writes, std::vector<RowKey> removals, TimePoint now)
 {
     writes.push_back({ leaderRowKey(), print(record) });
-    Transaction transaction { { { leaderRowKey(), this->version.value_or(0) } }, std::move(writes), {} };
+    Transaction transaction { { { leaderRowKey(), this->version.value_or(0) } }, std::move(writes), std::move(removals) };
     this->inFlight = InFlight { transaction, std::move(record), now, now, std::nullopt };
     return transaction;
 }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -171,7 +171,7 @@
     if (this->leaderLease.wantsRelease())
         effects.emplace_back(SubmitCommit { this->leaderLease.beginRelease(now) });
     if (this->leaderLease.wantsTakeover(now))
-        effects.emplace_back(SubmitCommit { this->leaderLease.begin({}, now) });
+        effects.emplace_back(SubmitCommit { this->leaderLease.begin({}, {}, now) });
     if (!this->leaderLease.wantsRead(now))
         return;
     this->leaderLease.readSent();
@@ -188,8 +188,10 @@
     this->placeTasks(now, effects);
     if (!this->book.changed() && this->acknowledgeNext.empty() && !countsDue && !this->leaderLease.wantsRenewal(now))
         return;
+    // A write that is full of progress leaves removals to a later one.
     std::vector<RowWrite> rows = this->takeWrites(now);
-    effects.emplace_back(SubmitCommit { this->leaderLease.begin(std::move(rows), now) });
+    std::vector<RowKey> removals = rows.empty() ? this->takeRemovals(now) : std::vector<RowKey> {};
+    effects.emplace_back(SubmitCommit { this->leaderLease.begin(std::move(rows), std::move(removals), now) });
 }
 
 void Scheduler::tookOver(TimePoint now, Effects& effects)
@@ -283,6 +285,20 @@
     return rows;
 }
 
+std::vector<RowKey> Scheduler::takeRemovals(TimePoint now)
+{
+    std::vector<RowKey> removals;
+    if (now < this->sweptAt + this->config.sweepInterval)
+        return removals;
+    this->sweptAt = now;
+    for (const JobId& job : this->book.takeExpired(now - this->config.retention, this->config.removedAtOnce)) {
+        removals.push_back(progressRowKey(job));
+        removals.push_back(jobRowKey(job));
+        removals.push_back(cancelRowKey(job));
+    }
+    return removals;
+}
+
 void Scheduler::orderStored(const JobId& job, Effects& effects)
 {
     const JobSpec& spec = *this->book.find(job)->spec;
--- a/libs/scheduling/tests/JobWorld.cpp
+++ b/libs/scheduling/tests/JobWorld.cpp
@@ -318,6 +318,8 @@
         this->rows[write.key] = row;
         this->changes.push_back(row);
     }
+    for (const RowKey& removal : transaction.removals)
+        this->rows.erase(removal);
     return Applied { this->version };
 }
 
--- a/libs/scheduling/tests/LeaderLeaseTests.cpp
+++ b/libs/scheduling/tests/LeaderLeaseTests.cpp
@@ -26,7 +26,7 @@
 {
     LeaderLease lease = leaseOf("me");
     lease.rowRead(std::nullopt, 0, start);
-    static_cast<void>(lease.begin({}, start));
+    static_cast<void>(lease.begin({}, {}, start));
     static_cast<void>(lease.finished(Applied { 11 }, start));
     return lease;
 }
@@ -43,7 +43,7 @@
     lease.rowRead(other, 41, start + milliseconds(1950));
     CHECK_FALSE(lease.wantsTakeover(start + milliseconds(3900)));
     CHECK(lease.wantsTakeover(start + milliseconds(3950)));
-    const Transaction transaction = lease.begin({}, start + milliseconds(3950));
+    const Transaction transaction = lease.begin({}, {}, start + milliseconds(3950));
     CHECK(transaction.conditions.front().version == 41);
     CHECK(lease.finished(Applied { 42 }, start + milliseconds(3960)) == CommitVerdict::TookOver);
     CHECK(lease.epoch() == 4);
@@ -72,7 +72,7 @@
 TEST_CASE("lease: a write without an answer is repeated, and known by its own record if it was done", "[jobs]")
 {
     LeaderLease lease = leadingLease();
-    const Transaction transaction = lease.begin({}, start + milliseconds(10));
+    const Transaction transaction = lease.begin({}, {}, start + milliseconds(10));
     CHECK(lease.finished(OutcomeAmbiguous { "" }, start + milliseconds(810)) == CommitVerdict::Repeat);
     CHECK_FALSE(lease.repeat(start + milliseconds(850)));
     CHECK(lease.repeat(start + milliseconds(910)) == transaction);
@@ -86,7 +86,7 @@
 TEST_CASE("lease: a leader that finds another record is deposed", "[jobs]")
 {
     LeaderLease lease = leadingLease();
-    static_cast<void>(lease.begin({}, start));
+    static_cast<void>(lease.begin({}, {}, start));
     CHECK(lease.finished(conflictWith({ 2, "other", 1, 1 }, 20), start) == CommitVerdict::Deposed);
     CHECK_FALSE(lease.leading());
     CHECK_FALSE(lease.valid(start));
@@ -95,7 +95,7 @@
 TEST_CASE("lease: a refused write is repeated and does not lengthen the lease", "[jobs]")
 {
     LeaderLease lease = leadingLease();
-    static_cast<void>(lease.begin({}, start + milliseconds(500)));
+    static_cast<void>(lease.begin({}, {}, start + milliseconds(500)));
     CHECK(lease.finished(StoreRefused { "503" }, start + milliseconds(510)) == CommitVerdict::Repeat);
     CHECK(lease.leading());
     CHECK_FALSE(lease.valid(start + milliseconds(2000)));
--- /dev/null
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -0,0 +1,149 @@
+#include "Values.h"
+#include <catch2/catch.hpp>
+#include <cowslipdoor/scheduling/Scheduler.h>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// One entry's scheduler, its last effects, and shorthands for what drives it.
+struct SchedulerUnderTest {
+    SchedulerConfig config = SchedulerConfig { .lease = { .holder = "me", .incarnation = 1 } };
+    Scheduler machine { config };
+    Scheduler::Effects effects {};
+    TimePoint now = start;
+    RowVersion version = 10;
+
+    void step(const SchedulerEvent& event) { this->effects = this->machine.step(event, this->now); }
+
+    template <typename Effect>
+    std::optional<Effect> find() const
+    {
+        for (const SchedulerEffect& effect : this->effects) {
+            const Effect* const found = std::get_if<Effect>(&effect);
+            if (found)
+                return *found;
+        }
+        return std::nullopt;
+    }
+
+    template <typename Message>
+    std::optional<Message> sent() const
+    {
+        for (const SchedulerEffect& effect : this->effects) {
+            const SendToAgent* const message = std::get_if<SendToAgent>(&effect);
+            if (message && std::holds_alternative<Message>(message->message))
+                return std::get<Message>(message->message);
+        }
+        return std::nullopt;
+    }
+
+    void commit() { this->step(CommitFinished { Applied { ++this->version } }); }
+
+    /// Lets time pass until a write is due, and gives it.
+    Transaction awaitWrite(Duration pause = milliseconds(6))
+    {
+        this->now += pause;
+        this->step(TimePassed {});
+        const std::optional<SubmitCommit> commit = this->find<SubmitCommit>();
+        REQUIRE(commit);
+        return commit->transaction;
+    }
+
+    /// Leads, with one agent whose worker is settled.
+    void lead(const std::vector<JobSpecHandle>& jobs)
+    {
+        this->step(LeaderRowRead { std::nullopt, 0 });
+        this->commit();
+        this->step(TablesRead { 1, jobs, {}, {}, { { "agent", { "address", 3 } } } });
+        this->step(AgentLinked { "agent", LinkId { 1 } });
+        const WorkerInfo worker { firstLife, "service", { 8000, 8000, 0 }, {}, false, {} };
+        this->step(AgentSaid { "agent", LinkId { 1 }, WorkerSnapshot { "agent", 3, worker, true, {}, {}, {}, 0 } });
+        // The counts of waiting jobs are written as soon as they are known.
+        if (!this->machine.lease().idle())
+            this->commit();
+    }
+};
+
+}
+
+TEST_CASE("scheduler: an order leaves only once its assignment is stored", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 100) }) });
+    const Transaction write = test.awaitWrite();
+    CHECK_FALSE(test.sent<StartRun>());
+    CHECK(write.conditions.front().key == leaderRowKey());
+    CHECK(write.writes.front().key == progressRowKey({ "a" }));
+    test.commit();
+    REQUIRE(test.sent<StartRun>());
+    CHECK(test.sent<StartRun>()->run == RunId { { { "a" }, 0, 0 }, 1 });
+}
+
+TEST_CASE("scheduler: an end is acknowledged only once it is stored", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 100) }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    test.step(AgentSaid { "agent", LinkId { 1 }, RunsEnded { firstLife, { { 1, { { { "a" }, 0, 0 }, 1 }, RunEndKind::Done, "" } } } });
+    CHECK_FALSE(test.sent<AcknowledgeEnds>());
+    static_cast<void>(test.awaitWrite());
+    CHECK_FALSE(test.sent<AcknowledgeEnds>());
+    test.commit();
+    CHECK(test.sent<AcknowledgeEnds>() == AcknowledgeEnds { firstLife, 1 });
+}
+
+TEST_CASE("scheduler: a job that is cancelled before its order leaves is never ordered", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 100) }) });
+    static_cast<void>(test.awaitWrite());
+    test.step(JobCancelStored { { "a" } });
+    test.commit();
+    CHECK_FALSE(test.sent<StartRun>());
+}
+
+TEST_CASE("scheduler: a word is given only while the lease is valid", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({});
+    test.step(AgentSaid { "agent", LinkId { 1 }, Ping { 7 } });
+    CHECK(test.sent<Pong>() == Pong { 7 });
+    test.now += milliseconds(2000);
+    test.step(AgentSaid { "agent", LinkId { 1 }, Ping { 8 } });
+    CHECK_FALSE(test.sent<Pong>());
+}
+
+TEST_CASE("scheduler: an agent's runs are given up only when its leases have expired", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 100) }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    test.step(AgentSaid { "agent", LinkId { 1 }, Ping { 7 } });
+    const TimePoint word = test.now;
+    test.step(AgentUnlinked { "agent", LinkId { 1 } });
+    test.now = word + test.config.silenceLimit - milliseconds(1);
+    test.step(TimePassed {});
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 1);
+    test.now = word + test.config.silenceLimit;
+    test.step(TimePassed {});
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 0);
+}
+
+TEST_CASE("scheduler: jobs that ended long ago are forgotten and their rows removed", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 100) }) });
+    test.step(JobCancelStored { { "a" } });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    CHECK(test.awaitWrite(std::chrono::seconds(60)).removals.empty());
+    test.commit();
+    const std::vector<RowKey> removals = test.awaitWrite(test.config.retention).removals;
+    CHECK(removals == std::vector<RowKey> { progressRowKey({ "a" }), jobRowKey({ "a" }), cancelRowKey({ "a" }) });
+    CHECK(test.machine.jobs().jobs().empty());
+}
