--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -68,7 +68,6 @@
     RunRejectedByWorker = 624,
     RunStopOrdered = 625,
     OrderUnanswered = 626,
-    RunStalled = 627,
     WorkerSeen = 630,
     WorkerSettled = 631,
     WorkerGone = 632,
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -56,7 +56,6 @@
         EventDescription { EventId::RunRejectedByWorker, "run_rejected", EventLevel::Warning, "A worker or its agent refused a start." },
         EventDescription { EventId::RunStopOrdered, "run_stop_ordered", EventLevel::Info, "A run is to be stopped." },
         EventDescription { EventId::OrderUnanswered, "order_unanswered", EventLevel::Warning, "An order to a worker has no answer; a higher fencing token voids it." },
-        EventDescription { EventId::RunStalled, "run_stalled", EventLevel::Warning, "A run makes no progress while others do; it is stopped and placed elsewhere." },
         EventDescription { EventId::WorkerSeen, "worker_seen", EventLevel::Info, "A life of the worker reported itself for the first time." },
         EventDescription { EventId::WorkerSettled, "worker_settled", EventLevel::Info, "The leader knows all that runs on a worker." },
         EventDescription { EventId::WorkerGone, "worker_gone", EventLevel::Warning, "A life of the worker is over; nothing of it runs." },
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
@@ -111,8 +111,6 @@
     std::vector<RunStatus> running;
     /// What the tails there still bear of pressure, as a share of their targets.
     std::uint32_t headroomPercent = 0;
-    /// Worst tail of the serving runs as a share of its target.
-    std::uint32_t tailPercent = 0;
 
     bool operator==(const RunProgress&) const = default;
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -47,8 +47,6 @@
     std::uint32_t lastingMilliCores = 0;
     /// Pressure that the tails there still bear, as the agent told last, less what has been sent there since.
     double headroom = PaceConfig {}.firstBudget;
-    /// Worst tail of the serving runs as a share of its target, as the agent told last.
-    std::uint32_t tailPercent = 0;
     /// Tasks with a run here, with the life of the worker that they were sent to.
     std::map<TaskId, WorkerIdentity> tasks {};
     /// Jobs that failed here since the last success.
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -57,7 +57,6 @@
     if (!worker.info || worker.info->identity != report.worker)
         return;
     worker.headroom = report.headroomPercent / 100.0;
-    worker.tailPercent = report.tailPercent;
     this->learnPressure(report);
     this->takeStatus(worker, report.running, now, effects);
     if (!this->book.waiting().empty())
--- a/libs/wire/src/JobCodec.cpp
+++ b/libs/wire/src/JobCodec.cpp
@@ -238,7 +238,6 @@
             table.worker = pack(message.worker);
             table.running = packAll<jobs::StatusT>(message.running);
             table.headroom_percent = message.headroomPercent;
-            table.tail_percent = message.tailPercent;
             this->body.Set(std::move(table));
         }
     };
@@ -277,7 +276,7 @@
         case jobs::Body::RunRejected:
             return RunRejected { unpack(required(body.AsRunRejected()->run)), body.AsRunRejected()->reason };
         case jobs::Body::RunProgress:
-            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running), body.AsRunProgress()->headroom_percent, body.AsRunProgress()->tail_percent };
+            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running), body.AsRunProgress()->headroom_percent };
         case jobs::Body::NONE:
             break;
         }
--- a/libs/wire/tests/JobCodecTests.cpp
+++ b/libs/wire/tests/JobCodecTests.cpp
@@ -26,7 +26,7 @@
         WorkerSnapshot { "agent", 0, std::nullopt, false, {}, {}, {}, 0 },
         RunsEnded { life, { end, end } },
         RunRejected { run, "room" },
-        RunProgress { life, { status }, 35, 120 },
+        RunProgress { life, { status }, 35 },
     };
 }
 
