Share what stood twice: the range of one row, widening a message, recording hangups

Read-through of the change: the range of just one row was built in three places, two visitors were the same, both programs for jobs recorded SIGHUP alike. Behaviour stays. Runtime and scheduling tests and the seven system cases of jobs pass.

--- a/apps/agent/JobsAgentProcess.cpp
+++ b/apps/agent/JobsAgentProcess.cpp
@@ -1,9 +1,7 @@
 #include "JobsAgentProcess.h"
-#include <boost/asio/signal_set.hpp>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/platform/StoreAdapter.h>
 #include <cowslipdoor/runtime/Process.h>
-#include <csignal>
 #include <nlohmann/json.hpp>
 
 namespace cowslipdoor::agent {
@@ -59,7 +57,7 @@
     asio::co_spawn(
         this->context, [this]() { return registerAgent(this->store, this->name, this->settings.text("link-listen"), this->task.inbox(), this->log); }, asio::detached);
     asio::co_spawn(
-        this->context, [this]() { return this->noteHangups(); }, asio::detached);
+        this->context, [this]() { return recordHangups(this->log); }, asio::detached);
     this->stop.start();
     this->log.record(EventId::ProcessStarted, "worker at " + this->settings.text("worker") + ", links at " + this->settings.text("link-listen"));
     this->context.run();
@@ -92,13 +90,4 @@
     co_return std::get<1>(received);
 }
 
-asio::awaitable<void> JobsAgentProcess::noteHangups()
-{
-    asio::signal_set signals(this->context, SIGHUP);
-    while (true) {
-        co_await signals.async_wait(asTuple);
-        this->log.record(EventId::SettingsReread, "flags hold until the next start");
-    }
-}
-
 }
--- a/apps/agent/JobsAgentProcess.h
+++ b/apps/agent/JobsAgentProcess.h
@@ -29,7 +29,6 @@
 private:
     void addPages();
     runtime::asio::awaitable<runtime::WorkerTaskStatus> status();
-    runtime::asio::awaitable<void> noteHangups();
 
     runtime::Settings settings;
     std::string name;
--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -1,11 +1,9 @@
 #include "JobsEntryProcess.h"
-#include <boost/asio/signal_set.hpp>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/platform/Readiness.h>
 #include <cowslipdoor/platform/StoreAdapter.h>
 #include <cowslipdoor/runtime/Clock.h>
 #include <cowslipdoor/runtime/Process.h>
-#include <csignal>
 #include <nlohmann/json.hpp>
 
 namespace cowslipdoor::entry {
@@ -78,7 +76,7 @@
     asio::co_spawn(
         this->context, [this]() { return this->configuration.run(); }, asio::detached);
     asio::co_spawn(
-        this->context, [this]() { return this->noteHangups(); }, asio::detached);
+        this->context, [this]() { return recordHangups(this->log); }, asio::detached);
     this->stop.start();
     this->log.record(EventId::ProcessStarted, "callers at " + this->settings.text("listen") + ", store at " + this->settings.text("store"));
     this->context.run();
@@ -150,13 +148,4 @@
     co_return std::get<1>(received);
 }
 
-asio::awaitable<void> JobsEntryProcess::noteHangups()
-{
-    asio::signal_set signals(this->context, SIGHUP);
-    while (true) {
-        co_await signals.async_wait(asTuple);
-        this->log.record(EventId::SettingsReread, "flags hold until the next start");
-    }
-}
-
 }
--- a/apps/entry/JobsEntryProcess.h
+++ b/apps/entry/JobsEntryProcess.h
@@ -36,7 +36,6 @@
     runtime::asio::awaitable<bool> drain();
     runtime::asio::awaitable<std::string> describeHeld();
     runtime::asio::awaitable<runtime::SchedulerStatus> status();
-    runtime::asio::awaitable<void> noteHangups();
 
     runtime::Settings settings;
     std::string name;
--- a/libs/runtime/include/cowslipdoor/runtime/Process.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Process.h
@@ -41,6 +41,10 @@
 /// @return the settings that httpLimits() reads
 [[nodiscard]] std::vector<SettingSpec> httpSettings();
 
+/// @brief Records each SIGHUP, until the context stops; for programs whose settings are flags.
+/// @param log where it is told
+[[nodiscard]] asio::awaitable<void> recordHangups(const Log& log);
+
 /// @brief Waits.
 /// @param duration how long
 [[nodiscard]] asio::awaitable<void> pauseFor(Duration duration);
--- a/libs/runtime/include/cowslipdoor/runtime/StorePort.h
+++ b/libs/runtime/include/cowslipdoor/runtime/StorePort.h
@@ -23,6 +23,15 @@
     bool operator==(const RowRange&) const = default;
 };
 
+/// @param key place of a row
+/// @return the range of just this row
+[[nodiscard]] inline RowRange rangeOf(const RowKey& key)
+{
+    // No key of ours goes on with this byte.
+    constexpr char afterKey = '\x01';
+    return { key.table, key.part, key.key, key.key + afterKey };
+}
+
 /// @brief Rows as of one moment.
 struct RowPage {
     std::vector<Row> rows;
--- a/libs/runtime/src/JobIntake.cpp
+++ b/libs/runtime/src/JobIntake.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-    /// Byte after a key that ends the range of just this key.
-    constexpr char afterKey = '\x01';
-
     /// Byte that ends the range of a job's row and of those whose keys continue it behind a dot.
     constexpr char afterDot = '/';
 
@@ -140,7 +137,7 @@
 
 asio::awaitable<ReadResult> JobIntake::readRow(RowKey key)
 {
-    const RowRange range { key.table, key.part, key.key, key.key + afterKey };
+    const RowRange range = rangeOf(key);
     co_return co_await this->store.read(range);
 }
 
--- a/libs/runtime/src/Process.cpp
+++ b/libs/runtime/src/Process.cpp
@@ -1,6 +1,8 @@
 #include "cowslipdoor/runtime/Process.h"
 #include "cowslipdoor/runtime/Clock.h"
+#include <boost/asio/signal_set.hpp>
 #include <chrono>
+#include <csignal>
 #include <iostream>
 
 namespace cowslipdoor::runtime {
@@ -57,6 +59,15 @@
     };
 }
 
+asio::awaitable<void> recordHangups(const Log& log)
+{
+    asio::signal_set signals(co_await asio::this_coro::executor, SIGHUP);
+    while (true) {
+        co_await signals.async_wait(asTuple);
+        log.record(EventId::SettingsReread, "flags hold until the next start");
+    }
+}
+
 asio::awaitable<void> pauseFor(Duration duration)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -13,11 +13,6 @@
     /// Pause before the tables are read again after a failure.
     constexpr Duration tableRetryDelay = std::chrono::milliseconds(150);
 
-    struct ToJobMessage {
-        template <typename Message>
-        JobMessage operator()(const Message& message) const { return message; }
-    };
-
     /// Event that a row of a followed table means, or nothing for one that means none.
     std::optional<SchedulerEvent> eventOf(const Row& row)
     {
@@ -127,7 +122,7 @@
 
 void SchedulerTask::carryOut(const SendToAgent& effect)
 {
-    this->dialer.send(effect.link, std::visit(ToJobMessage {}, effect.message));
+    this->dialer.send(effect.link, toJobMessage(effect.message));
 }
 
 void SchedulerTask::carryOut(const ObserveJob& effect)
@@ -143,8 +138,7 @@
 
 asio::awaitable<void> SchedulerTask::readLeaderRow()
 {
-    const RowKey key = leaderRowKey();
-    const RowRange range { key.table, key.part, key.key, key.key + '\x01' };
+    const RowRange range = rangeOf(leaderRowKey());
     const ReadResult result = co_await this->store.read(range);
     const RowPage* const page = std::get_if<RowPage>(&result);
     if (!page) {
--- a/libs/runtime/src/WorkerTask.cpp
+++ b/libs/runtime/src/WorkerTask.cpp
@@ -19,11 +19,6 @@
     /// reason for the agent to give up and the leader dials again by itself.
     constexpr Duration leaderSilenceLimit = std::chrono::milliseconds(5000);
 
-    struct ToReportMessage {
-        template <typename Message>
-        JobMessage operator()(const Message& message) const { return message; }
-    };
-
     struct ToLeaderMessage {
         std::optional<LeaderMessage> operator()(const LeaderHello& message) const { return message; }
         std::optional<LeaderMessage> operator()(const DescribeRun& message) const { return message; }
@@ -108,7 +103,7 @@
 void WorkerTask::carryOut(const SendToLeader& effect)
 {
     const std::map<LinkId, JobOutbox>::iterator it = this->links.find(effect.link);
-    if (it != this->links.end() && !trySend(*it->second, JobOutboxMessage(std::visit(ToReportMessage {}, effect.report))))
+    if (it != this->links.end() && !trySend(*it->second, JobOutboxMessage(toJobMessage(effect.report))))
         it->second->close();
 }
 
@@ -203,7 +198,7 @@
 {
     const RowKey key = agentRowKey(agent);
     while (true) {
-        const RowRange range { key.table, key.part, key.key, key.key + '\x01' };
+        const RowRange range = rangeOf(key);
         const ReadResult read = co_await store.read(range);
         const RowPage* const page = std::get_if<RowPage>(&read);
         if (page) {
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
@@ -124,4 +124,13 @@
 /// @brief Any message on a link of jobs.
 using JobMessage = std::variant<LeaderHello, DescribeRun, StartRun, StopRun, AcknowledgeEnds, Pong, Ping, WorkerSnapshot, RunsEnded, RunRejected, RunProgress>;
 
+/// @brief Widens a message of one side to one of the link.
+/// @param message a LeaderMessage or an AgentReport
+/// @return the same message
+template <typename SideMessage>
+[[nodiscard]] JobMessage toJobMessage(const SideMessage& message)
+{
+    return std::visit([](const auto& alternative) { return JobMessage(alternative); }, message);
+}
+
 }
