Decode rows for the scheduler in its library; the world decodes with the same code

Read-through: the runtime's task and the world of the tests each decoded the tables in their own way, so the world did not try the code that runs. eventOf() and decodeTables() serve both now and have a test. The counts of waiting jobs are computed only when they are due; the world has one way to kill a process.

--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -92,6 +92,7 @@
     asio::awaitable<void> post(SchedulerEvent event);
     asio::awaitable<void> postRow(Row row);
     asio::awaitable<void> ignoreRow();
+    void recordIgnored(const RowKey& key);
     void stopFollowing();
     void armTimer();
 
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -2,6 +2,7 @@
 #include "cowslipdoor/runtime/Clock.h"
 #include "cowslipdoor/runtime/Process.h"
 #include <algorithm>
+#include <cowslipdoor/scheduling/TableEvents.h>
 #include <utility>
 
 namespace cowslipdoor::runtime {
@@ -13,26 +14,6 @@
     /// Pause before the tables are read again after a failure.
     constexpr Duration tableRetryDelay = std::chrono::milliseconds(150);
 
-    /// Event that a row of a followed table means, or nothing for one that means none.
-    std::optional<SchedulerEvent> eventOf(const Row& row)
-    {
-        if (row.deleted)
-            return std::nullopt;
-        if (row.key.table == agentTable) {
-            const std::optional<AgentRecord> record = parseAgentRecord(row.value);
-            if (record)
-                return AgentStored { { row.key.key, *record } };
-            return std::nullopt;
-        }
-        const std::optional<JobId> cancelled = cancelledJob(row.key);
-        if (cancelled)
-            return JobCancelStored { *cancelled };
-        const std::optional<JobSpec> spec = parseJobSpec(row.value);
-        if (spec)
-            return JobStored { std::make_shared<const JobSpec>(*spec) };
-        return std::nullopt;
-    }
-
 }
 
 SchedulerTask::SchedulerTask(asio::any_io_executor executor, SchedulerConfig config, StorePort store, const Log& log, Metrics& metrics)
@@ -172,33 +153,13 @@
             co_await pauseFor(tableRetryDelay);
             continue;
         }
-        std::vector<JobSpecHandle> specs;
-        std::vector<JobId> cancelled;
-        std::map<JobId, ProgressRecord> records;
-        std::vector<KnownAgent> known;
         std::vector<Row> rows = jobRows->rows;
+        rows.insert(rows.end(), progressRows->rows.begin(), progressRows->rows.end());
         rows.insert(rows.end(), agentRows->rows.begin(), agentRows->rows.end());
-        for (const Row& row : rows) {
-            const std::optional<SchedulerEvent> event = eventOf(row);
-            if (!event) {
-                this->log.record(EventId::RowIgnored, row.key.table + "/" + row.key.key);
-                continue;
-            }
-            if (const JobStored* const stored = std::get_if<JobStored>(&*event))
-                specs.push_back(stored->spec);
-            if (const JobCancelStored* const cancel = std::get_if<JobCancelStored>(&*event))
-                cancelled.push_back(cancel->job);
-            if (const AgentStored* const agent = std::get_if<AgentStored>(&*event))
-                known.push_back(agent->agent);
-        }
-        for (const Row& row : progressRows->rows) {
-            const std::optional<ProgressRecord> record = parseProgressRecord(row.value);
-            if (record)
-                records.emplace(JobId { row.key.key }, *record);
-            else
-                this->log.record(EventId::RowIgnored, row.key.table + "/" + row.key.key);
-        }
-        const SchedulerEvent read = TablesRead { following->epoch, specs, records, cancelled, known };
+        const DecodedTables tables = decodeTables(following->epoch, rows);
+        for (const RowKey& key : tables.ignored)
+            this->recordIgnored(key);
+        const SchedulerEvent read = tables.read;
         co_await this->post(read);
         if (following->stopped)
             co_return;
@@ -229,7 +190,13 @@
     if (event)
         co_await this->post(std::move(*event));
     else if (!row.deleted)
-        this->log.record(EventId::RowIgnored, row.key.table + "/" + row.key.key);
+        this->recordIgnored(row.key);
+}
+
+void SchedulerTask::recordIgnored(const RowKey& key)
+{
+    this->metrics.countEvent(EventId::RowIgnored);
+    this->log.record(EventId::RowIgnored, key.table + "/" + key.key);
 }
 
 asio::awaitable<void> SchedulerTask::ignoreRow()
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -216,6 +216,7 @@
     void placeTasks(TimePoint now, Effects& effects);
     void placeJob(const JobEntry& job, TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<RowWrite> takeWrites(TimePoint now);
+    [[nodiscard]] bool pendingCountsDue(TimePoint now) const;
     [[nodiscard]] std::vector<RowKey> takeRemovals(TimePoint now);
     void orderStored(const JobId& job, Effects& effects);
     void stopLeftovers(const JobId& job, TimePoint now, Effects& effects);
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -181,7 +181,7 @@
 void Scheduler::advanceWrites(TimePoint now, Effects& effects)
 {
     const bool pass = this->passAt && now >= *this->passAt;
-    const bool countsDue = now >= this->pendingWrittenAt + this->config.pendingInterval && this->pendingWritten != this->book.pendingCounts();
+    const bool countsDue = this->pendingCountsDue(now);
     if (!pass && !countsDue && !this->leaderLease.wantsRenewal(now))
         return;
     this->passAt.reset();
@@ -274,8 +274,8 @@
                 task.storedBy = this->writes;
         }
     }
-    const PendingCounts counts = this->book.pendingCounts();
-    if (counts != this->pendingWritten && now >= this->pendingWrittenAt + this->config.pendingInterval) {
+    if (this->pendingCountsDue(now)) {
+        const PendingCounts counts = this->book.pendingCounts();
         rows.push_back({ pendingRowKey(), print(counts) });
         this->pendingWritten = counts;
         this->pendingWrittenAt = now;
@@ -285,6 +285,11 @@
     return rows;
 }
 
+bool Scheduler::pendingCountsDue(TimePoint now) const
+{
+    return now >= this->pendingWrittenAt + this->config.pendingInterval && this->pendingWritten != this->book.pendingCounts();
+}
+
 std::vector<RowKey> Scheduler::takeRemovals(TimePoint now)
 {
     std::vector<RowKey> removals;
--- /dev/null
+++ b/libs/scheduling/src/TableEvents.cpp
@@ -0,0 +1,65 @@
+#include "cowslipdoor/scheduling/TableEvents.h"
+#include <utility>
+
+namespace cowslipdoor {
+
+namespace {
+
+    /// Sorts events of rows into what a reading of whole tables tells.
+    struct EventSorter {
+        std::vector<JobSpecHandle>& jobs;
+        std::vector<JobId>& cancelled;
+        std::vector<KnownAgent>& agents;
+
+        void operator()(const JobStored& event) const { this->jobs.push_back(event.spec); }
+        void operator()(const JobCancelStored& event) const { this->cancelled.push_back(event.job); }
+        void operator()(const AgentStored& event) const { this->agents.push_back(event.agent); }
+        template <typename Other>
+        void operator()(const Other&) const
+        {
+        }
+    };
+
+}
+
+std::optional<SchedulerEvent> eventOf(const Row& row)
+{
+    if (row.deleted)
+        return std::nullopt;
+    if (row.key.table == agentTable) {
+        const std::optional<AgentRecord> record = parseAgentRecord(row.value);
+        if (record)
+            return AgentStored { { row.key.key, *record } };
+        return std::nullopt;
+    }
+    const std::optional<JobId> cancelled = cancelledJob(row.key);
+    if (cancelled)
+        return JobCancelStored { *cancelled };
+    const std::optional<JobSpec> spec = parseJobSpec(row.value);
+    if (spec)
+        return JobStored { std::make_shared<const JobSpec>(*spec) };
+    return std::nullopt;
+}
+
+DecodedTables decodeTables(std::uint64_t epoch, const std::vector<Row>& rows)
+{
+    std::vector<JobSpecHandle> jobs;
+    std::map<JobId, ProgressRecord> progress;
+    std::vector<JobId> cancelled;
+    std::vector<KnownAgent> agents;
+    std::vector<RowKey> ignored;
+    for (const Row& row : rows) {
+        const bool ofProgress = row.key.table == progressTable;
+        const std::optional<ProgressRecord> record = ofProgress ? parseProgressRecord(row.value) : std::nullopt;
+        const std::optional<SchedulerEvent> event = ofProgress ? std::nullopt : eventOf(row);
+        if (record)
+            progress.emplace(JobId { row.key.key }, *record);
+        else if (event)
+            std::visit(EventSorter { jobs, cancelled, agents }, *event);
+        else
+            ignored.push_back(row.key);
+    }
+    return { { epoch, std::move(jobs), std::move(progress), std::move(cancelled), std::move(agents) }, std::move(ignored) };
+}
+
+}
--- a/libs/scheduling/tests/JobWorld.cpp
+++ b/libs/scheduling/tests/JobWorld.cpp
@@ -1,5 +1,6 @@
 #include "JobWorld.h"
 #include <algorithm>
+#include <cowslipdoor/scheduling/TableEvents.h>
 #include <cstdio>
 #include <utility>
 
@@ -334,23 +335,17 @@
         return;
     }
     this->after(storeDelay * 5, [this, entry, life, epoch]() {
-        std::vector<JobSpecHandle> specs;
-        std::map<JobId, ProgressRecord> progress;
-        std::vector<JobId> cancelled;
-        std::vector<KnownAgent> known;
+        std::vector<Row> all;
         for (const std::map<RowKey, Row>::value_type& item : this->rows) {
-            const std::optional<JobId> gone = cancelledJob(item.first);
-            if (item.first.table == agentTable)
-                known.push_back({ item.first.key, *parseAgentRecord(item.second.value) });
-            else if (item.first.table == progressTable)
-                progress.emplace(JobId { item.first.key }, *parseProgressRecord(item.second.value));
-            else if (item.first.table == jobTable && gone)
-                cancelled.push_back(*gone);
-            else if (item.first.table == jobTable)
-                specs.push_back(std::make_shared<const JobSpec>(*parseJobSpec(item.second.value)));
+            const std::string& table = item.first.table;
+            if (table == jobTable || table == progressTable || table == agentTable)
+                all.push_back(item.second);
         }
+        const DecodedTables tables = decodeTables(epoch, all);
+        if (!tables.ignored.empty())
+            this->violate("a row cannot be read: " + tables.ignored.front().key);
         const RowVersion asOf = this->version;
-        const TablesRead read { epoch, specs, progress, cancelled, known };
+        const TablesRead read = tables.read;
         this->after(storeDelay, [this, entry, life, read, asOf]() {
             this->toEntry(entry, life, read);
             EntryNode& node = this->entries[entry];
@@ -372,13 +367,11 @@
         for (const Row& row : this->changes) {
             if (row.version <= node.followed)
                 continue;
-            const std::optional<JobId> gone = cancelledJob(row.key);
-            if (row.key.table == agentTable)
-                this->toEntry(entry, life, AgentStored { { row.key.key, *parseAgentRecord(row.value) } });
-            else if (row.key.table == jobTable && gone)
-                this->toEntry(entry, life, JobCancelStored { *gone });
-            else if (row.key.table == jobTable)
-                this->toEntry(entry, life, JobStored { std::make_shared<const JobSpec>(*parseJobSpec(row.value)) });
+            if (row.key.table != jobTable && row.key.table != agentTable)
+                continue;
+            const std::optional<SchedulerEvent> event = eventOf(row);
+            if (event)
+                this->toEntry(entry, life, *event);
         }
         node.followed = this->version;
     }
@@ -735,12 +728,7 @@
     switch (this->pick(11)) {
     case 0:
         this->note("fault: entry killed " + std::to_string(entry));
-        this->entries[entry].up = false;
-        this->closeLinks([entry](const Link& link) { return link.entry == entry; });
-        this->after(milliseconds(300) + this->jitter(milliseconds(4000)), [this, entry]() {
-            if (!this->entries[entry].up)
-                this->startEntry(entry);
-        });
+        this->killEntry(entry, milliseconds(300) + this->jitter(milliseconds(4000)));
         break;
     case 1:
         this->note("fault: entry frozen " + std::to_string(entry));
@@ -762,12 +750,7 @@
         break;
     case 5:
         this->note("fault: agent killed " + std::to_string(agent));
-        this->agents[agent].up = false;
-        this->closeLinks([agent](const Link& link) { return link.agent == agent; });
-        this->after(milliseconds(300) + this->jitter(milliseconds(4000)), [this, agent]() {
-            if (!this->agents[agent].up)
-                this->startAgent(agent);
-        });
+        this->killAgent(agent, milliseconds(300) + this->jitter(milliseconds(4000)));
         break;
     case 6:
         this->note("fault: agent frozen " + std::to_string(agent));
@@ -803,24 +786,33 @@
     default:
         this->note("fault: all dark");
         for (std::size_t index = 0; index < this->entries.size(); ++index)
-            this->entries[index].up = false;
+            this->killEntry(index, milliseconds(700));
         for (std::size_t index = 0; index < this->agents.size(); ++index)
-            this->agents[index].up = false;
-        this->closeLinks([](const Link&) { return true; });
-        this->after(milliseconds(700), [this]() {
-            for (std::size_t index = 0; index < this->entries.size(); ++index) {
-                if (!this->entries[index].up)
-                    this->startEntry(index);
-            }
-            for (std::size_t index = 0; index < this->agents.size(); ++index) {
-                if (!this->agents[index].up)
-                    this->startAgent(index);
-            }
-        });
+            this->killAgent(index, milliseconds(700));
         break;
     }
 }
 
+void JobWorld::killEntry(std::size_t index, Duration away)
+{
+    this->entries[index].up = false;
+    this->closeLinks([index](const Link& link) { return link.entry == index; });
+    this->after(away, [this, index]() {
+        if (!this->entries[index].up)
+            this->startEntry(index);
+    });
+}
+
+void JobWorld::killAgent(std::size_t index, Duration away)
+{
+    this->agents[index].up = false;
+    this->closeLinks([index](const Link& link) { return link.agent == index; });
+    this->after(away, [this, index]() {
+        if (!this->agents[index].up)
+            this->startAgent(index);
+    });
+}
+
 void JobWorld::heal()
 {
     this->note("healed");
--- a/libs/scheduling/tests/JobWorld.h
+++ b/libs/scheduling/tests/JobWorld.h
@@ -169,6 +169,8 @@
 
     void handIn(std::size_t number);
     void cancel(const JobId& job);
+    void killEntry(std::size_t index, Duration away);
+    void killAgent(std::size_t index, Duration away);
     void injectFault();
     void heal();
     void checkEnd();
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <cowslipdoor/scheduling/Configuration.h>
 #include <cowslipdoor/scheduling/Submission.h>
+#include <cowslipdoor/scheduling/TableEvents.h>
 
 using namespace cowslipdoor;
 using namespace cowslipdoor::tests;
@@ -52,6 +53,30 @@
     CHECK(progressRowKey(job).part == leaderRowKey().part);
 }
 
+TEST_CASE("rows: whole tables are decoded, and what cannot be read is named", "[jobs]")
+{
+    const JobSpecHandle spec = jobOf("00ff00ff00ff00ff", { stepOf(1, 100) });
+    const ProgressRecord progress { JobState::Running, { { false, 1, {}, std::nullopt, "" } } };
+    const RowKey foreign { jobTable, "p1", "foreign" };
+    const DecodedTables tables = decodeTables(4, {
+                                                     { jobRowKey(spec->id), print(*spec), 1, false },
+                                                     { cancelRowKey(spec->id), "{}", 2, false },
+                                                     { progressRowKey(spec->id), print(progress), 3, false },
+                                                     { agentRowKey("agent"), print(AgentRecord { "address", 5 }), 4, false },
+                                                     { foreign, "not ours", 5, false },
+                                                     { agentRowKey("other"), "{}", 6, false },
+                                                 });
+    CHECK(tables.read.epoch == 4);
+    REQUIRE(tables.read.jobs.size() == 1);
+    CHECK(*tables.read.jobs.front() == *spec);
+    CHECK(tables.read.cancelled == std::vector<JobId> { spec->id });
+    CHECK(tables.read.progress == std::map<JobId, ProgressRecord> { { spec->id, progress } });
+    REQUIRE(tables.read.agents.size() == 1);
+    CHECK(tables.read.agents.front().record == AgentRecord { "address", 5 });
+    CHECK(tables.ignored == std::vector<RowKey> { foreign, agentRowKey("other") });
+    CHECK_FALSE(eventOf({ jobRowKey(spec->id), print(*spec), 7, true }));
+}
+
 TEST_CASE("configuration: the longest prefix of the host selects the queue", "[jobs]")
 {
     const Configuration configuration { 1, { { .name = "short", .host = "A.example", .prefix = "/x/" }, { .name = "long", .host = "a.example", .prefix = "/x/y/" } }, {}, {} };
