Learn what filling tasks take from serving ones by pair of images, and share it by each serving run's slack

One pressure for each filling image therefore slowed runs that harmed nobody and let others harm. The budget of pressure goes.

--- a/libs/runtime/include/cowslipdoor/runtime/WorkerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/WorkerTask.h
@@ -26,8 +26,8 @@
 struct WorkerTaskStatus {
     std::optional<WorkerInfo> worker {};
     bool settled = false;
-    /// Pressure of filling runs that the tails are taken to bear, as a share of their targets.
-    double pressureBudget = 0;
+    /// Share of the spare slack of serving runs that filling ones may take.
+    double paceCaution = 0;
 };
 
 /// @brief Asks for the status.
--- a/libs/runtime/src/WorkerTask.cpp
+++ b/libs/runtime/src/WorkerTask.cpp
@@ -77,7 +77,7 @@
 
 void WorkerTask::on(const WorkerStatusQuery& query)
 {
-    trySend(*query.reply, WorkerTaskStatus { this->machine.worker(), this->machine.settled(), this->machine.pressureBudget() });
+    trySend(*query.reply, WorkerTaskStatus { this->machine.worker(), this->machine.settled(), this->machine.paceCaution() });
 }
 
 void WorkerTask::carryOut(const CallLook& effect)
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
@@ -109,8 +109,6 @@
 struct RunProgress {
     WorkerIdentity worker;
     std::vector<RunStatus> running;
-    /// What the tails there still bear of pressure, as a share of their targets.
-    std::uint32_t headroomPercent = 0;
 
     bool operator==(const RunProgress&) const = default;
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -7,26 +7,22 @@
 #include <cowslipdoor/core/Time.h>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace cowslipdoor {
 
-/// @brief Settings of the pace loop; tails and pressures are shares of the target of the serving run.
+/// @brief Settings of the pace loop. Slack is the target of a serving run over its tail: one at the target.
 struct PaceConfig {
-    /// Tail above which filling runs are slowed. Below one, as the figure is rough and late.
-    double slowAbove = 0.85;
-    /// Tail below which they may go faster.
-    double quickenBelow = 0.65;
-    /// Pressure that tails are taken to bear until they have shown it: what lies between a usual tail and the limit.
-    double firstBudget = 0.35;
-    /// Most that they are taken to bear; a run of more pressure is not worth its pace.
-    double largestBudget = 4.0;
-    /// Factor on the budget when a tail is just above the limit; the square of how far it is above cuts deeper, as a tail
-    /// that is many times over has to be back within the 4 s that harm may last.
-    double slowFactor = 0.5;
-    /// Added to the budget when every tail is low.
-    double quickenStep = 0.07;
-    /// How long a tail may be above its target before all filling runs stand still: it leaves the figure's lag and a look
+    /// Slack that serving runs keep. Their load takes up to half of one in a second, and a figure is up to 0.7 s old.
+    double leastSlack = 1.2;
+    /// Slack from which a worker that was over a target counts as recovered.
+    double recoveredSlack = 1.2;
+    /// Factor on what filling runs may take, each time that a tail is still over its target.
+    double cautionCut = 0.5;
+    /// By how much that factor rises again with each figure of a recovered worker.
+    double cautionStep = 0.2;
+    /// How long a tail may be over its target before all filling runs stand still: it leaves the figure's lag and a look
     /// until the 4 s that harm may last are over.
     Duration stopAllAfter = std::chrono::milliseconds(2400);
     /// Time from a change until the figure shows it: the window of the figure and the time until a pace acts.
@@ -43,12 +39,13 @@
     bool operator==(const PaceOrder&) const = default;
 };
 
-/// @brief Regulates all filling runs of one worker by the worst tail of the serving runs there.
+/// @brief Regulates all filling runs of one worker by the slack of the serving runs there.
 ///
-/// Pattern it answers: filling runs of noisy images land beside serving runs, or the load of these swings up; the tail
-/// rises within half a second and shows late. The tails bear a budget of pressure, which shrinks fast and grows slowly; a
-/// figure from before the last change triggers nothing. The runs that press least are given theirs first, so that
-/// harmless ones run at full pace whatever the noisy ones do.
+/// Pattern it answers: filling runs of harmful images land beside serving runs, or the load of these swings up within
+/// seconds. Each list tells a serving run's slack and what its neighbours used, so what it would have without them is
+/// known; what it can spare of that is shared among filling runs by what each takes from this very image. So one list is
+/// enough to find the right paces, and a run that harms nobody here runs at full pace. Where the losses are not known
+/// well and a tail is over its target all the same, less is shared with each figure, and after a while nothing.
 /// @code
 /// for (const PaceOrder& order : pace.update(running, now))
 ///     callPace(order);
@@ -82,27 +79,33 @@
     /// @return its pace in percent
     [[nodiscard]] std::uint32_t paceOf(const RunId& run) const;
 
-    /// @return the worst tail, as of the last list
-    [[nodiscard]] double worst() const noexcept { return this->worstTail; }
+    /// @return the least slack of a serving run as of the last list, or nothing when none serves
+    [[nodiscard]] std::optional<double> worstSlack() const noexcept { return this->worst; }
 
-    /// @return the pressure that the tails are taken to bear
-    [[nodiscard]] double budget() const noexcept { return this->currentBudget; }
-
-    /// @return what no run has been given of the budget
-    [[nodiscard]] double headroom() const noexcept { return this->unusedBudget; }
+    /// @return the share of the spare slack that filling runs may take, from zero to one
+    [[nodiscard]] double caution() const noexcept { return this->shared; }
 
 private:
-    void regulate(double worst, TimePoint now);
+    /// What filling runs may take from one serving run.
+    struct Allowance {
+        std::string image;
+        double slack = 0;
+    };
+
+    void measure(const std::vector<RunStatus>& running);
+    void adjustCaution(TimePoint now);
+    [[nodiscard]] double lostTo(const std::vector<RunStatus>& running, const std::string& image) const;
+    [[nodiscard]] double paceFor(const PaceTraits& filling, const std::vector<Allowance>& left) const;
+    [[nodiscard]] double harmOf(const PaceTraits& filling) const;
     [[nodiscard]] std::vector<PaceOrder> share();
-    [[nodiscard]] double worstShare(const std::vector<RunStatus>& running) const;
 
     PaceConfig config;
-    double currentBudget;
-    double unusedBudget;
-    double worstTail = 0;
-    TimePoint changedAt {};
-    /// Since when a tail has been above its target.
+    double shared = 1;
+    std::optional<double> worst {};
+    TimePoint adjustedAt {};
+    /// Since when a tail has been over its target.
     std::optional<TimePoint> overSince {};
+    std::vector<Allowance> allowances;
     std::map<RunId, PaceTraits> traits;
     /// Paces of the filling runs that are at work.
     std::map<RunId, std::uint32_t> inForce;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -3,8 +3,8 @@
 /// @file
 /// @brief Where a task goes, and in which order jobs get places.
 
+#include "InterferenceModel.h"
 #include "JobBook.h"
-#include "PressureModel.h"
 #include "Workers.h"
 #include <vector>
 
@@ -23,16 +23,16 @@
 
 /// @brief Chooses a worker for one task.
 ///
-/// Lasting tasks are spread over workers, so that the loss of one takes few of a step. Short tasks go to the fullest
-/// worker that has room, so that wide holes stay for wide tasks. Filling tasks go where
-/// nothing serves while there are cores; then beside serving tasks, as far as their image presses little.
+/// Lasting tasks go beside those that filling images treat alike, so that each filling image finds workers where it harms
+/// nobody; among these to the fullest, as short tasks do, so that wide holes stay for wide tasks. Filling tasks go where
+/// serving tasks let them run fastest, then where most cores are unused.
 /// @param job the job
 /// @param step number of the step
 /// @param task state of the task
 /// @param workers all workers
-/// @param pressures what filling tasks do to tails
+/// @param interference what filling tasks do to serving ones
 /// @param now the present
 /// @return the chosen worker, or nothing when none has room
-[[nodiscard]] const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, const PressureModel& pressures, TimePoint now);
+[[nodiscard]] const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, const InterferenceModel& interference, TimePoint now);
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -3,10 +3,10 @@
 /// @file
 /// @brief The leader's decisions: who leads, what is stored, which run goes where.
 
+#include "InterferenceModel.h"
 #include "JobBook.h"
 #include "JobMessages.h"
 #include "LeaderLease.h"
-#include "PressureModel.h"
 #include "Workers.h"
 #include <cowslipdoor/core/EventCatalogue.h>
 #include <cowslipdoor/core/Ids.h>
@@ -223,16 +223,17 @@
     void cancelJob(const JobId& job, TimePoint now, Effects& effects);
     void takeEnds(WorkerEntry& worker, const WorkerIdentity& life, const std::vector<RunEnd>& ends, TimePoint now, Effects& effects);
     void takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects);
-    void learnPressure(const RunProgress& report);
+    void learnInterference(WorkerEntry& worker, const RunProgress& report, TimePoint now);
+    void describeChanges(WorkerEntry& worker, Effects& effects);
     void takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
     void adoptRuns(WorkerEntry& worker, const WorkerSnapshot& snapshot);
     void dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
     void loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects);
     void loseSilentWorkers(TimePoint now, Effects& effects);
-    void describeRuns(const WorkerEntry& worker, Effects& effects) const;
+    void describeRuns(WorkerEntry& worker, Effects& effects) const;
     void learnAgent(const KnownAgent& agent, Effects& effects);
     void send(const WorkerEntry& worker, LeaderMessage message, Effects& effects) const;
-    [[nodiscard]] PaceTraits traitsOf(const StepSpec& step) const;
+    [[nodiscard]] PaceTraits traitsOf(const StepSpec& step, const WorkerEntry& worker) const;
     void observeEnd(const JobId& job, TimePoint now, Effects& effects) const;
     void wantPass(TimePoint now);
 
@@ -240,7 +241,7 @@
     LeaderLease leaderLease;
     JobBook book;
     Workers knownWorkers;
-    PressureModel pressures;
+    InterferenceModel interference;
     bool tablesRead = false;
     TimePoint ledSince {};
     /// When tasks are placed and changes are written next, if anything calls for it.
--- a/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
@@ -73,14 +73,30 @@
     bool operator==(const RunStatus&) const = default;
 };
 
+/// @brief Slack that a filling run at full pace takes from serving runs of one image beside it.
+struct SlackLoss {
+    std::string image;
+    double loss = 0;
+
+    bool operator==(const SlackLoss&) const = default;
+};
+
 /// @brief What an agent must know of a run to regulate its pace.
 struct PaceTraits {
     bool fills = false;
-    /// By how much the run is expected to raise a tail beside it, as a share of its target.
-    double pressure = 0;
+    std::string image {};
+    /// Cores that a filling run uses at full pace.
+    std::uint32_t milliCores = 0;
+    /// Response time that a serving run must stay below; zero for others.
     Duration target {};
+    /// What a filling run does to the serving images of its worker.
+    std::vector<SlackLoss> losses {};
 
     bool operator==(const PaceTraits&) const = default;
+
+    /// @param serving image of a serving run
+    /// @return the slack that it loses; the worst that is known where the image is not
+    [[nodiscard]] double lossFor(const std::string& serving) const;
 };
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -199,8 +199,8 @@
     /// @return the worker, or nothing while none is known
     [[nodiscard]] std::optional<WorkerInfo> worker() const;
 
-    /// @return the pressure that the tails are taken to bear, as a share of their targets
-    [[nodiscard]] double pressureBudget() const noexcept { return this->paceControl.budget(); }
+    /// @return the share of the spare slack of serving runs that filling ones may take
+    [[nodiscard]] double paceCaution() const noexcept { return this->paceControl.caution(); }
 
     /// @return whether all runs on the worker are known
     [[nodiscard]] bool settled() const noexcept;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -4,7 +4,6 @@
 /// @brief Workers that the leader knows through their agents, and the room that is taken on each.
 
 #include "Job.h"
-#include "PaceControl.h"
 #include "Worker.h"
 #include <cowslipdoor/core/Ids.h>
 #include <cowslipdoor/core/Time.h>
@@ -45,8 +44,13 @@
     Room used {};
     std::uint32_t fillingMilliCores = 0;
     std::uint32_t lastingMilliCores = 0;
-    /// Pressure that the tails there still bear, as the agent told last, less what has been sent there since.
-    double headroom = PaceConfig {}.firstBudget;
+    /// Cores of filling tasks here by image, and of tasks with a target.
+    std::map<std::string, std::uint32_t> fillingByImage {};
+    std::map<std::string, std::uint32_t> servingByImage {};
+    /// Least slack that runs of a serving image would have here without filling ones, as of the last list.
+    std::map<std::string, double> slackAlone {};
+    /// Losses of filling runs as the agent was told them last.
+    std::map<RunId, std::vector<SlackLoss>> describedLosses {};
     /// Tasks with a run here, with the life of the worker that they were sent to.
     std::map<TaskId, WorkerIdentity> tasks {};
     /// Jobs that failed here since the last success.
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -1,6 +1,5 @@
 #include "cowslipdoor/scheduling/PaceControl.h"
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace cowslipdoor {
@@ -9,15 +8,39 @@
 
     constexpr std::uint32_t fullPace = 100;
 
-    /// Pressure under which a run cannot be told from one without any.
-    constexpr double leastPressure = 0.01;
+    /// Percentage points under which a change of pace is not worth a call, as figures vary by as much.
+    constexpr std::uint32_t leastChange = 4;
 
+    /// Progress of a serving run that is at work; before, its tail says nothing.
+    constexpr std::uint32_t atWork = 100;
+
+    bool worthACall(std::uint32_t before, std::uint32_t after)
+    {
+        const std::uint32_t change = before > after ? before - after : after - before;
+        return change >= leastChange || (change > 0 && (after == 0 || after == fullPace));
+    }
+
+    /// Slack of a run whose tail is too short to be measured.
+    double slackOf(const RunStatus& status, Duration target)
+    {
+        return static_cast<double>(toMilliseconds(target)) / static_cast<double>(std::max(1U, status.figure));
+    }
+
+}
+
+double PaceTraits::lossFor(const std::string& serving) const
+{
+    double worst = 0;
+    for (const SlackLoss& item : this->losses) {
+        if (item.image == serving)
+            return item.loss;
+        worst = std::max(worst, item.loss);
+    }
+    return worst;
 }
 
 PaceControl::PaceControl(PaceConfig config)
     : config(config)
-    , currentBudget(config.firstBudget)
-    , unusedBudget(config.firstBudget)
 {
 }
 
@@ -43,8 +66,8 @@
 
 std::vector<PaceOrder> PaceControl::update(const std::vector<RunStatus>& running, TimePoint now)
 {
-    this->worstTail = this->worstShare(running);
-    this->regulate(this->worstTail, now);
+    this->measure(running);
+    this->adjustCaution(now);
     for (const RunStatus& status : running) {
         const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
         if (it != this->traits.end() && it->second.fills)
@@ -59,57 +82,101 @@
     return it == this->inForce.end() ? fullPace : it->second;
 }
 
-void PaceControl::regulate(double worst, TimePoint now)
+void PaceControl::measure(const std::vector<RunStatus>& running)
+{
+    this->allowances.clear();
+    this->worst.reset();
+    for (const RunStatus& status : running) {
+        const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
+        if (it == this->traits.end() || it->second.target <= Duration {} || status.percent < atWork)
+            continue;
+        const double slack = slackOf(status, it->second.target);
+        this->worst = this->worst ? std::min(*this->worst, slack) : slack;
+        const double alone = slack + this->lostTo(running, it->second.image);
+        this->allowances.push_back({ it->second.image, std::max(0.0, alone - this->config.leastSlack) });
+    }
+}
+
+void PaceControl::adjustCaution(TimePoint now)
 {
-    if (worst <= 1)
+    if (!this->worst || *this->worst >= 1)
         this->overSince.reset();
     else if (!this->overSince)
         this->overSince = now;
-    if (now < this->changedAt + this->config.figureLag)
+    if (this->overSince && now >= *this->overSince + this->config.stopAllAfter) {
+        this->shared = 0;
+        this->adjustedAt = now;
         return;
-    const double before = this->currentBudget;
-    if (this->overSince && now >= *this->overSince + this->config.stopAllAfter)
-        this->currentBudget = 0;
-    else if (worst > this->config.slowAbove)
-        this->currentBudget *= std::min(this->config.slowFactor, std::pow(this->config.slowAbove / worst, 2));
-    else if (worst < this->config.quickenBelow)
-        this->currentBudget = std::min(this->config.largestBudget, this->currentBudget + this->config.quickenStep);
-    if (this->currentBudget != before)
-        this->changedAt = now;
+    }
+    if (now < this->adjustedAt + this->config.figureLag)
+        return;
+    const double before = this->shared;
+    if (this->overSince && *this->overSince < now)
+        this->shared *= this->config.cautionCut;
+    else if (!this->worst || *this->worst >= this->config.recoveredSlack)
+        this->shared = std::min(1.0, this->shared + this->config.cautionStep);
+    if (this->shared != before)
+        this->adjustedAt = now;
+}
+
+double PaceControl::lostTo(const std::vector<RunStatus>& running, const std::string& image) const
+{
+    double lost = 0;
+    for (const RunStatus& status : running) {
+        const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
+        if (it == this->traits.end() || !it->second.fills || it->second.milliCores == 0)
+            continue;
+        const double used = static_cast<double>(status.figure) / static_cast<double>(it->second.milliCores);
+        lost += it->second.lossFor(image) * std::min(1.0, used);
+    }
+    return lost;
+}
+
+double PaceControl::paceFor(const PaceTraits& filling, const std::vector<Allowance>& left) const
+{
+    double pace = 1;
+    for (const Allowance& allowance : left) {
+        const double loss = filling.lossFor(allowance.image);
+        if (loss * pace > allowance.slack)
+            pace = allowance.slack / loss;
+    }
+    return pace;
+}
+
+double PaceControl::harmOf(const PaceTraits& filling) const
+{
+    double harm = 0;
+    for (const Allowance& allowance : this->allowances)
+        harm = std::max(harm, filling.lossFor(allowance.image));
+    return harm;
 }
 
 std::vector<PaceOrder> PaceControl::share()
 {
-    std::vector<std::pair<double, RunId>> byPressure;
+    std::vector<std::pair<double, RunId>> byHarm;
     for (const std::map<RunId, std::uint32_t>::value_type& item : this->inForce) {
         const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(item.first);
-        byPressure.emplace_back(it == this->traits.end() ? 0 : it->second.pressure, item.first);
+        if (it != this->traits.end())
+            byHarm.emplace_back(this->harmOf(it->second), item.first);
     }
-    std::sort(byPressure.begin(), byPressure.end());
-    const bool serving = std::any_of(this->traits.begin(), this->traits.end(), [](const std::map<RunId, PaceTraits>::value_type& item) { return item.second.target > Duration {}; });
-    double left = this->currentBudget;
+    std::sort(byHarm.begin(), byHarm.end());
+    std::vector<Allowance> left = this->allowances;
+    for (Allowance& allowance : left)
+        allowance.slack *= this->shared;
     std::vector<PaceOrder> orders;
-    for (const std::pair<double, RunId>& item : byPressure) {
-        const double pressure = std::max(item.first, leastPressure);
-        const double share = serving ? std::min(1.0, left / pressure) : 1.0;
-        left -= share * pressure;
-        const std::uint32_t percent = static_cast<std::uint32_t>(share * fullPace);
-        if (std::exchange(this->inForce[item.second], percent) != percent)
-            orders.push_back({ item.second, percent });
+    for (const std::pair<double, RunId>& item : byHarm) {
+        const PaceTraits& filling = this->traits.at(item.second);
+        const double pace = this->paceFor(filling, left);
+        for (Allowance& allowance : left)
+            allowance.slack = std::max(0.0, allowance.slack - pace * filling.lossFor(allowance.image));
+        const std::uint32_t percent = static_cast<std::uint32_t>(pace * fullPace);
+        std::uint32_t& current = this->inForce[item.second];
+        if (!worthACall(current, percent))
+            continue;
+        current = percent;
+        orders.push_back({ item.second, percent });
     }
-    this->unusedBudget = std::max(0.0, left);
     return orders;
 }
 
-double PaceControl::worstShare(const std::vector<RunStatus>& running) const
-{
-    double worst = 0;
-    for (const RunStatus& status : running) {
-        const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
-        if (it != this->traits.end() && it->second.target > Duration {})
-            worst = std::max(worst, static_cast<double>(status.figure) / static_cast<double>(std::max(1LL, toMilliseconds(it->second.target))));
-    }
-    return worst;
-}
-
 }
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -1,4 +1,5 @@
 #include "cowslipdoor/scheduling/Placement.h"
+#include "cowslipdoor/scheduling/PaceControl.h"
 #include <algorithm>
 #include <tuple>
 
@@ -9,7 +10,7 @@
     /// Multiple of the objective after which a job earns nothing.
     constexpr int hopelessFactor = 3;
 
-    /// Pace under which a pressing task is not worth its place beside serving tasks.
+    /// Expected pace under which a filling task is not worth its place beside serving tasks.
     constexpr double leastUsefulPace = 0.5;
 
     /// Share of its cores that a lasting task leaves unused at the crest of its load.
@@ -34,21 +35,47 @@
         return static_cast<double>(worker.free().milliCores) + lastingUnused * worker.lastingMilliCores - worker.fillingMilliCores;
     }
 
+    /// Slack that a serving image keeps without filling tasks until its worker has listed it: that of half the load.
+    constexpr double usualSlack = 2.5;
+
+    /// Pace that one more filling task would be allowed by the serving tasks of a worker.
+    double expectedPace(const WorkerEntry& worker, const StepSpec& step, const InterferenceModel& interference)
+    {
+        const double cores = std::max(1U, worker.info->capacity.milliCores);
+        double pace = 1;
+        for (const std::map<std::string, std::uint32_t>::value_type& serving : worker.servingByImage) {
+            const std::map<std::string, double>::const_iterator alone = worker.slackAlone.find(serving.first);
+            double left = (alone == worker.slackAlone.end() ? usualSlack : alone->second) - PaceConfig {}.leastSlack;
+            for (const std::map<std::string, std::uint32_t>::value_type& filling : worker.fillingByImage)
+                left -= interference.lossOf(serving.first, filling.first) * filling.second / cores;
+            const double loss = interference.lossOf(serving.first, step.image) * step.demand.milliCores / cores;
+            if (loss * pace > left)
+                pace = std::max(0.0, left) / loss;
+        }
+        return pace;
+    }
+
     /// Whether a worker can bear one more filling task.
     ///
-    /// Pattern it answers: filling tasks come in bursts. Sent all at once they share the cores, press on the tails, are
-    /// paced down together, and all end late. So each needs its cores, and beside serving tasks as much of what their
-    /// tails still bear as gives it a useful pace; the rest waits for its turn.
-    bool bearsFilling(const WorkerEntry& worker, const StepSpec& step, const PressureModel& pressures)
+    /// Pattern it answers: filling tasks come in bursts. Sent all at once they share the cores, harm serving tasks, are
+    /// paced down together, and all end late. So each needs its cores and a useful pace; the rest waits for its turn.
+    bool bearsFilling(const WorkerEntry& worker, const StepSpec& step, const InterferenceModel& interference)
     {
         if (worker.fillingMilliCores > 0 && unusedCores(worker) < step.demand.milliCores)
             return false;
-        if (worker.lastingMilliCores == 0)
-            return true;
-        return worker.headroom >= leastUsefulPace * pressures.pressureOf(step.image);
+        return expectedPace(worker, step, interference) >= leastUsefulPace;
+    }
+
+    /// How differently filling images treat a serving image and its neighbours on a worker, weighted by their cores.
+    double mismatch(const WorkerEntry& worker, const std::string& image, const InterferenceModel& interference)
+    {
+        double sum = 0;
+        for (const std::map<std::string, std::uint32_t>::value_type& neighbour : worker.servingByImage)
+            sum += interference.distance(image, neighbour.first) * neighbour.second;
+        return sum;
     }
 
-    bool eligible(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const PressureModel& pressures, TimePoint now)
+    bool eligible(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const InterferenceModel& interference, TimePoint now)
     {
         const StepSpec& step = job.spec->steps[number];
         if (!worker.usable(now) || worker.info->service != job.spec->service || !hasLabel(*worker.info, step.requiredLabel))
@@ -56,7 +83,7 @@
         if (!worker.free().covers(step.countedDemand()))
             return false;
         const bool overdue = job.assigned == 0 && now > job.waitingSince + longestFillingWait;
-        if (step.fills && !overdue && !bearsFilling(worker, step, pressures))
+        if (step.fills && !overdue && !bearsFilling(worker, step, interference))
             return false;
         return step.maximumPerWorker == 0 || worker.countOf(job.spec->id, number) < step.maximumPerWorker;
     }
@@ -64,15 +91,15 @@
     /// Greater is better; parts are compared one after another.
     using Score = std::tuple<bool, bool, double, double>;
 
-    Score scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task)
+    Score scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task, const InterferenceModel& interference)
     {
         const StepSpec& step = job.spec->steps[number];
         const bool elsewhere = worker.agent != task.failedOn;
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
         if (step.longRunning)
-            return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
+            return { elsewhere, nearData, -mismatch(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
         if (step.fills)
-            return { elsewhere, nearData, worker.lastingMilliCores == 0 ? 1.0 : 0.0, unusedCores(worker) };
+            return { elsewhere, nearData, expectedPace(worker, step, interference), unusedCores(worker) };
         return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
     }
 
@@ -89,14 +116,14 @@
     return order;
 }
 
-const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, const PressureModel& pressures, TimePoint now)
+const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, const InterferenceModel& interference, TimePoint now)
 {
     const WorkerEntry* best = nullptr;
     Score bestScore {};
     for (const Workers::value_type& item : workers) {
-        if (!eligible(item.second, job, step, pressures, now))
+        if (!eligible(item.second, job, step, interference, now))
             continue;
-        const Score score = scoreOf(item.second, job, step, task);
+        const Score score = scoreOf(item.second, job, step, task, interference);
         if (!best || score > bestScore) {
             best = &item.second;
             bestScore = score;
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -198,6 +198,7 @@
 {
     this->book = JobBook();
     this->knownWorkers.clear();
+    this->interference = InterferenceModel();
     this->tablesRead = false;
     this->ledSince = now;
     this->pendingWritten.clear();
@@ -247,15 +248,13 @@
                 this->passAt = this->passAt ? std::min(*this->passAt, task.notBefore) : task.notBefore;
                 continue;
             }
-            const WorkerEntry* const chosen = chooseWorker(job, step, task, this->knownWorkers, this->pressures, now);
+            const WorkerEntry* const chosen = chooseWorker(job, step, task, this->knownWorkers, this->interference, now);
             if (!chosen)
                 break;
             WorkerEntry& worker = this->knownWorkers[chosen->agent];
             const TaskId id { job.spec->id, step, index };
             const RunId run = this->book.assign(id, { worker.agent, worker.info->identity }, now);
             worker.take(id, job.spec->steps[step], worker.info->identity);
-            if (job.spec->steps[step].fills)
-                worker.headroom -= this->pressures.pressureOf(job.spec->steps[step].image);
             effects.emplace_back(RecordEvent { EventId::RunAssigned, describe(run) + " to " + worker.agent + "; " + describeTrack(job, now) + "; free there " + std::to_string(worker.free().milliCores) + " milli-cores, " + std::to_string(worker.free().memoryMb) + " MB" });
         }
     }
@@ -297,6 +296,7 @@
         return removals;
     this->sweptAt = now;
     for (const JobId& job : this->book.takeExpired(now - this->config.retention, this->config.removedAtOnce)) {
+        this->interference.forget(job);
         removals.push_back(progressRowKey(job));
         removals.push_back(jobRowKey(job));
         removals.push_back(cancelRowKey(job));
@@ -314,8 +314,10 @@
         task.ordered = true;
         task.order = ++this->orders;
         const Assignment& place = *task.record.assignment;
-        const WorkerEntry& worker = this->knownWorkers[place.agent];
-        this->send(worker, StartRun { { id, task.record.run }, place.worker, spec.payload, task.record.checkpoint, this->traitsOf(spec.steps[id.step]), task.order, worker.lastPing }, effects);
+        WorkerEntry& worker = this->knownWorkers[place.agent];
+        const PaceTraits traits = this->traitsOf(spec.steps[id.step], worker);
+        worker.describedLosses[{ id, task.record.run }] = traits.losses;
+        this->send(worker, StartRun { { id, task.record.run }, place.worker, spec.payload, task.record.checkpoint, traits, task.order, worker.lastPing }, effects);
     }
 }
 
@@ -338,9 +340,15 @@
     }
 }
 
-PaceTraits Scheduler::traitsOf(const StepSpec& step) const
+PaceTraits Scheduler::traitsOf(const StepSpec& step, const WorkerEntry& worker) const
 {
-    return { step.fills, step.fills ? this->pressures.pressureOf(step.image) : 0, step.target };
+    PaceTraits traits { step.fills, step.image, step.demand.milliCores, step.target, {} };
+    if (!step.fills || !worker.info)
+        return traits;
+    const double share = static_cast<double>(step.demand.milliCores) / std::max(1U, worker.info->capacity.milliCores);
+    for (const std::map<std::string, std::uint32_t>::value_type& serving : worker.servingByImage)
+        traits.losses.push_back({ serving.first, this->interference.lossOf(serving.first, step.image) * share });
+    return traits;
 }
 
 void Scheduler::cancelJob(const JobId& job, TimePoint now, Effects& effects)
@@ -352,14 +360,18 @@
     this->wantPass(now);
 }
 
-void Scheduler::describeRuns(const WorkerEntry& worker, Effects& effects) const
+void Scheduler::describeRuns(WorkerEntry& worker, Effects& effects) const
 {
     for (const std::map<TaskId, WorkerIdentity>::value_type& item : worker.tasks) {
         const JobEntry& job = *this->book.find(item.first.job);
         const StepSpec& step = job.spec->steps[item.first.step];
         const TaskState& task = job.steps[item.first.step][item.first.index];
-        if (step.fills || step.target > Duration {})
-            this->send(worker, DescribeRun { { item.first, task.record.run }, this->traitsOf(step) }, effects);
+        if (!step.fills && step.target <= Duration {})
+            continue;
+        const RunId run { item.first, task.record.run };
+        const PaceTraits traits = this->traitsOf(step, worker);
+        worker.describedLosses[run] = traits.losses;
+        this->send(worker, DescribeRun { run, traits }, effects);
     }
 }
 
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -1,9 +1,27 @@
 #include "cowslipdoor/scheduling/Scheduler.h"
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cowslipdoor {
 
+namespace {
+
+    /// Progress of a serving run that is at work.
+    constexpr std::uint32_t runAtWork = 100;
+
+    /// Whether losses have changed so much that an agent should learn it: by a fifth and a little.
+    bool differ(const std::vector<SlackLoss>& told, const std::vector<SlackLoss>& present)
+    {
+        constexpr double share = 0.2;
+        constexpr double least = 0.03;
+        return !std::equal(told.begin(), told.end(), present.begin(), present.end(), [](const SlackLoss& left, const SlackLoss& right) {
+            return left.image == right.image && std::abs(left.loss - right.loss) <= share * left.loss + least;
+        });
+    }
+
+}
+
 void Scheduler::heard(WorkerEntry& worker, const Ping& report, TimePoint now, Effects& effects)
 {
     // A word after the lease has ended could keep runs alive that a new leader counts as expired.
@@ -56,8 +74,8 @@
 {
     if (!worker.info || worker.info->identity != report.worker)
         return;
-    worker.headroom = report.headroomPercent / 100.0;
-    this->learnPressure(report);
+    this->learnInterference(worker, report, now);
+    this->describeChanges(worker, effects);
     this->takeStatus(worker, report.running, now, effects);
     if (!this->book.waiting().empty())
         this->wantPass(now);
@@ -120,30 +138,52 @@
     }
 }
 
-void Scheduler::learnPressure(const RunProgress& report)
+void Scheduler::learnInterference(WorkerEntry& worker, const RunProgress& report, TimePoint now)
 {
-    double tails = 0;
-    std::size_t serving = 0;
-    std::map<std::string, double> work;
+    const double cores = std::max(1U, worker.info->capacity.milliCores);
+    std::vector<ServingSample> serving;
+    std::map<std::string, double> shares;
     for (const RunStatus& status : report.running) {
         const JobEntry* const job = this->book.find(status.run.task.job);
         if (!job || !this->book.openRun(status.run))
             continue;
         const StepSpec& step = job->spec->steps[status.run.task.step];
         if (step.fills)
-            work[step.image] += status.pace / 100.0;
-        if (step.target <= Duration {})
-            continue;
-        tails += static_cast<double>(status.figure) / static_cast<double>(std::max(1LL, toMilliseconds(step.target)));
-        ++serving;
+            shares[step.image] += status.figure / cores;
+        else if (step.target > Duration {} && status.percent == runAtWork)
+            serving.push_back({ job->spec->id, step.image, static_cast<double>(toMilliseconds(step.target)) / std::max(1U, status.figure) });
     }
-    if (serving == 0)
-        return;
-    std::vector<FillingWork> filling;
-    filling.reserve(work.size());
-    for (const std::map<std::string, double>::value_type& item : work)
+    std::vector<FillingSample> filling;
+    filling.reserve(shares.size());
+    for (const std::map<std::string, double>::value_type& item : shares)
         filling.push_back({ item.first, item.second });
-    this->pressures.observe(tails / static_cast<double>(serving), filling);
+    this->interference.observe(serving, filling, now);
+    worker.slackAlone.clear();
+    for (const ServingSample& sample : serving) {
+        double alone = sample.slack;
+        for (const FillingSample& item : filling)
+            alone += this->interference.lossOf(sample.image, item.image) * item.share;
+        double& least = worker.slackAlone.try_emplace(sample.image, alone).first->second;
+        least = std::min(least, alone);
+    }
+}
+
+void Scheduler::describeChanges(WorkerEntry& worker, Effects& effects)
+{
+    for (std::map<RunId, std::vector<SlackLoss>>::iterator it = worker.describedLosses.begin(); it != worker.describedLosses.end();) {
+        const TaskState* const task = this->book.openRun(it->first);
+        if (!task || task->record.assignment->agent != worker.agent) {
+            it = worker.describedLosses.erase(it);
+            continue;
+        }
+        const StepSpec& step = this->book.find(it->first.task.job)->spec->steps[it->first.task.step];
+        const PaceTraits traits = this->traitsOf(step, worker);
+        if (differ(it->second, traits.losses)) {
+            it->second = traits.losses;
+            this->send(worker, DescribeRun { it->first, traits }, effects);
+        }
+        ++it;
+    }
 }
 
 void Scheduler::adoptRuns(WorkerEntry& worker, const WorkerSnapshot& snapshot)
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -388,7 +388,7 @@
     std::vector<RunStatus> running = this->life->running;
     for (RunStatus& status : running)
         status.pace = this->paceControl.paceOf(status.run);
-    this->report(RunProgress { this->life->info.identity, std::move(running), static_cast<std::uint32_t>(this->paceControl.headroom() * 100) }, effects);
+    this->report(RunProgress { this->life->info.identity, std::move(running) }, effects);
 }
 
 void WorkerMachine::sendSnapshot(Effects& effects)
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -109,10 +109,16 @@
 
 void WorkerMachine::regulatePace(TimePoint now, Effects& effects)
 {
-    const double before = this->paceControl.budget();
-    this->orderPaces(this->paceControl.update(this->life->running, now));
-    if (this->paceControl.budget() < before)
-        effects.emplace_back(RecordEvent { EventId::PaceChanged, "budget " + std::to_string(before) + " to " + std::to_string(this->paceControl.budget()) + ", worst tail " + std::to_string(static_cast<int>(this->paceControl.worst() * 100)) + "% of its target, " + std::to_string(this->life->running.size()) + " runs" });
+    const std::vector<PaceOrder> paces = this->paceControl.update(this->life->running, now);
+    this->orderPaces(paces);
+    if (paces.empty())
+        return;
+    const int slackPercent = static_cast<int>(this->paceControl.worstSlack().value_or(0) * 100);
+    const int sharedPercent = static_cast<int>(this->paceControl.caution() * 100);
+    std::string detail = "least slack " + std::to_string(slackPercent) + "%, " + std::to_string(sharedPercent) + "% of the spare shared;";
+    for (const PaceOrder& pace : paces)
+        detail += " " + describe(pace.run) + " at " + std::to_string(pace.percent) + "%";
+    effects.emplace_back(RecordEvent { EventId::PaceChanged, detail });
 }
 
 void WorkerMachine::orderPaces(const std::vector<PaceOrder>& paces)
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -3,6 +3,23 @@
 
 namespace cowslipdoor {
 
+namespace {
+
+    void addCores(std::map<std::string, std::uint32_t>& byImage, const StepSpec& step)
+    {
+        byImage[step.image] += step.demand.milliCores;
+    }
+
+    void removeCores(std::map<std::string, std::uint32_t>& byImage, const StepSpec& step)
+    {
+        const std::map<std::string, std::uint32_t>::iterator it = byImage.find(step.image);
+        it->second -= step.demand.milliCores;
+        if (it->second == 0)
+            byImage.erase(it);
+    }
+
+}
+
 void WorkerEntry::take(const TaskId& id, const StepSpec& step, const WorkerIdentity& worker)
 {
     if (!this->tasks.emplace(id, worker).second)
@@ -10,6 +27,10 @@
     this->used = this->used.plus(step.countedDemand());
     this->fillingMilliCores += step.fills ? step.demand.milliCores : 0;
     this->lastingMilliCores += step.longRunning ? step.demand.milliCores : 0;
+    if (step.fills)
+        addCores(this->fillingByImage, step);
+    else if (step.target > Duration {})
+        addCores(this->servingByImage, step);
 }
 
 void WorkerEntry::giveBack(const TaskId& id, const StepSpec& step)
@@ -19,6 +40,10 @@
     this->used = this->used.minus(step.countedDemand());
     this->fillingMilliCores -= step.fills ? step.demand.milliCores : 0;
     this->lastingMilliCores -= step.longRunning ? step.demand.milliCores : 0;
+    if (step.fills)
+        removeCores(this->fillingByImage, step);
+    else if (step.target > Duration {})
+        removeCores(this->servingByImage, step);
 }
 
 std::uint32_t WorkerEntry::countOf(const JobId& job, std::uint32_t step) const
--- a/libs/wire/src/JobCodec.cpp
+++ b/libs/wire/src/JobCodec.cpp
@@ -52,18 +52,17 @@
         return { table.id, table.born };
     }
 
-    std::unique_ptr<jobs::PaceTraitsT> pack(const PaceTraits& traits)
+    std::unique_ptr<jobs::SlackLossT> pack(const SlackLoss& loss)
     {
-        std::unique_ptr<jobs::PaceTraitsT> table = std::make_unique<jobs::PaceTraitsT>();
-        table->fills = traits.fills;
-        table->target_us = traits.target.count();
-        table->pressure = traits.pressure;
+        std::unique_ptr<jobs::SlackLossT> table = std::make_unique<jobs::SlackLossT>();
+        table->image = loss.image;
+        table->loss = loss.loss;
         return table;
     }
 
-    PaceTraits unpack(const jobs::PaceTraitsT& table)
+    SlackLoss unpack(const jobs::SlackLossT& table)
     {
-        return { table.fills, table.pressure, Duration(table.target_us) };
+        return { table.image, table.loss };
     }
 
     std::unique_ptr<jobs::WorkerT> pack(const WorkerInfo& worker)
@@ -138,6 +137,22 @@
         return values;
     }
 
+    std::unique_ptr<jobs::PaceTraitsT> pack(const PaceTraits& traits)
+    {
+        std::unique_ptr<jobs::PaceTraitsT> table = std::make_unique<jobs::PaceTraitsT>();
+        table->fills = traits.fills;
+        table->target_us = traits.target.count();
+        table->image = traits.image;
+        table->milli_cores = traits.milliCores;
+        table->losses = packAll<jobs::SlackLossT>(traits.losses);
+        return table;
+    }
+
+    PaceTraits unpack(const jobs::PaceTraitsT& table)
+    {
+        return { table.fills, table.image, table.milli_cores, Duration(table.target_us), unpackAll<SlackLoss>(table.losses) };
+    }
+
     /// Makes the union's table of each message.
     struct BodyPacker {
         jobs::BodyUnion& body;
@@ -237,7 +252,6 @@
             jobs::RunProgressT table;
             table.worker = pack(message.worker);
             table.running = packAll<jobs::StatusT>(message.running);
-            table.headroom_percent = message.headroomPercent;
             this->body.Set(std::move(table));
         }
     };
@@ -276,7 +290,7 @@
         case jobs::Body::RunRejected:
             return RunRejected { unpack(required(body.AsRunRejected()->run)), body.AsRunRejected()->reason };
         case jobs::Body::RunProgress:
-            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running), body.AsRunProgress()->headroom_percent };
+            return RunProgress { unpack(required(body.AsRunProgress()->worker)), unpackAll<RunStatus>(body.AsRunProgress()->running) };
         case jobs::Body::NONE:
             break;
         }
