Send no run to an agent whose word is old

Ruled out: clocks (agents compare their own), a link that was down (all were open). Change: a worker is usable while its agent's newest answered ping is younger than 1 s; the next ping starts a pass. Test: the scheduler with an outage of 4.5 s, which failed before.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -24,6 +24,10 @@
     bool operator==(const WorkerHealthConfig&) const = default;
 };
 
+/// How old the newest answered ping of an agent may be for a run to be sent there: an agent refuses orders after 1.5 s, and
+/// storing and sending one takes less than half a second.
+constexpr Duration freshWord = std::chrono::milliseconds(1000);
+
 /// @brief One agent and its worker.
 struct WorkerEntry {
     std::string agent {};
@@ -57,11 +61,15 @@
     std::set<JobId> failedJobs {};
     TimePoint excludedUntil {};
 
+    /// @param now the present
+    /// @return whether the agent would still heed an order
+    [[nodiscard]] bool inTouch(TimePoint now) const noexcept { return now < this->lastWord + freshWord; }
+
     /// @param now the present
     /// @return whether new runs may be sent here
     [[nodiscard]] bool usable(TimePoint now) const noexcept
     {
-        return this->link && this->info && this->settled && !this->info->draining && now >= this->excludedUntil;
+        return this->link && this->info && this->settled && !this->info->draining && now >= this->excludedUntil && this->inTouch(now);
     }
 
     /// @return what is free, by what has been assigned
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -27,9 +27,12 @@
     // A word after the lease has ended could keep runs alive that a new leader counts as expired.
     if (!this->leaderLease.valid(now))
         return;
+    const bool regained = !worker.inTouch(now);
     worker.lastWord = now;
     worker.lastPing = report.sentAt;
     this->send(worker, Pong { report.sentAt }, effects);
+    if (regained && !this->book.waiting().empty())
+        this->wantPass(now);
 }
 
 void Scheduler::heard(WorkerEntry& worker, const WorkerSnapshot& report, TimePoint now, Effects& effects)
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -125,6 +125,7 @@
     workers.at("serving").slackAlone["web"] = 1.6;
     const JobEntry job = fillingJob("noisy");
     CHECK(chosen(job, workers, interference).empty());
+    workers.at("serving").lastWord = start + milliseconds(1001);
     CHECK(chosen(job, workers, interference, start + milliseconds(1001)) == "serving");
     workers.at("serving").slackAlone["web"] = 3.5;
     CHECK(chosen(job, workers, interference) == "serving");
@@ -198,6 +199,7 @@
     CHECK_FALSE(worker.judge({ "b" }, true, config, start));
     CHECK(worker.judge({ "c" }, true, config, start));
     CHECK_FALSE(worker.usable(start));
+    worker.lastWord = start + config.exclusion;
     CHECK(worker.usable(start + config.exclusion));
     CHECK_FALSE(worker.judge({ "d" }, false, config, start));
     CHECK_FALSE(worker.judge({ "e" }, true, config, start));
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -61,6 +61,7 @@
         this->step(AgentLinked { "agent", LinkId { 1 } });
         const WorkerInfo worker { firstLife, "service", { 8000, 8000, 0 }, {}, false, {} };
         this->step(AgentSaid { "agent", LinkId { 1 }, WorkerSnapshot { "agent", 3, worker, true, {}, {}, {}, 0 } });
+        this->step(AgentSaid { "agent", LinkId { 1 }, Ping { 1 } });
         // The counts of waiting jobs are written as soon as they are known.
         if (!this->machine.lease().idle())
             this->commit();
@@ -117,6 +118,28 @@
     CHECK_FALSE(test.sent<Pong>());
 }
 
+TEST_CASE("scheduler: after an outage of the store a job waits until its agent has a fresh word", "[jobs]")
+{
+    // Replays tebu-rota fresh-3307: at the end of an outage 282 orders left with words of before and were refused.
+    SchedulerUnderTest test;
+    test.lead({});
+    test.now += milliseconds(4500);
+    test.step(TimePassed {});
+    test.commit();
+    test.step(JobStored { jobOf("a", { stepOf(1, 100) }) });
+    test.now += milliseconds(6);
+    test.step(TimePassed {});
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 0);
+    test.step(AgentSaid { "agent", LinkId { 1 }, Ping { 9 } });
+    if (!test.machine.lease().idle())
+        test.commit();
+    static_cast<void>(test.awaitWrite());
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 1);
+    test.commit();
+    REQUIRE(test.sent<StartRun>());
+    CHECK(test.sent<StartRun>()->word == 9);
+}
+
 TEST_CASE("scheduler: an agent's runs are given up only when its leases have expired", "[jobs]")
 {
     SchedulerUnderTest test;
--- a/libs/scheduling/tests/Values.h
+++ b/libs/scheduling/tests/Values.h
@@ -40,6 +40,7 @@
     worker.agent = agent;
     worker.link = LinkId { 1 };
     worker.settled = true;
+    worker.lastWord = start;
     worker.info = WorkerInfo { firstLife, "service", { milliCores, 100'000, 0 }, {}, false, {} };
     return worker;
 }
