Neither slow nor keep away filling tasks that harm nobody where they are

Change: expected pace counts only runs that agents serve earlier, which is in the order of harm; a loss within the noise of figures slows nobody (a division of zero by zero went with it).

--- a/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -16,6 +16,8 @@
 struct PaceConfig {
     /// Slack that serving runs keep. Their load takes up to half of one in a second, and a figure is up to 0.7 s old.
     double leastSlack = 1.2;
+    /// Loss at full pace that is within the noise of figures; a run that takes no more is not slowed for its own harm.
+    double negligibleLoss = 0.03;
     /// Slack from which a worker that was over a target counts as recovered.
     double recoveredSlack = 1.2;
     /// Factor on what filling runs may take, each time that a tail is still over its target.
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -134,6 +134,8 @@
 
 double PaceControl::paceFor(const PaceTraits& filling, const std::vector<Allowance>& left) const
 {
+    if (this->harmOf(filling) <= this->config.negligibleLoss)
+        return this->shared > 0 ? 1 : 0;
     double pace = 1;
     for (const Allowance& allowance : left) {
         const double loss = filling.lossFor(allowance.image);
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -39,6 +39,8 @@
     constexpr double usualSlack = 2.5;
 
     /// Pace that one more filling task would be allowed by the serving tasks of a worker.
+    ///
+    /// Agents serve filling runs in the order of their harm, so only those that harm less come before it.
     double expectedPace(const WorkerEntry& worker, const StepSpec& step, const InterferenceModel& interference)
     {
         const double cores = std::max(1U, worker.info->capacity.milliCores);
@@ -46,9 +48,14 @@
         for (const std::map<std::string, std::uint32_t>::value_type& serving : worker.servingByImage) {
             const std::map<std::string, double>::const_iterator alone = worker.slackAlone.find(serving.first);
             double left = (alone == worker.slackAlone.end() ? usualSlack : alone->second) - PaceConfig {}.leastSlack;
-            for (const std::map<std::string, std::uint32_t>::value_type& filling : worker.fillingByImage)
-                left -= interference.lossOf(serving.first, filling.first) * filling.second / cores;
-            const double loss = interference.lossOf(serving.first, step.image) * step.demand.milliCores / cores;
+            const double lossPerWorker = interference.lossOf(serving.first, step.image);
+            const double loss = lossPerWorker * step.demand.milliCores / cores;
+            if (loss <= PaceConfig {}.negligibleLoss)
+                continue;
+            for (const std::map<std::string, std::uint32_t>::value_type& filling : worker.fillingByImage) {
+                const double earlier = interference.lossOf(serving.first, filling.first);
+                left -= earlier <= lossPerWorker ? earlier * filling.second / cores : 0;
+            }
             if (loss * pace > left)
                 pace = std::max(0.0, left) / loss;
         }
--- a/libs/scheduling/tests/PaceTests.cpp
+++ b/libs/scheduling/tests/PaceTests.cpp
@@ -130,6 +130,16 @@
     CHECK(pace.paceOf(calm) == 0);
 }
 
+TEST_CASE("pace: a harmless run keeps its pace beside a serving run that has nothing to spare", "[jobs]")
+{
+    // Replays side-jylland-a-4 on hedebo-loom scale-1: runs that take a hundredth stood still at each crest of the load.
+    PaceControl pace = loopWithRuns();
+    pace.describe(calm, fillingWith(0.01));
+    static_cast<void>(pace.update(listWith(90, 0, 2000), start));
+    CHECK(pace.paceOf(calm) == 100);
+    CHECK(pace.paceOf(noisy) == 0);
+}
+
 TEST_CASE("pace: a serving run that is not at work yet bounds nothing", "[jobs]")
 {
     PaceControl pace = loopWithRuns();
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -141,6 +141,19 @@
     CHECK(chosen(fillingJob("noisy"), workers, interference) == "b");
 }
 
+TEST_CASE("placement: a harmless task goes beside a harmful one that stands still", "[jobs]")
+{
+    // Replays side-jylland-b-2 on hedebo-loom scale-1: one harmful run kept twelve cores from all harmless ones.
+    const InterferenceModel interference = learntInterference();
+    Workers workers { { "serving", workerOf("serving", 16000) } };
+    addServing(workers.at("serving"), 4000);
+    workers.at("serving").slackAlone["web"] = 1.3;
+    workers.at("serving").take({ { "other" }, 0, 0 }, fillingJob("noisy").spec->steps[0], firstLife);
+    CHECK(chosen(fillingJob("calm"), workers, interference) == "serving");
+    workers.at("serving").slackAlone["web"] = 0.9;
+    CHECK(chosen(fillingJob("noisy"), workers, interference).empty());
+}
+
 TEST_CASE("placement: filling tasks that were sent already count before the worker has listed them", "[jobs]")
 {
     const InterferenceModel interference = learntInterference();
