--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -32,7 +32,7 @@
     /// Cores that filling tasks can use beside what is there.
     double unusedCores(const WorkerEntry& worker)
     {
-        return static_cast<double>(worker.free().milliCores) + lastingUnused * worker.lastingMilliCores - worker.fillingMilliCores;
+        return static_cast<double>(worker.free().milliCores) + lastingUnused * worker.lastingMilliCores + worker.pacedDownMilliCores - worker.fillingMilliCores;
     }
 
     /// Slack that a serving image keeps without filling tasks until its worker has listed it: that of half the load.
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -10,6 +10,8 @@
     /// Progress of a serving run that is at work.
     constexpr std::uint32_t runAtWork = 100;
 
+    constexpr std::uint32_t fullPace = 100;
+
     /// Whether losses have changed so much that an agent should learn it: by a fifth and a little.
     bool differ(const std::vector<SlackLoss>& told, const std::vector<SlackLoss>& present)
     {
@@ -146,14 +148,17 @@
     const double cores = std::max(1U, worker.info->capacity.milliCores);
     std::vector<ServingSample> serving;
     std::map<std::string, double> shares;
+    worker.pacedDownMilliCores = 0;
     for (const RunStatus& status : report.running) {
         const JobEntry* const job = this->book.find(status.run.task.job);
         if (!job || !this->book.openRun(status.run))
             continue;
         const StepSpec& step = job->spec->steps[status.run.task.step];
-        if (step.fills)
+        if (step.fills) {
             shares[step.image] += status.figure / cores;
-        else if (step.target > Duration {} && status.percent == runAtWork)
+            worker.pacedDownMilliCores += step.demand.milliCores * (fullPace - std::min(fullPace, status.pace)) / fullPace;
+        }
+        if (step.target > Duration {} && status.percent == runAtWork)
             serving.push_back({ job->spec->id, step.image, static_cast<double>(toMilliseconds(step.target)) / std::max(1U, status.figure) });
     }
     std::vector<FillingSample> filling;
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -217,3 +217,15 @@
     CHECK_FALSE(worker.judge({ "d" }, false, config, start));
     CHECK_FALSE(worker.judge({ "e" }, true, config, start));
 }
+
+TEST_CASE("placement: cores that paced-down tasks leave unused go to others", "[jobs]")
+{
+    const InterferenceModel interference = learntInterference();
+    Workers workers { { "a", workerOf("a", 4000) } };
+    const JobEntry job = fillingJob("calm");
+    for (std::uint32_t index = 0; index < 2; ++index)
+        workers.at("a").take({ { "other" }, 0, index }, job.spec->steps[0], firstLife);
+    CHECK(chosen(job, workers, interference).empty());
+    workers.at("a").pacedDownMilliCores = 2000;
+    CHECK(chosen(job, workers, interference) == "a");
+}
