Move filling runs that starve to workers where they can run

Ruled out: stragglers by nature (their siblings with the same image ended in time; paces in the agents' logs). The worker it left is avoided. Test: the scheduler with a starving run and a second worker; it failed without avoiding the first worker.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -24,14 +24,16 @@
     std::uint64_t order = 0;
     /// Whether a stop has been ordered.
     bool stopping = false;
-    /// Agent on whose worker the task failed last, or empty.
-    std::string failedOn {};
+    /// Agent on whose worker the task failed last or was stopped to be moved, or empty.
+    std::string avoidedAgent {};
     /// Not to be placed before.
     TimePoint notBefore {};
     TimePoint startedAt {};
     std::uint32_t percent = 0;
     /// When the percent last grew.
     TimePoint progressedAt {};
+    /// Since when its pace has been too low to be worth its place.
+    std::optional<TimePoint> starvingSince {};
 
     bool operator==(const TaskState&) const = default;
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -21,6 +21,12 @@
 /// @return the jobs, first the one to place first
 [[nodiscard]] std::vector<const JobEntry*> placementOrder(const std::set<JobId>& jobs, const JobBook& book, TimePoint now);
 
+/// @param worker a worker with known capacity
+/// @param step step of a filling task
+/// @param interference what filling tasks do to serving ones
+/// @return the pace that one more such task would be allowed by the serving tasks there, from zero to one
+[[nodiscard]] double expectedPace(const WorkerEntry& worker, const StepSpec& step, const InterferenceModel& interference);
+
 /// @brief Chooses a worker for one task.
 ///
 /// Lasting tasks go beside those that filling images treat alike, so that each filling image finds workers where it harms
--- /dev/null
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Relocation.h
@@ -0,0 +1,39 @@
+#pragma once
+
+/// @file
+/// @brief Which running tasks are better stopped and started on another worker.
+
+#include "Placement.h"
+
+namespace cowslipdoor {
+
+/// @brief Settings of relocation.
+struct RelocationConfig {
+    /// Pace in percent under which a filling run starves.
+    std::uint32_t starvingPace = 50;
+    /// How long a run starves before it is moved: about what a move costs (a stop, a start and the restoring of a checkpoint).
+    Duration patience = std::chrono::milliseconds(1000);
+    /// Pace that it must be expected to get elsewhere.
+    double worthwhilePace = 0.9;
+    /// Progress in percent that a run without checkpoints may lose by a move.
+    std::uint32_t cheapProgress = 15;
+
+    bool operator==(const RelocationConfig&) const = default;
+};
+
+/// @brief Chooses a better worker for a filling run that starves.
+///
+/// Pattern it answers: a filling run lands beside serving runs whose load swings up, or that turn out to mind it, and is
+/// paced down to nothing for many seconds while other workers could run it at full pace. A stop gives a checkpoint, so a
+/// move costs little more than the patience.
+/// @param job its job
+/// @param id the task
+/// @param here the worker that runs it
+/// @param workers all workers
+/// @param interference what filling tasks do to serving ones
+/// @param config settings
+/// @param now the present
+/// @return the better worker, or nothing when the run should stay
+[[nodiscard]] const WorkerEntry* betterWorker(const JobEntry& job, const TaskId& id, const WorkerEntry& here, const Workers& workers, const InterferenceModel& interference, const RelocationConfig& config, TimePoint now);
+
+}
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -7,6 +7,7 @@
 #include "JobBook.h"
 #include "JobMessages.h"
 #include "LeaderLease.h"
+#include "Relocation.h"
 #include "Workers.h"
 #include <cowslipdoor/core/EventCatalogue.h>
 #include <cowslipdoor/core/Ids.h>
@@ -21,6 +22,7 @@
 struct SchedulerConfig {
     LeaseConfig lease {};
     WorkerHealthConfig health {};
+    RelocationConfig relocation {};
     /// How long after a leader's last word runs may still act: the agent's trust in a word, the lease of the worker with
     /// 2% of its clock, and the time that a call may take to get through.
     Duration silenceLimit = std::chrono::milliseconds(4900);
@@ -225,6 +227,9 @@
     void takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects);
     void learnInterference(WorkerEntry& worker, const RunProgress& report, TimePoint now);
     void describeChanges(WorkerEntry& worker, Effects& effects);
+    void noteStarving(const RunProgress& report, TimePoint now);
+    void moveOneStarving(const WorkerEntry& worker, TimePoint now, Effects& effects);
+    void orderStop(const WorkerEntry& worker, const TaskId& id, const std::string& reason, Effects& effects);
     void takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
     void adoptRuns(WorkerEntry& worker, const WorkerSnapshot& snapshot);
     void dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -89,6 +89,7 @@
     state.startedAt = now;
     state.progressedAt = now;
     state.percent = 0;
+    state.starvingSince.reset();
     ++job.assigned;
     job.waitingSince = now;
     if (job.state == JobState::Queued)
@@ -115,7 +116,8 @@
     if (freshFailure)
         failedRuns.push_back(run.number);
     if (open) {
-        state->failedOn = kind == RunEndKind::Failed ? state->record.assignment->agent : std::string();
+        if (kind == RunEndKind::Failed)
+            state->avoidedAgent = state->record.assignment->agent;
         this->unassign(job, *state);
     }
     this->changedJobs.insert(run.task.job);
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -38,30 +38,6 @@
     /// Slack that a serving image keeps without filling tasks until its worker has listed it: that of half the load.
     constexpr double usualSlack = 2.5;
 
-    /// Pace that one more filling task would be allowed by the serving tasks of a worker.
-    ///
-    /// Agents serve filling runs in the order of their harm, so only those that harm less come before it.
-    double expectedPace(const WorkerEntry& worker, const StepSpec& step, const InterferenceModel& interference)
-    {
-        const double cores = std::max(1U, worker.info->capacity.milliCores);
-        double pace = 1;
-        for (const std::map<std::string, std::uint32_t>::value_type& serving : worker.servingByImage) {
-            const std::map<std::string, double>::const_iterator alone = worker.slackAlone.find(serving.first);
-            double left = (alone == worker.slackAlone.end() ? usualSlack : alone->second) - PaceConfig {}.leastSlack;
-            const double lossPerWorker = interference.lossOf(serving.first, step.image);
-            const double loss = lossPerWorker * step.demand.milliCores / cores;
-            if (loss <= PaceConfig {}.negligibleLoss)
-                continue;
-            for (const std::map<std::string, std::uint32_t>::value_type& filling : worker.fillingByImage) {
-                const double earlier = interference.lossOf(serving.first, filling.first);
-                left -= earlier <= lossPerWorker ? earlier * filling.second / cores : 0;
-            }
-            if (loss * pace > left)
-                pace = std::max(0.0, left) / loss;
-        }
-        return pace;
-    }
-
     /// Whether a worker can bear one more filling task.
     ///
     /// Pattern it answers: filling tasks come in bursts. Sent all at once they share the cores, harm serving tasks, are
@@ -101,7 +77,7 @@
     Score scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task, const InterferenceModel& interference)
     {
         const StepSpec& step = job.spec->steps[number];
-        const bool elsewhere = worker.agent != task.failedOn;
+        const bool elsewhere = worker.agent != task.avoidedAgent;
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
         if (step.longRunning)
             return { elsewhere, nearData, -mismatch(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
@@ -112,6 +88,28 @@
 
 }
 
+double expectedPace(const WorkerEntry& worker, const StepSpec& step, const InterferenceModel& interference)
+{
+    const double cores = std::max(1U, worker.info->capacity.milliCores);
+    double pace = 1;
+    for (const std::map<std::string, std::uint32_t>::value_type& serving : worker.servingByImage) {
+        const std::map<std::string, double>::const_iterator alone = worker.slackAlone.find(serving.first);
+        double left = (alone == worker.slackAlone.end() ? usualSlack : alone->second) - PaceConfig {}.leastSlack;
+        const double lossPerWorker = interference.lossOf(serving.first, step.image);
+        const double loss = lossPerWorker * step.demand.milliCores / cores;
+        if (loss <= PaceConfig {}.negligibleLoss)
+            continue;
+        // Agents serve filling runs in the order of their harm, so only those that harm less come before it.
+        for (const std::map<std::string, std::uint32_t>::value_type& filling : worker.fillingByImage) {
+            const double earlier = interference.lossOf(serving.first, filling.first);
+            left -= earlier <= lossPerWorker ? earlier * filling.second / cores : 0;
+        }
+        if (loss * pace > left)
+            pace = std::max(0.0, left) / loss;
+    }
+    return pace;
+}
+
 std::vector<const JobEntry*> placementOrder(const std::set<JobId>& jobs, const JobBook& book, TimePoint now)
 {
     std::vector<const JobEntry*> order;
--- /dev/null
+++ b/libs/scheduling/src/Relocation.cpp
@@ -0,0 +1,21 @@
+#include "cowslipdoor/scheduling/Relocation.h"
+
+namespace cowslipdoor {
+
+const WorkerEntry* betterWorker(const JobEntry& job, const TaskId& id, const WorkerEntry& here, const Workers& workers, const InterferenceModel& interference, const RelocationConfig& config, TimePoint now)
+{
+    const StepSpec& step = job.spec->steps[id.step];
+    const TaskState& task = job.steps[id.step][id.index];
+    if (!step.fills || !task.starvingSince || now < *task.starvingSince + config.patience)
+        return nullptr;
+    if (!step.checkpointing && task.percent > config.cheapProgress)
+        return nullptr;
+    TaskState elsewhere = task;
+    elsewhere.avoidedAgent = here.agent;
+    const WorkerEntry* const chosen = chooseWorker(job, id.step, elsewhere, workers, interference, now);
+    if (!chosen || chosen->agent == here.agent || expectedPace(*chosen, step, interference) < config.worthwhilePace)
+        return nullptr;
+    return chosen;
+}
+
+}
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -325,7 +325,7 @@
 {
     const JobState state = this->book.find(job)->state;
     for (const TaskId& id : this->book.placedTasks(job)) {
-        TaskState& task = *this->book.task(id);
+        const TaskState& task = *this->book.task(id);
         if (task.stopping)
             continue;
         WorkerEntry& worker = this->knownWorkers[task.record.assignment->agent];
@@ -333,10 +333,7 @@
             this->loseRun(worker, id, "the job has ended", now, effects);
             continue;
         }
-        task.stopping = true;
-        const RunId run { id, task.record.run };
-        this->send(worker, StopRun { run }, effects);
-        effects.emplace_back(RecordEvent { EventId::RunStopOrdered, describe(run) + " at " + worker.agent + ": the job is " + std::string(toString(state)) });
+        this->orderStop(worker, id, "the job is " + std::string(toString(state)), effects);
     }
 }
 
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -70,7 +70,7 @@
     TaskState* const state = this->book.openRun(report.run);
     if (!state || state->record.assignment->agent != worker.agent)
         return;
-    state->failedOn = worker.agent;
+    state->avoidedAgent = worker.agent;
     effects.emplace_back(RecordEvent { EventId::RunRejectedByWorker, describe(report.run) + " at " + worker.agent + ": " + report.reason });
     this->loseRun(worker, report.run.task, "rejected", now, effects);
 }
@@ -82,6 +82,8 @@
     this->learnInterference(worker, report, now);
     this->describeChanges(worker, effects);
     this->takeStatus(worker, report.running, now, effects);
+    this->noteStarving(report, now);
+    this->moveOneStarving(worker, now, effects);
     if (!this->book.waiting().empty())
         this->wantPass(now);
 }
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -197,7 +197,7 @@
     Workers workers { { "a", workerOf("a", 16000) }, { "b", workerOf("b", 16000) } };
     const JobEntry job = entryOf(jobOf("x", { stepOf(1, 500) }));
     TaskState failed;
-    failed.failedOn = "a";
+    failed.avoidedAgent = "a";
     CHECK(chooseWorker(job, 0, failed, workers, InterferenceModel(), start)->agent == "b");
     workers.erase("b");
     CHECK(chooseWorker(job, 0, failed, workers, InterferenceModel(), start)->agent == "a");
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -140,6 +140,46 @@
     CHECK(test.sent<StartRun>()->word == 9);
 }
 
+TEST_CASE("scheduler: a filling run that starves is stopped once another worker could run it, and resumes there", "[jobs]")
+{
+    SchedulerUnderTest test;
+    StepSpec filling = stepOf(1, 2000);
+    filling.fills = true;
+    filling.checkpointing = true;
+    filling.image = "render";
+    test.lead({ jobOf("a", { filling }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    const RunId run { { { "a" }, 0, 0 }, 1 };
+    const auto starve = [&test, &run] {
+        test.now += milliseconds(500);
+        test.step(AgentSaid { "agent", LinkId { 1 }, Ping { 2 } });
+        test.step(AgentSaid { "agent", LinkId { 1 }, RunProgress { firstLife, { { run, "saved", 40, 0, 0 } } } });
+    };
+    for (int report = 0; report < 4; ++report) {
+        starve();
+        CHECK_FALSE(test.sent<StopRun>());
+        if (!test.machine.lease().idle())
+            test.commit();
+    }
+    test.step(AgentStored { { "other", { "address", 1 } } });
+    test.step(AgentLinked { "other", LinkId { 2 } });
+    const WorkerInfo worker { { "second", 1 }, "service", { 8000, 8000, 0 }, {}, false, {} };
+    test.step(AgentSaid { "other", LinkId { 2 }, WorkerSnapshot { "other", 1, worker, true, {}, {}, {}, 0 } });
+    test.step(AgentSaid { "other", LinkId { 2 }, Ping { 1 } });
+    starve();
+    REQUIRE(test.sent<StopRun>());
+    CHECK(test.sent<StopRun>()->run == run);
+    if (!test.machine.lease().idle())
+        test.commit();
+    test.step(AgentSaid { "agent", LinkId { 1 }, RunsEnded { firstLife, { { 1, run, RunEndKind::Stopped, "fresh" } } } });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    REQUIRE(test.sent<StartRun>());
+    CHECK(test.sent<StartRun>()->worker.id == "second");
+    CHECK(test.sent<StartRun>()->checkpoint == "fresh");
+}
+
 TEST_CASE("scheduler: an agent's runs are given up only when its leases have expired", "[jobs]")
 {
     SchedulerUnderTest test;
