Leave a worker on which all runs stand still

Ruled out: harm by filling runs (tails are capped far lower there), slow progress (percent did not change at all). Change: if no run of a worker has shown progress for 1.2 s and a fifth of its expected time, or a serving run's tail is at 50 times its target as long, and no other run there moves on, the runs are stopped and go elsewhere, as far as their step may miss tasks; the worker gets no start for 3 s.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -34,6 +34,8 @@
     TimePoint progressedAt {};
     /// Since when its pace has been too low to be worth its place.
     std::optional<TimePoint> starvingSince {};
+    /// Since when a serving run's tail has been many times over its target.
+    std::optional<TimePoint> stalledSince {};
 
     bool operator==(const TaskState&) const = default;
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/Relocation.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Relocation.h
@@ -18,9 +18,32 @@
     /// Progress in percent that a run without checkpoints may lose by a move.
     std::uint32_t cheapProgress = 15;
 
+    /// How long a run of an expected time of nothing may show no progress; a list comes every half second.
+    Duration leastStandstill = std::chrono::milliseconds(1200);
+    /// Share of its expected time that a run may show no progress beyond that: one percent of a run that takes ten times as
+    /// long, twice over.
+    double standstillShare = 0.2;
+    /// Slack under which a serving run counts as standing still: a tail of fifty times its target.
+    double standstillSlack = 0.02;
+    /// How long a worker on which all runs stand still gets no start.
+    Duration standstillExclusion = std::chrono::milliseconds(3000);
+
     bool operator==(const RelocationConfig&) const = default;
 };
 
+/// @param step the step of a running task that does not serve
+/// @param task the task
+/// @param config settings
+/// @param now the present
+/// @return whether the run has shown no progress for so long that its worker is in doubt
+[[nodiscard]] bool standsStill(const StepSpec& step, const TaskState& task, const RelocationConfig& config, TimePoint now);
+
+/// @param task a running task that does not serve
+/// @param config settings
+/// @param now the present
+/// @return whether the run has shown progress lately
+[[nodiscard]] bool movesOn(const TaskState& task, const RelocationConfig& config, TimePoint now);
+
 /// @brief Chooses a better worker for a filling run that starves.
 ///
 /// Pattern it answers: a filling run lands beside serving runs whose load swings up, or that turn out to mind it, and is
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -227,7 +227,9 @@
     void takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects);
     void learnInterference(WorkerEntry& worker, const RunProgress& report, TimePoint now);
     void describeChanges(WorkerEntry& worker, Effects& effects);
-    void noteStarving(const RunProgress& report, TimePoint now);
+    void notePace(const RunProgress& report, TimePoint now);
+    void leaveStalledWorker(WorkerEntry& worker, const RunProgress& report, TimePoint now, Effects& effects);
+    [[nodiscard]] bool mayStop(const JobEntry& job, std::uint32_t step) const;
     void moveOneStarving(const WorkerEntry& worker, TimePoint now, Effects& effects);
     void orderStop(const WorkerEntry& worker, const TaskId& id, const std::string& reason, Effects& effects);
     void takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -14,6 +14,9 @@
 
 namespace cowslipdoor {
 
+/// @brief Progress in percent of a serving run that is at work.
+constexpr std::uint32_t runAtWork = 100;
+
 /// @brief Settings of the judgement of workers.
 struct WorkerHealthConfig {
     /// Failures in a row, of different jobs, that take a worker out of placement. One job that always fails must not.
@@ -62,16 +65,22 @@
     /// Jobs that failed here since the last success.
     std::set<JobId> failedJobs {};
     TimePoint excludedUntil {};
+    /// Until when it gets no start, as runs there stand still.
+    TimePoint standstillUntil {};
 
     /// @param now the present
     /// @return whether the agent would still heed an order
     [[nodiscard]] bool inTouch(TimePoint now) const noexcept { return now < this->lastWord + freshWord; }
 
+    /// @param now the present
+    /// @return whether all runs here stood still lately
+    [[nodiscard]] bool standsStill(TimePoint now) const noexcept { return now < this->standstillUntil; }
+
     /// @param now the present
     /// @return whether new runs may be sent here
     [[nodiscard]] bool usable(TimePoint now) const noexcept
     {
-        return this->link && this->info && this->settled && !this->info->draining && now >= this->excludedUntil && this->inTouch(now);
+        return this->link && this->info && this->settled && !this->info->draining && now >= this->excludedUntil && !this->standsStill(now) && this->inTouch(now);
     }
 
     /// @return what is free, by what has been assigned
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -90,6 +90,7 @@
     state.progressedAt = now;
     state.percent = 0;
     state.starvingSince.reset();
+    state.stalledSince.reset();
     ++job.assigned;
     job.waitingSince = now;
     if (job.state == JobState::Queued)
--- a/libs/scheduling/src/Relocation.cpp
+++ b/libs/scheduling/src/Relocation.cpp
@@ -2,6 +2,17 @@
 
 namespace cowslipdoor {
 
+bool standsStill(const StepSpec& step, const TaskState& task, const RelocationConfig& config, TimePoint now)
+{
+    const Duration allowed = config.leastStandstill + std::chrono::duration_cast<Duration>(step.estimate * config.standstillShare);
+    return !task.starvingSince && now > task.progressedAt + allowed;
+}
+
+bool movesOn(const TaskState& task, const RelocationConfig& config, TimePoint now)
+{
+    return task.progressedAt > task.startedAt && now < task.progressedAt + config.leastStandstill;
+}
+
 const WorkerEntry* betterWorker(const JobEntry& job, const TaskId& id, const WorkerEntry& here, const Workers& workers, const InterferenceModel& interference, const RelocationConfig& config, TimePoint now)
 {
     const StepSpec& step = job.spec->steps[id.step];
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-    /// Progress of a serving run that is at work.
-    constexpr std::uint32_t runAtWork = 100;
-
     constexpr std::uint32_t fullPace = 100;
 
     /// Whether losses have changed so much that an agent should learn it: by a fifth and a little.
@@ -44,6 +41,7 @@
     if (!sameLife) {
         worker.failedJobs.clear();
         worker.excludedUntil = {};
+        worker.standstillUntil = {};
     }
     if (!worker.settled && report.settled)
         effects.emplace_back(RecordEvent { EventId::WorkerSettled, worker.agent + ": " + (report.worker ? report.worker->identity.id : "no worker") + ", " + std::to_string(report.running.size()) + " runs" });
@@ -82,7 +80,8 @@
     this->learnInterference(worker, report, now);
     this->describeChanges(worker, effects);
     this->takeStatus(worker, report.running, now, effects);
-    this->noteStarving(report, now);
+    this->notePace(report, now);
+    this->leaveStalledWorker(worker, report, now, effects);
     this->moveOneStarving(worker, now, effects);
     if (!this->book.waiting().empty())
         this->wantPass(now);
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -180,6 +180,46 @@
     CHECK(test.sent<StartRun>()->checkpoint == "fresh");
 }
 
+TEST_CASE("scheduler: a worker on which all runs stand still is left and gets no start, one where a run moves on is not", "[jobs]")
+{
+    SchedulerUnderTest test;
+    StepSpec lasting = stepOf(1, 500);
+    lasting.longRunning = true;
+    lasting.target = milliseconds(50);
+    lasting.mayMiss = 1;
+    test.lead({ jobOf("a", { stepOf(2, 500) }), jobOf("b", { lasting }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    const RunId first { { { "a" }, 0, 0 }, 1 };
+    const RunId second { { { "a" }, 0, 1 }, 1 };
+    const RunId serving { { { "b" }, 0, 0 }, 1 };
+    // A run of an expected second may show nothing for 1.4 s; the tail is at 600 times its target.
+    const auto report = [&](std::uint32_t moving) {
+        test.now += milliseconds(500);
+        test.step(AgentSaid { "agent", LinkId { 1 }, RunProgress { firstLife, { { first, "", 30, 500 }, { second, "", moving, 500 }, { serving, "", 100, 30000 } } } });
+        if (!test.machine.lease().idle())
+            test.commit();
+    };
+    for (std::uint32_t percent = 31; percent < 40; ++percent) {
+        report(percent);
+        CHECK_FALSE(test.machine.workers().at("agent").standsStill(test.now));
+    }
+    report(39);
+    report(39);
+    CHECK_FALSE(test.machine.workers().at("agent").standsStill(test.now));
+    test.now += milliseconds(500);
+    test.step(AgentSaid { "agent", LinkId { 1 }, RunProgress { firstLife, { { first, "", 30, 500 }, { second, "", 39, 500 }, { serving, "", 100, 30000 } } } });
+    CHECK(test.machine.workers().at("agent").standsStill(test.now));
+    std::set<RunId> stopped;
+    for (const SchedulerEffect& effect : test.effects) {
+        const SendToAgent* const message = std::get_if<SendToAgent>(&effect);
+        if (message && std::holds_alternative<StopRun>(message->message))
+            stopped.insert(std::get<StopRun>(message->message).run);
+    }
+    CHECK(stopped.contains(first));
+    CHECK(stopped.contains(serving));
+}
+
 TEST_CASE("scheduler: an agent's runs are given up only when its leases have expired", "[jobs]")
 {
     SchedulerUnderTest test;
