Tell found runs, and runs with an unanswered order, their pace

Change: the pace in force is unknown for a run that was found and after such an order, and is then told whatever it is. Tests: a found run; an order in doubt. Both failed before.

--- a/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -77,8 +77,12 @@
     /// @return paces that differ from those in force
     [[nodiscard]] std::vector<PaceOrder> update(const std::vector<RunStatus>& running, TimePoint now);
 
+    /// @brief Takes in that an order had no answer, so that it is not known which pace is in force.
+    /// @param run the run
+    void doubt(const RunId& run);
+
     /// @param run a run
-    /// @return its pace in percent
+    /// @return its pace in percent; full pace where it is not known
     [[nodiscard]] std::uint32_t paceOf(const RunId& run) const;
 
     /// @return the least slack of a serving run as of the last list, or nothing when none serves
@@ -109,8 +113,9 @@
     std::optional<TimePoint> overSince {};
     std::vector<Allowance> allowances;
     std::map<RunId, PaceTraits> traits;
-    /// Paces of the filling runs that are at work.
-    std::map<RunId, std::uint32_t> inForce;
+    /// Paces of the filling runs that are at work; nothing for one that an earlier run of the agent may have paced, or whose
+    /// last order had no answer.
+    std::map<RunId, std::optional<std::uint32_t>> inForce;
 };
 
 }
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -14,9 +14,11 @@
     /// Progress of a serving run that is at work; before, its tail says nothing.
     constexpr std::uint32_t atWork = 100;
 
-    bool worthACall(std::uint32_t before, std::uint32_t after)
+    bool worthACall(std::optional<std::uint32_t> before, std::uint32_t after)
     {
-        const std::uint32_t change = before > after ? before - after : after - before;
+        if (!before)
+            return true;
+        const std::uint32_t change = *before > after ? *before - after : after - *before;
         return change >= leastChange || (change > 0 && (after == 0 || after == fullPace));
     }
 
@@ -71,15 +73,22 @@
     for (const RunStatus& status : running) {
         const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
         if (it != this->traits.end() && it->second.fills)
-            this->inForce.try_emplace(status.run, fullPace);
+            this->inForce.try_emplace(status.run, std::nullopt);
     }
     return this->share();
 }
 
+void PaceControl::doubt(const RunId& run)
+{
+    const std::map<RunId, std::optional<std::uint32_t>>::iterator it = this->inForce.find(run);
+    if (it != this->inForce.end())
+        it->second.reset();
+}
+
 std::uint32_t PaceControl::paceOf(const RunId& run) const
 {
-    const std::map<RunId, std::uint32_t>::const_iterator it = this->inForce.find(run);
-    return it == this->inForce.end() ? fullPace : it->second;
+    const std::map<RunId, std::optional<std::uint32_t>>::const_iterator it = this->inForce.find(run);
+    return it == this->inForce.end() ? fullPace : it->second.value_or(fullPace);
 }
 
 void PaceControl::measure(const std::vector<RunStatus>& running)
@@ -156,7 +165,7 @@
 std::vector<PaceOrder> PaceControl::share()
 {
     std::vector<std::pair<double, RunId>> byHarm;
-    for (const std::map<RunId, std::uint32_t>::value_type& item : this->inForce) {
+    for (const std::map<RunId, std::optional<std::uint32_t>>::value_type& item : this->inForce) {
         const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(item.first);
         if (it != this->traits.end())
             byHarm.emplace_back(this->harmOf(it->second), item.first);
@@ -172,7 +181,7 @@
         for (Allowance& allowance : left)
             allowance.slack = std::max(0.0, allowance.slack - pace * filling.lossFor(allowance.image));
         const std::uint32_t percent = static_cast<std::uint32_t>(pace * fullPace);
-        std::uint32_t& current = this->inForce[item.second];
+        std::optional<std::uint32_t>& current = this->inForce[item.second];
         if (!worthACall(current, percent))
             continue;
         current = percent;
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -171,6 +171,8 @@
         const StartOrder* const start = std::get_if<StartOrder>(&order);
         if (start)
             this->reject(start->order.run, "an earlier run of the agent used a greater fencing token", effects);
+        else
+            std::visit([this](const auto& alternative) { this->lost(alternative); }, order);
     }
     // No other agent calls this worker, so the greater token is that of an earlier run of this one.
     this->generation = this->generation.value_or(0) + 1;
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -20,8 +20,10 @@
 {
 }
 
-void WorkerMachine::answered(const ChangePace&, const OrderAnswered&, Effects&)
+void WorkerMachine::answered(const ChangePace& order, const OrderAnswered& event, Effects&)
 {
+    if (!event.accepted)
+        this->paceControl.doubt(order.run);
 }
 
 void WorkerMachine::lost(const StartOrder& order)
@@ -34,8 +36,9 @@
 {
 }
 
-void WorkerMachine::lost(const ChangePace&)
+void WorkerMachine::lost(const ChangePace& order)
 {
+    this->paceControl.doubt(order.run);
 }
 
 void WorkerMachine::call(const StartOrder& order, TimePoint now, Effects& effects)
--- a/libs/scheduling/tests/PaceTests.cpp
+++ b/libs/scheduling/tests/PaceTests.cpp
@@ -140,6 +140,24 @@
     CHECK(pace.paceOf(noisy) == 0);
 }
 
+TEST_CASE("pace: a run that was found is told its pace, as an earlier run of the agent may have slowed it", "[jobs]")
+{
+    // Replays 4e135f83410a495e/1/3 on tebu-rota scale-1: slowed to nothing just before its agent was killed, it stood still.
+    PaceControl pace { PaceConfig {} };
+    pace.describe(noisy, fillingWith(2.0));
+    CHECK(pace.update({ { noisy, "", 50, 0 } }, start) == std::vector<PaceOrder> { { noisy, 100 } });
+    CHECK(pace.update({ { noisy, "", 50, 0 } }, start).empty());
+}
+
+TEST_CASE("pace: an order without an answer is given again", "[jobs]")
+{
+    PaceControl pace = loopWithRuns();
+    static_cast<void>(pace.update(listWith(50, 0, 0), start));
+    CHECK(pace.update(listWith(50, 0, 0), start).empty());
+    pace.doubt(noisy);
+    CHECK(pace.update(listWith(50, 0, 0), start) == std::vector<PaceOrder> { { noisy, 40 } });
+}
+
 TEST_CASE("pace: a serving run that is not at work yet bounds nothing", "[jobs]")
 {
     PaceControl pace = loopWithRuns();
