Hand what is known of interference on to the next leader

Change: the leader writes the pairs that it knows in a row of their own, with writes that are due anyway, each 2 s at most; a new leader reads it with the other tables (one call more). Tests: the row's text and its taking over; the scheduler writes it once for one state.

--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -145,10 +145,12 @@
         const ReadResult jobs = co_await readTable(this->store, jobTable);
         const ReadResult progress = co_await readTable(this->store, progressTable);
         const ReadResult agents = co_await readTable(this->store, agentTable);
+        const ReadResult models = co_await readTable(this->store, modelTable);
         const RowPage* const jobRows = std::get_if<RowPage>(&jobs);
         const RowPage* const progressRows = std::get_if<RowPage>(&progress);
         const RowPage* const agentRows = std::get_if<RowPage>(&agents);
-        if (!jobRows || !progressRows || !agentRows) {
+        const RowPage* const modelRows = std::get_if<RowPage>(&models);
+        if (!jobRows || !progressRows || !agentRows || !modelRows) {
             this->log.record(EventId::StoreLost, "the tables of jobs could not be read; trying again");
             co_await pauseFor(tableRetryDelay);
             continue;
@@ -156,6 +158,7 @@
         std::vector<Row> rows = jobRows->rows;
         rows.insert(rows.end(), progressRows->rows.begin(), progressRows->rows.end());
         rows.insert(rows.end(), agentRows->rows.begin(), agentRows->rows.end());
+        rows.insert(rows.end(), modelRows->rows.begin(), modelRows->rows.end());
         const DecodedTables tables = decodeTables(following->epoch, rows);
         for (const RowKey& key : tables.ignored)
             this->recordIgnored(key);
--- a/libs/scheduling/include/cowslipdoor/scheduling/InterferenceModel.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/InterferenceModel.h
@@ -41,6 +41,16 @@
     bool operator==(const InterferenceConfig&) const = default;
 };
 
+/// @brief What is known of one pair of images, to be handed on to the next leader.
+struct LearntLoss {
+    std::string serving;
+    std::string filling;
+    double loss = 0;
+    double variance = 0;
+
+    bool operator==(const LearntLoss&) const = default;
+};
+
 /// @brief One serving run as a worker listed it.
 struct ServingSample {
     JobId job;
@@ -86,6 +96,15 @@
     /// @param job the job
     void forget(const JobId& job);
 
+    /// @param most how many pairs at most; those that were seen last come first
+    /// @return what is known of pairs
+    [[nodiscard]] std::vector<LearntLoss> learnt(std::size_t most) const;
+
+    /// @brief Takes over what an earlier leader knew of pairs.
+    /// @param known what it knew
+    /// @param now the present
+    void restore(const std::vector<LearntLoss>& known, TimePoint now);
+
     /// @param serving image of a serving run
     /// @param filling image of a filling run
     /// @return the slack that the serving run would lose if the filling one used the whole worker
--- a/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
@@ -3,6 +3,7 @@
 /// @file
 /// @brief Rows that the product keeps in the store, and their text form.
 
+#include "InterferenceModel.h"
 #include "Job.h"
 #include "Store.h"
 #include "Worker.h"
@@ -22,6 +23,9 @@
 /// @brief Table of the progress of jobs; only the leader writes it.
 constexpr const char* progressTable = "cowslipdoor-progress";
 
+/// @brief Table of what leaders have learnt; only the leader writes it.
+constexpr const char* modelTable = "cowslipdoor-models";
+
 /// @brief Table of agents.
 constexpr const char* agentTable = "cowslipdoor-agents";
 
@@ -102,6 +106,9 @@
 /// @return the place of the counts of waiting jobs
 [[nodiscard]] RowKey pendingRowKey();
 
+/// @return the place of what is known of interference, in the part of the leader's row
+[[nodiscard]] RowKey interferenceRowKey();
+
 /// @param key place of a row of the job table
 /// @return the job that the row cancels, or nothing for other rows
 [[nodiscard]] std::optional<JobId> cancelledJob(const RowKey& key);
@@ -114,11 +121,13 @@
 [[nodiscard]] std::string print(const ProgressRecord& record);
 [[nodiscard]] std::string print(const JobSpec& spec);
 [[nodiscard]] std::string print(const PendingCounts& counts);
+[[nodiscard]] std::string print(const std::vector<LearntLoss>& losses);
 [[nodiscard]] std::optional<LeaderRecord> parseLeaderRecord(const std::string& text);
 [[nodiscard]] std::optional<AgentRecord> parseAgentRecord(const std::string& text);
 [[nodiscard]] std::optional<ProgressRecord> parseProgressRecord(const std::string& text);
 [[nodiscard]] std::optional<JobSpec> parseJobSpec(const std::string& text);
 [[nodiscard]] std::optional<PendingCounts> parsePendingCounts(const std::string& text);
+[[nodiscard]] std::optional<std::vector<LearntLoss>> parseLearntLosses(const std::string& text);
 /// @}
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -30,6 +30,10 @@
     Duration gatherTime = std::chrono::milliseconds(5);
     /// How often the counts of waiting jobs are written while they change. A quarter of their allowed age of 2 s.
     Duration pendingInterval = std::chrono::milliseconds(500);
+    /// How often what is known of interference is written while it changes, with writes that are due anyway.
+    Duration modelInterval = std::chrono::seconds(2);
+    /// Pairs of images in that row: about 50 bytes each, and a row holds 64 KiB.
+    std::size_t pairsPerRow = 1000;
     /// Pause before a refused run is placed again.
     Duration rejectionPause = std::chrono::milliseconds(100);
     /// How long an ended job can still be asked for: 120 s by contract, and time for late copies of its request.
@@ -71,6 +75,8 @@
     const std::map<JobId, ProgressRecord> progress {};
     const std::vector<JobId> cancelled {};
     const std::vector<KnownAgent> agents {};
+    /// What an earlier leader knew of interference.
+    const std::vector<LearntLoss> losses {};
 };
 
 /// @brief A job was stored.
@@ -219,6 +225,7 @@
     void placeJob(const JobEntry& job, TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<RowWrite> takeWrites(TimePoint now);
     [[nodiscard]] bool pendingCountsDue(TimePoint now) const;
+    void addModelRow(std::vector<RowWrite>& rows, TimePoint now);
     [[nodiscard]] std::vector<RowKey> takeRemovals(TimePoint now);
     void orderStored(const JobId& job, Effects& effects);
     void stopLeftovers(const JobId& job, TimePoint now, Effects& effects);
@@ -263,6 +270,8 @@
     std::map<std::string, AcknowledgeEnds> acknowledgeAfterWrite;
     PendingCounts pendingWritten;
     TimePoint pendingWrittenAt {};
+    std::string modelWritten;
+    TimePoint modelWrittenAt {};
     TimePoint sweptAt {};
 };
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/TableEvents.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/TableEvents.h
@@ -27,7 +27,7 @@
 
 /// @brief Decodes whole tables.
 /// @param epoch epoch of the leader that read them
-/// @param rows rows of the tables of jobs, of progress and of agents, in any order
+/// @param rows rows of the tables of jobs, of progress, of agents and of models, in any order
 /// @return the event that tells them, and the rows that it leaves out
 [[nodiscard]] DecodedTables decodeTables(std::uint64_t epoch, const std::vector<Row>& rows);
 
--- a/libs/scheduling/src/InterferenceModel.cpp
+++ b/libs/scheduling/src/InterferenceModel.cpp
@@ -31,6 +31,26 @@
     this->slacks.erase(job);
 }
 
+std::vector<LearntLoss> InterferenceModel::learnt(std::size_t most) const
+{
+    std::vector<std::map<ImagePair, Estimate>::const_iterator> rows;
+    for (std::map<ImagePair, Estimate>::const_iterator it = this->losses.begin(); it != this->losses.end(); ++it)
+        rows.push_back(it);
+    std::stable_sort(rows.begin(), rows.end(), [](const std::map<ImagePair, Estimate>::const_iterator& left, const std::map<ImagePair, Estimate>::const_iterator& right) { return left->second.seenAt > right->second.seenAt; });
+    rows.resize(std::min(rows.size(), most));
+    std::vector<LearntLoss> known;
+    known.reserve(rows.size());
+    for (const std::map<ImagePair, Estimate>::const_iterator& row : rows)
+        known.push_back({ row->first.first, row->first.second, row->second.value, row->second.variance });
+    return known;
+}
+
+void InterferenceModel::restore(const std::vector<LearntLoss>& known, TimePoint now)
+{
+    for (const LearntLoss& item : known)
+        this->losses.insert_or_assign({ item.serving, item.filling }, Estimate { item.loss, item.variance, now });
+}
+
 double InterferenceModel::lossOf(const std::string& serving, const std::string& filling) const
 {
     const std::map<ImagePair, Estimate>::const_iterator it = this->losses.find({ serving, filling });
--- a/libs/scheduling/src/Rows.cpp
+++ b/libs/scheduling/src/Rows.cpp
@@ -1,4 +1,5 @@
 #include "cowslipdoor/scheduling/Rows.h"
+#include <cmath>
 #include <cowslipdoor/core/Rendezvous.h>
 #include <nlohmann/json.hpp>
 
@@ -46,6 +47,12 @@
         return step;
     }
 
+    /// Two decimals are more than is known of a loss.
+    double rounded(double value)
+    {
+        return std::round(value * 100) / 100;
+    }
+
     /// Parses a text and converts it; a text of another form gives nothing.
     template <typename Record, typename Convert>
     std::optional<Record> parseRecord(const std::string& text, const Convert& convert)
@@ -95,6 +102,11 @@
     return { agentTable, "", agent };
 }
 
+RowKey interferenceRowKey()
+{
+    return { modelTable, "", "interference" };
+}
+
 RowKey pendingRowKey()
 {
     return { leaderTable, "", "pending" };
@@ -149,6 +161,14 @@
     return Json(counts).dump();
 }
 
+std::string print(const std::vector<LearntLoss>& losses)
+{
+    Json rows = Json::array();
+    for (const LearntLoss& item : losses)
+        rows.push_back({ item.serving, item.filling, rounded(item.loss), rounded(item.variance) });
+    return rows.dump();
+}
+
 std::optional<LeaderRecord> parseLeaderRecord(const std::string& text)
 {
     return parseRecord<LeaderRecord>(text, [](const Json& json) {
@@ -211,4 +231,14 @@
     return parseRecord<PendingCounts>(text, [](const Json& json) { return json.get<PendingCounts>(); });
 }
 
+std::optional<std::vector<LearntLoss>> parseLearntLosses(const std::string& text)
+{
+    return parseRecord<std::vector<LearntLoss>>(text, [](const Json& json) {
+        std::vector<LearntLoss> losses;
+        for (const Json& row : json)
+            losses.push_back({ row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<double>(), row.at(3).get<double>() });
+        return losses;
+    });
+}
+
 }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -76,6 +76,7 @@
     if (!this->leaderLease.leading() || event.epoch != this->leaderLease.epoch() || this->tablesRead)
         return;
     this->tablesRead = true;
+    this->interference.restore(event.losses, now);
     for (const KnownAgent& agent : event.agents)
         this->learnAgent(agent, effects);
     for (const JobSpecHandle& spec : event.jobs) {
@@ -202,6 +203,7 @@
     this->tablesRead = false;
     this->ledSince = now;
     this->pendingWritten.clear();
+    this->modelWritten.clear();
     this->acknowledgeNext.clear();
     this->acknowledgeAfterWrite.clear();
     this->writing.clear();
@@ -281,9 +283,23 @@
     }
     if (!this->book.changed())
         this->acknowledgeAfterWrite = std::exchange(this->acknowledgeNext, {});
+    this->addModelRow(rows, now);
     return rows;
 }
 
+void Scheduler::addModelRow(std::vector<RowWrite>& rows, TimePoint now)
+{
+    if (now < this->modelWrittenAt + this->config.modelInterval)
+        return;
+    this->modelWrittenAt = now;
+    const std::vector<LearntLoss> known = this->interference.learnt(this->config.pairsPerRow);
+    std::string text = print(known);
+    if (known.empty() || text == this->modelWritten)
+        return;
+    rows.push_back({ interferenceRowKey(), text });
+    this->modelWritten = std::move(text);
+}
+
 bool Scheduler::pendingCountsDue(TimePoint now) const
 {
     return now >= this->pendingWrittenAt + this->config.pendingInterval && this->pendingWritten != this->book.pendingCounts();
--- a/libs/scheduling/src/TableEvents.cpp
+++ b/libs/scheduling/src/TableEvents.cpp
@@ -48,7 +48,12 @@
     std::vector<JobId> cancelled;
     std::vector<KnownAgent> agents;
     std::vector<RowKey> ignored;
+    std::vector<LearntLoss> losses;
     for (const Row& row : rows) {
+        if (row.key == interferenceRowKey()) {
+            losses = parseLearntLosses(row.value).value_or(std::vector<LearntLoss> {});
+            continue;
+        }
         const bool ofProgress = row.key.table == progressTable;
         const std::optional<ProgressRecord> record = ofProgress ? parseProgressRecord(row.value) : std::nullopt;
         const std::optional<SchedulerEvent> event = ofProgress ? std::nullopt : eventOf(row);
@@ -59,7 +64,7 @@
         else
             ignored.push_back(row.key);
     }
-    return { { epoch, std::move(jobs), std::move(progress), std::move(cancelled), std::move(agents) }, std::move(ignored) };
+    return { { epoch, std::move(jobs), std::move(progress), std::move(cancelled), std::move(agents), std::move(losses) }, std::move(ignored) };
 }
 
 }
--- a/libs/scheduling/tests/InterferenceTests.cpp
+++ b/libs/scheduling/tests/InterferenceTests.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <cowslipdoor/scheduling/InterferenceModel.h>
+#include <cowslipdoor/scheduling/Rows.h>
 
 using namespace cowslipdoor;
 
@@ -78,6 +79,23 @@
     CHECK(model.lossOf("web", "render") < 4);
 }
 
+TEST_CASE("interference: the next leader takes over what is known of pairs", "[jobs]")
+{
+    InterferenceModel model;
+    for (int round = 0; round < 20; ++round) {
+        model.observe({ { { "a" }, "web", 3 } }, {}, after(round));
+        model.observe({ { { "a" }, "web", 1.5 } }, { { "render", 0.15 } }, after(round));
+    }
+    model.observe({ { { "a" }, "web", 2.9 } }, { { "later", 0.1 } }, after(21));
+    InterferenceModel next;
+    next.restore(*parseLearntLosses(print(model.learnt(10))), start);
+    CHECK(next.lossOf("web", "render") == Approx(model.lossOf("web", "render")).margin(0.01));
+    CHECK(next.distance("web", "mail") == model.distance("web", "mail"));
+    REQUIRE(model.learnt(1).size() == 1);
+    CHECK(model.learnt(1).front().filling == "later");
+    CHECK_FALSE(parseLearntLosses("[[1]]"));
+}
+
 TEST_CASE("interference: the memory of pairs is bounded", "[jobs]")
 {
     InterferenceModel model { { .mostPairs = 2 } };
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -220,6 +220,30 @@
     CHECK(stopped.contains(serving));
 }
 
+TEST_CASE("scheduler: what is known of interference is written with other rows and not twice", "[jobs]")
+{
+    SchedulerUnderTest test;
+    StepSpec lasting = stepOf(1, 500);
+    lasting.longRunning = true;
+    lasting.image = "web";
+    lasting.target = milliseconds(50);
+    StepSpec filling = stepOf(1, 500);
+    filling.fills = true;
+    filling.image = "render";
+    test.lead({ jobOf("a", { lasting }), jobOf("b", { filling }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    const RunProgress report { firstLife, { { { { { "a" }, 0, 0 }, 1 }, "", 100, 25 }, { { { { "b" }, 0, 0 }, 1 }, "", 10, 500 } } };
+    test.step(AgentSaid { "agent", LinkId { 1 }, report });
+    const auto writesModel = [&test] {
+        const Transaction write = test.awaitWrite(std::chrono::seconds(2));
+        test.commit();
+        return std::any_of(write.writes.begin(), write.writes.end(), [](const RowWrite& row) { return row.key == interferenceRowKey(); });
+    };
+    CHECK(writesModel());
+    CHECK_FALSE(writesModel());
+}
+
 TEST_CASE("scheduler: an agent's runs are given up only when its leases have expired", "[jobs]")
 {
     SchedulerUnderTest test;
