Count objectives from when jobs were taken in, also after a takeover

Cause: a new leader took each job that it read for fresh, so after a takeover late and hopeless work came before work that could still be on time. Change: the entry notes the time of day with the job; the leader takes the age from it, never negative; it orders work only, as clocks differ and jump. Test: ages of jobs that are read, with one from the future and one without a time.

--- a/libs/runtime/include/cowslipdoor/runtime/Clock.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Clock.h
@@ -27,6 +27,13 @@
     return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+/// @brief Reads the time of day, which differs between VMs and may jump.
+/// @return milliseconds since 1970
+[[nodiscard]] inline std::int64_t timeOfDayMs() noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 /// @brief Converts an instant of the core for a timer.
 /// @param instant the instant
 /// @return the same instant of the steady clock
--- a/libs/runtime/src/JobIntake.cpp
+++ b/libs/runtime/src/JobIntake.cpp
@@ -28,6 +28,7 @@
 
 asio::awaitable<IntakeResult> JobIntake::submit(JobSpec spec, TimePoint deadline)
 {
+    spec.acceptedAtMs = timeOfDayMs();
     const std::string id = spec.id.text;
     const std::string queue = spec.queue;
     const RowWrite row { jobRowKey(spec.id), print(spec) };
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -159,7 +159,7 @@
         rows.insert(rows.end(), progressRows->rows.begin(), progressRows->rows.end());
         rows.insert(rows.end(), agentRows->rows.begin(), agentRows->rows.end());
         rows.insert(rows.end(), modelRows->rows.begin(), modelRows->rows.end());
-        const DecodedTables tables = decodeTables(following->epoch, rows);
+        const DecodedTables tables = decodeTables(following->epoch, rows, timeOfDayMs());
         for (const RowKey& key : tables.ignored)
             this->recordIgnored(key);
         const SchedulerEvent read = tables.read;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Job.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Job.h
@@ -121,6 +121,8 @@
     /// Passed on to the worker with each start.
     std::string payload;
     std::vector<StepSpec> steps;
+    /// When an entry took it in, in milliseconds since 1970 by its clock; zero where that is not known.
+    std::int64_t acceptedAtMs = 0;
 
     bool operator==(const JobSpec&) const = default;
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -90,14 +90,16 @@
     /// @brief Adds a job that has no progress yet.
     /// @param spec the job
     /// @param now the present
+    /// @param age how long ago it was taken in
     /// @return whether it was not known
-    bool add(const JobSpecHandle& spec, TimePoint now);
+    bool add(const JobSpecHandle& spec, TimePoint now, Duration age = {});
 
     /// @brief Adds a job with its stored progress.
     /// @param spec the job
     /// @param record its progress; one that does not fit the job is left out
     /// @param now the present
-    void restore(const JobSpecHandle& spec, const ProgressRecord& record, TimePoint now);
+    /// @param age how long ago it was taken in
+    void restore(const JobSpecHandle& spec, const ProgressRecord& record, TimePoint now, Duration age = {});
 
     /// @brief Cancels a job that has not ended.
     /// @param job the job
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -77,6 +77,8 @@
     const std::vector<KnownAgent> agents {};
     /// What an earlier leader knew of interference.
     const std::vector<LearntLoss> losses {};
+    /// Time of day of the reading, in milliseconds since 1970; zero where it is not known.
+    const std::int64_t readAtMs = 0;
 };
 
 /// @brief A job was stored.
--- a/libs/scheduling/include/cowslipdoor/scheduling/TableEvents.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/TableEvents.h
@@ -28,7 +28,8 @@
 /// @brief Decodes whole tables.
 /// @param epoch epoch of the leader that read them
 /// @param rows rows of the tables of jobs, of progress, of agents and of models, in any order
+/// @param readAtMs time of day of the reading, in milliseconds since 1970; zero where it is not known
 /// @return the event that tells them, and the rows that it leaves out
-[[nodiscard]] DecodedTables decodeTables(std::uint64_t epoch, const std::vector<Row>& rows);
+[[nodiscard]] DecodedTables decodeTables(std::uint64_t epoch, const std::vector<Row>& rows, std::int64_t readAtMs = 0);
 
 }
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -36,18 +36,18 @@
     });
 }
 
-bool JobBook::add(const JobSpecHandle& spec, TimePoint now)
+bool JobBook::add(const JobSpecHandle& spec, TimePoint now, Duration age)
 {
     if (this->entries.contains(spec->id))
         return false;
-    JobEntry& added = this->entries.emplace(spec->id, makeEntry(spec, now)).first->second;
+    JobEntry& added = this->entries.emplace(spec->id, makeEntry(spec, now - age)).first->second;
     this->refresh(added, now);
     return true;
 }
 
-void JobBook::restore(const JobSpecHandle& spec, const ProgressRecord& record, TimePoint now)
+void JobBook::restore(const JobSpecHandle& spec, const ProgressRecord& record, TimePoint now, Duration age)
 {
-    if (!this->add(spec, now))
+    if (!this->add(spec, now, age))
         return;
     JobEntry& job = this->entry(spec->id);
     job.state = record.state;
--- a/libs/scheduling/src/Rows.cpp
+++ b/libs/scheduling/src/Rows.cpp
@@ -152,7 +152,7 @@
     for (const StepSpec& step : spec.steps)
         steps.push_back(toJson(step));
     return Json { { "id", spec.id.text }, { "queue", spec.queue }, { "service", spec.service }, { "priority", spec.priority }, { "attempts", spec.attempts },
-        { "stretch", spec.stretch }, { "slack", spec.slack.count() }, { "payload", spec.payload }, { "steps", steps } }
+        { "stretch", spec.stretch }, { "slack", spec.slack.count() }, { "payload", spec.payload }, { "steps", steps }, { "accepted", spec.acceptedAtMs } }
         .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -222,6 +222,7 @@
         spec.payload = json.at("payload").get<std::string>();
         for (const Json& step : json.at("steps"))
             spec.steps.push_back(stepFromJson(step));
+        spec.acceptedAtMs = json.value("accepted", std::int64_t { 0 });
         return spec;
     });
 }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -7,6 +7,14 @@
 
 namespace {
 
+    /// Time since a job was taken in. Clocks of entries differ and jump, so the result only orders work.
+    Duration ageOf(const JobSpec& spec, std::int64_t readAtMs)
+    {
+        if (spec.acceptedAtMs == 0 || readAtMs <= spec.acceptedAtMs)
+            return {};
+        return std::chrono::milliseconds(readAtMs - spec.acceptedAtMs);
+    }
+
     std::string describeTrack(const JobEntry& job, TimePoint now)
     {
         return "queue " + job.spec->queue + ", priority " + std::to_string(job.spec->priority) + ", age " + std::to_string(toMilliseconds(now - job.arrived)) + " ms, due in "
@@ -82,9 +90,9 @@
     for (const JobSpecHandle& spec : event.jobs) {
         const std::map<JobId, ProgressRecord>::const_iterator progress = event.progress.find(spec->id);
         if (progress == event.progress.end())
-            this->book.add(spec, now);
+            this->book.add(spec, now, ageOf(*spec, event.readAtMs));
         else
-            this->book.restore(spec, progress->second, now);
+            this->book.restore(spec, progress->second, now, ageOf(*spec, event.readAtMs));
     }
     for (const std::map<JobId, JobEntry>::value_type& item : this->book.jobs()) {
         for (const TaskId& id : this->book.placedTasks(item.first)) {
--- a/libs/scheduling/src/TableEvents.cpp
+++ b/libs/scheduling/src/TableEvents.cpp
@@ -41,7 +41,7 @@
     return std::nullopt;
 }
 
-DecodedTables decodeTables(std::uint64_t epoch, const std::vector<Row>& rows)
+DecodedTables decodeTables(std::uint64_t epoch, const std::vector<Row>& rows, std::int64_t readAtMs)
 {
     std::vector<JobSpecHandle> jobs;
     std::map<JobId, ProgressRecord> progress;
@@ -64,7 +64,7 @@
         else
             ignored.push_back(row.key);
     }
-    return { { epoch, std::move(jobs), std::move(progress), std::move(cancelled), std::move(agents), std::move(losses) }, std::move(ignored) };
+    return { { epoch, std::move(jobs), std::move(progress), std::move(cancelled), std::move(agents), std::move(losses), readAtMs }, std::move(ignored) };
 }
 
 }
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -23,8 +23,9 @@
     step.maximumPerWorker = 3;
     step.target = milliseconds(50);
     step.mayMiss = 1;
-    const JobSpecHandle spec = jobOf("a", { stepOf(1, 100), step });
-    CHECK(parseJobSpec(print(*spec)) == *spec);
+    JobSpec spec = *jobOf("a", { stepOf(1, 100), step });
+    spec.acceptedAtMs = 1'700'000'000'000;
+    CHECK(parseJobSpec(print(spec)) == spec);
     const Assignment first { "agent-1", { "w1", 5 } };
     const Assignment second { "agent-2", { "w2", 6 } };
     const ProgressRecord progress { JobState::Running, { { true, 1, {}, std::nullopt, "" }, { false, 3, { 1, 2 }, first, "saved" }, { false, 2, {}, second, "" }, { false, 1, {}, first, "" } } };
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -244,6 +244,23 @@
     CHECK_FALSE(writesModel());
 }
 
+TEST_CASE("scheduler: a new leader counts a job's objective from when it was taken in", "[jobs]")
+{
+    SchedulerUnderTest test;
+    JobSpec early = *jobOf("early", { stepOf(1, 100) });
+    early.acceptedAtMs = 1'700'000'000'000;
+    JobSpec fromTheFuture = *jobOf("future", { stepOf(1, 100) });
+    fromTheFuture.acceptedAtMs = 1'700'000'009'000;
+    const std::vector<JobSpecHandle> jobs { std::make_shared<const JobSpec>(early), std::make_shared<const JobSpec>(fromTheFuture), jobOf("unknown", { stepOf(1, 100) }) };
+    test.step(LeaderRowRead { std::nullopt, 0 });
+    test.commit();
+    test.step(TablesRead { 1, jobs, { { { "early" }, { JobState::Running, {} } } }, {}, {}, {}, 1'700'000'005'000 });
+    CHECK(test.machine.jobs().find({ "early" })->arrived == test.now - std::chrono::seconds(5));
+    CHECK(test.machine.jobs().find({ "early" })->due == test.now - std::chrono::seconds(3));
+    CHECK(test.machine.jobs().find({ "future" })->arrived == test.now);
+    CHECK(test.machine.jobs().find({ "unknown" })->arrived == test.now);
+}
+
 TEST_CASE("scheduler: an agent's runs are given up only when its leases have expired", "[jobs]")
 {
     SchedulerUnderTest test;
