Place work that can still be on time before work that is late already

Change: within a priority, jobs whose expected rest still fits come first by due time, then late ones, then hopeless ones. Test: a backlog with late, too close, close and fresh jobs.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -64,6 +64,9 @@
     /// @return whether all steps before it are done
     [[nodiscard]] bool stepReady(std::size_t step) const;
 
+    /// @return expected time of the longest chain of steps that are not done
+    [[nodiscard]] Duration remainingChain() const;
+
     /// @return whether no task has been started yet
     [[nodiscard]] bool pending() const;
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -12,8 +12,8 @@
 
 /// @brief Orders jobs for placement.
 ///
-/// Pattern it answers: a crest at which not all jobs can be on time. Higher priority comes first; within it the job that
-/// is due first; a job past hope (three times its objective) comes last, as nothing is gained by its being earlier, but
+/// Pattern it answers: a crest at which not all jobs can be on time. Higher priority comes first; within it those that can
+/// still be on time, first the one that is due first; then those that can be late only, as they lose little by waiting; a job past hope (three times its objective) comes last, as nothing is gained by its being earlier, but
 /// it is still done.
 /// @param jobs the jobs to order
 /// @param book the book that holds them
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -29,6 +29,20 @@
     return std::all_of(after.begin(), after.end(), [this](std::uint32_t earlier) { return this->remaining[earlier] == 0; });
 }
 
+Duration JobEntry::remainingChain() const
+{
+    std::vector<Duration> until;
+    Duration longest {};
+    for (std::size_t step = 0; step < this->steps.size(); ++step) {
+        Duration before {};
+        for (const std::uint32_t earlier : this->spec->steps[step].after)
+            before = std::max(before, until[earlier]);
+        until.push_back(before + (this->remaining[step] > 0 ? this->spec->steps[step].estimate : Duration {}));
+        longest = std::max(longest, until.back());
+    }
+    return longest;
+}
+
 bool JobEntry::pending() const
 {
     return !isTerminal(this->state) && std::none_of(this->steps.begin(), this->steps.end(), [](const std::vector<TaskState>& step) {
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -24,6 +24,15 @@
         return !job.spec->lasts() && now > job.arrived + (job.due - job.arrived) * hopelessFactor;
     }
 
+    /// Share of the expected rest of a job that it must have until it is due, as estimates are off by a factor of two.
+    constexpr double leastFeasibleShare = 0.5;
+
+    /// Whether a job can no longer be on time.
+    bool tardy(const JobEntry& job, TimePoint now)
+    {
+        return !job.spec->lasts() && now + std::chrono::duration_cast<Duration>(job.remainingChain() * leastFeasibleShare) > job.due;
+    }
+
     bool hasLabel(const WorkerInfo& worker, const std::string& label)
     {
         return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
@@ -116,7 +125,7 @@
     order.reserve(jobs.size());
     for (const JobId& id : jobs)
         order.push_back(book.find(id));
-    const auto key = [now](const JobEntry* job) { return std::tuple(hopeless(*job, now), job->spec->priority, job->due, job->spec->id); };
+    const auto key = [now](const JobEntry* job) { return std::tuple(hopeless(*job, now), job->spec->priority, tardy(*job, now), job->due, job->spec->id); };
     std::sort(order.begin(), order.end(), [&key](const JobEntry* left, const JobEntry* right) { return key(left) < key(right); });
     return order;
 }
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -73,6 +73,25 @@
     CHECK(order == std::vector<std::string> { "urgent", "later", "batch", "hopeless" });
 }
 
+TEST_CASE("placement: under a backlog, work that can still be on time comes before work that is late already", "[jobs]")
+{
+    JobBook book;
+    const auto add = [&book](const std::string& id, Duration age) {
+        JobSpec spec = *jobOf(id, { stepOf(1, 100) });
+        spec.slack = std::chrono::seconds(4);
+        book.add(std::make_shared<const JobSpec>(spec), start, age);
+    };
+    // Each is expected to take a second, is due six seconds after it was taken in, and is hopeless after eighteen.
+    add("late", std::chrono::seconds(8));
+    add("too-close", milliseconds(5600));
+    add("close", milliseconds(5400));
+    add("fresh", {});
+    std::vector<std::string> order;
+    for (const JobEntry* const job : placementOrder(book.waiting(), book, start))
+        order.push_back(job->spec->id.text);
+    CHECK(order == std::vector<std::string> { "close", "fresh", "late", "too-close" });
+}
+
 TEST_CASE("placement: short and lasting tasks fill one worker before the next, so that wide holes stay", "[jobs]")
 {
     Workers workers { { "a", workerOf("a", 16000) }, { "b", workerOf("b", 16000) } };
