Tell copies of a request the truth while the store is away

Ruled out: the store (it answers a conflict for copies, but was away). Tests: the memory; intake with both cases. Copies at other entries are still not known there.

--- a/libs/runtime/include/cowslipdoor/runtime/JobIntake.h
+++ b/libs/runtime/include/cowslipdoor/runtime/JobIntake.h
@@ -8,6 +8,7 @@
 #include "Metrics.h"
 #include "StorePort.h"
 #include <cowslipdoor/core/Request.h>
+#include <cowslipdoor/scheduling/RecentInsertions.h>
 #include <cowslipdoor/scheduling/Rows.h>
 #include <cowslipdoor/scheduling/Submission.h>
 #include <variant>
@@ -72,11 +73,14 @@
     using JobRowsResult = std::variant<JobRows, FailureReason>;
 
     asio::awaitable<IntakeResult> insert(RowWrite row, TimePoint deadline);
+    asio::awaitable<IntakeResult> insertUntilSettled(RowWrite row, TimePoint deadline);
+    [[nodiscard]] FailureReason refusal(const RowKey& key, const std::string& reason) const;
     asio::awaitable<JobRowsResult> readJob(JobId job);
     asio::awaitable<ReadResult> readRow(RowKey key);
     void record(EventId event, const std::string& detail);
 
     StorePort store;
+    RecentInsertions recent;
     std::function<bool()> storeAnswers;
     const Log& log;
     Metrics& metrics;
--- a/libs/runtime/src/JobIntake.cpp
+++ b/libs/runtime/src/JobIntake.cpp
@@ -99,9 +99,31 @@
 
 asio::awaitable<IntakeResult> JobIntake::insert(RowWrite row, TimePoint deadline)
 {
+    if (this->recent.find(row.key, leaseNow()) == InsertionOutcome::Stored)
+        co_return JobTaken {};
     // Nothing has been sent yet, so the refusal is true, and the caller can go to an entry that the store answers.
     if (!this->storeAnswers())
-        co_return FailureReason { ErrorKind::StoreUnavailable, "the store does not answer this entry" };
+        co_return this->refusal(row.key, "the store does not answer this entry");
+    const RowKey key = row.key;
+    IntakeResult result = co_await this->insertUntilSettled(std::move(row), deadline);
+    const FailureReason* const failure = std::get_if<FailureReason>(&result);
+    if (!failure)
+        this->recent.note(key, InsertionOutcome::Stored, leaseNow());
+    else if (failure->kind == ErrorKind::StoreUnsettled)
+        this->recent.note(key, InsertionOutcome::Unsettled, leaseNow());
+    co_return result;
+}
+
+FailureReason JobIntake::refusal(const RowKey& key, const std::string& reason) const
+{
+    // An earlier copy that had no answer may have been stored, so this one cannot be told that nothing is.
+    if (this->recent.find(key, leaseNow()) == InsertionOutcome::Unsettled)
+        return { ErrorKind::StoreUnsettled, reason + ", and an earlier copy had no answer" };
+    return { ErrorKind::StoreUnavailable, reason };
+}
+
+asio::awaitable<IntakeResult> JobIntake::insertUntilSettled(RowWrite row, TimePoint deadline)
+{
     const Transaction transaction { { { row.key, 0 } }, { row }, {} };
     Submission submission(deadline);
     while (true) {
@@ -112,7 +134,7 @@
             co_return JobTaken {};
         const RowNotStored* const notStored = std::get_if<RowNotStored>(&verdict);
         if (notStored)
-            co_return FailureReason { ErrorKind::StoreUnavailable, notStored->reason };
+            co_return this->refusal(row.key, notStored->reason);
         const InsertAgain* const again = std::get_if<InsertAgain>(&verdict);
         if (!again)
             co_return FailureReason { ErrorKind::StoreUnsettled, "no answer of the store before the deadline" };
--- a/libs/runtime/tests/JobIntakeTests.cpp
+++ b/libs/runtime/tests/JobIntakeTests.cpp
@@ -94,6 +94,33 @@
     CHECK(test.transactions == 0);
 }
 
+TEST_CASE("intake: a late copy of an accepted job is accepted while the store is away", "[jobs]")
+{
+    // Replays eaa20d23b7636e52 of tebu-rota inc-5c18: accepted at 15.0 s and done, its copy was told "not stored" at 18.4 s.
+    IntakeUnderTest test;
+    test.results = { Applied { 1 } };
+    CHECK(std::holds_alternative<JobTaken>(test.submit()));
+    test.answers = false;
+    CHECK(std::holds_alternative<JobTaken>(test.submit()));
+    CHECK(test.transactions == 1);
+}
+
+TEST_CASE("intake: a copy of a job that had no answer is never told that nothing is stored", "[jobs]")
+{
+    IntakeUnderTest test;
+    test.silent = true;
+    CHECK(kindOf(test.submit(milliseconds(300))) == ErrorKind::StoreUnsettled);
+    test.silent = false;
+    test.answers = false;
+    CHECK(kindOf(test.submit()) == ErrorKind::StoreUnsettled);
+    test.answers = true;
+    test.results.assign(test.transactions, Applied {});
+    test.results.emplace_back(StoreRefused { "503" });
+    CHECK(kindOf(test.submit()) == ErrorKind::StoreUnsettled);
+    test.results.emplace_back(Conflict {});
+    CHECK(std::holds_alternative<JobTaken>(test.submit()));
+}
+
 TEST_CASE("intake: a silent store does not keep a caller past the deadline", "[jobs]")
 {
     IntakeUnderTest test;
