Shorten the leader's lease to 1.5 s

Ruled out: reading the tables (0.15 s), the standby's polling (0.25 s). Change: a lease of 1.5 s, renewals each 0.375 s, polls each 0.2 s. One write without an answer (0.8 s and a pause of 0.1 s) still fits into it. Tests name the lease instead of 2 s and check both sides of its end.

--- a/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
@@ -20,11 +20,11 @@
     /// Number of this run of the process.
     std::uint64_t incarnation = 0;
     /// How long a write of the leader keeps others from taking over. Long enough for a renewal and one lost answer.
-    Duration leaseTime = std::chrono::milliseconds(2000);
+    Duration leaseTime = std::chrono::milliseconds(1500);
     /// Longest time between two writes of the leader. A quarter of the lease, so that three may fail.
-    Duration renewInterval = std::chrono::milliseconds(500);
+    Duration renewInterval = std::chrono::milliseconds(375);
     /// How often a standby reads the row.
-    Duration pollInterval = std::chrono::milliseconds(250);
+    Duration pollInterval = std::chrono::milliseconds(200);
     /// Pause before a failed call to the store is repeated.
     Duration retryDelay = std::chrono::milliseconds(100);
 
--- a/libs/scheduling/tests/LeaderLeaseTests.cpp
+++ b/libs/scheduling/tests/LeaderLeaseTests.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 const TimePoint start { std::chrono::seconds(100) };
+const Duration leaseTime = LeaseConfig {}.leaseTime;
 
 LeaderLease leaseOf(const std::string& holder)
 {
@@ -38,14 +39,15 @@
     LeaderLease lease = leaseOf("me");
     const LeaderRecord other { 3, "other", 1, 9 };
     lease.rowRead(other, 40, start);
-    lease.rowRead(other, 40, start + milliseconds(1900));
-    CHECK_FALSE(lease.wantsTakeover(start + milliseconds(1900)));
-    lease.rowRead(other, 41, start + milliseconds(1950));
-    CHECK_FALSE(lease.wantsTakeover(start + milliseconds(3900)));
-    CHECK(lease.wantsTakeover(start + milliseconds(3950)));
-    const Transaction transaction = lease.begin({}, {}, start + milliseconds(3950));
+    const TimePoint almost = start + leaseTime - milliseconds(1);
+    lease.rowRead(other, 40, almost);
+    CHECK_FALSE(lease.wantsTakeover(almost));
+    lease.rowRead(other, 41, almost);
+    CHECK_FALSE(lease.wantsTakeover(almost + leaseTime - milliseconds(1)));
+    CHECK(lease.wantsTakeover(almost + leaseTime));
+    const Transaction transaction = lease.begin({}, {}, almost + leaseTime);
     CHECK(transaction.conditions.front().version == 41);
-    CHECK(lease.finished(Applied { 42 }, start + milliseconds(3960)) == CommitVerdict::TookOver);
+    CHECK(lease.finished(Applied { 42 }, almost + leaseTime + milliseconds(10)) == CommitVerdict::TookOver);
     CHECK(lease.epoch() == 4);
 }
 
@@ -56,7 +58,8 @@
     lease.rowUnread(start + milliseconds(1000));
     lease.rowRead(LeaderRecord { 3, "other", 1, 9 }, 40, start + milliseconds(2500));
     CHECK_FALSE(lease.wantsTakeover(start + milliseconds(2500)));
-    CHECK(lease.wantsTakeover(start + milliseconds(4500)));
+    CHECK_FALSE(lease.wantsTakeover(start + milliseconds(2499) + leaseTime));
+    CHECK(lease.wantsTakeover(start + milliseconds(2500) + leaseTime));
 }
 
 TEST_CASE("lease: a released row and one of an earlier run of the process are taken at once", "[jobs]")
@@ -79,8 +82,8 @@
     const std::optional<LeaderRecord> written = parseLeaderRecord(transaction.writes.back().value);
     CHECK(lease.finished(conflictWith(*written, 12), start + milliseconds(920)) == CommitVerdict::Applied);
     // The time of its first sending counts, as nobody knows when it was done.
-    CHECK(lease.valid(start + milliseconds(2009)));
-    CHECK_FALSE(lease.valid(start + milliseconds(2010)));
+    CHECK(lease.valid(start + milliseconds(9) + leaseTime));
+    CHECK_FALSE(lease.valid(start + milliseconds(10) + leaseTime));
 }
 
 TEST_CASE("lease: a leader that finds another record is deposed", "[jobs]")
@@ -98,7 +101,8 @@
     static_cast<void>(lease.begin({}, {}, start + milliseconds(500)));
     CHECK(lease.finished(StoreRefused { "503" }, start + milliseconds(510)) == CommitVerdict::Repeat);
     CHECK(lease.leading());
-    CHECK_FALSE(lease.valid(start + milliseconds(2000)));
+    CHECK(lease.valid(start + leaseTime - milliseconds(1)));
+    CHECK_FALSE(lease.valid(start + leaseTime));
 }
 
 TEST_CASE("lease: a retired leader gives the row up and contends no more", "[jobs]")
