--- a/libs/scheduling/include/cowslipdoor/scheduling/Relocation.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Relocation.h
@@ -20,6 +20,9 @@
 
     /// How long a run of an expected time of nothing may show no progress; a list comes every half second.
     Duration leastStandstill = std::chrono::milliseconds(1200);
+    /// Pause between two lists of a worker after which they prove no standstill: this process, the agent or their link may
+    /// have stood still instead. Two lists that follow each other are half a second apart.
+    Duration longestListGap = std::chrono::milliseconds(900);
     /// Share of its expected time that a run may show no progress beyond that: one percent of a run that takes ten times as
     /// long, twice over.
     double standstillShare = 0.2;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -236,7 +236,7 @@
     void takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects);
     void learnInterference(WorkerEntry& worker, const RunProgress& report, TimePoint now);
     void describeChanges(WorkerEntry& worker, Effects& effects);
-    void notePace(const RunProgress& report, TimePoint now);
+    void notePace(WorkerEntry& worker, const RunProgress& report, TimePoint now);
     void leaveStalledWorker(WorkerEntry& worker, const RunProgress& report, TimePoint now, Effects& effects);
     [[nodiscard]] bool mayStop(const JobEntry& job, std::uint32_t step) const;
     void moveOneStarving(const WorkerEntry& worker, TimePoint now, Effects& effects);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -56,6 +56,8 @@
     std::map<std::string, std::uint32_t> servingByImage {};
     /// Least slack that runs of a serving image would have here without filling ones, as of the last list.
     std::map<std::string, double> slackAlone {};
+    /// When its runs were listed last.
+    TimePoint listedAt {};
     /// Cores that filling runs here leave unused by their pace, as of the last list.
     std::uint32_t pacedDownMilliCores = 0;
     /// Losses of filling runs as the agent was told them last.
--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -16,8 +16,10 @@
 
 }
 
-void Scheduler::notePace(const RunProgress& report, TimePoint now)
+void Scheduler::notePace(WorkerEntry& worker, const RunProgress& report, TimePoint now)
 {
+    const bool gap = now > worker.listedAt + this->config.relocation.longestListGap;
+    worker.listedAt = now;
     for (const RunStatus& status : report.running) {
         TaskState* const task = this->book.openRun(status.run);
         if (!task)
@@ -26,9 +28,11 @@
         noteSince(task->starvingSince, step.fills && status.pace < this->config.relocation.starvingPace, now);
         const double slack = static_cast<double>(toMilliseconds(step.target)) / std::max(1U, status.figure);
         noteSince(task->stalledSince, step.target > Duration {} && slack < this->config.relocation.standstillSlack, now);
-        // A run that was held back by its pace has its full time again.
-        if (task->starvingSince)
+        // What was held back by its pace, or not seen for a while, has its full time again.
+        if (task->starvingSince || gap)
             task->progressedAt = now;
+        if (gap)
+            task->stalledSince.reset();
     }
 }
 
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -80,7 +80,7 @@
     this->learnInterference(worker, report, now);
     this->describeChanges(worker, effects);
     this->takeStatus(worker, report.running, now, effects);
-    this->notePace(report, now);
+    this->notePace(worker, report, now);
     this->leaveStalledWorker(worker, report, now, effects);
     this->moveOneStarving(worker, now, effects);
     if (!this->book.waiting().empty())
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -261,6 +261,24 @@
     CHECK(test.machine.jobs().find({ "unknown" })->arrived == test.now);
 }
 
+TEST_CASE("scheduler: lists after a pause prove no standstill, as the leader itself may have stood still", "[jobs]")
+{
+    SchedulerUnderTest test;
+    StepSpec lasting = stepOf(1, 500);
+    lasting.longRunning = true;
+    lasting.target = milliseconds(50);
+    test.lead({ jobOf("a", { stepOf(1, 500) }), jobOf("b", { lasting }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    const RunProgress report { firstLife, { { { { { "a" }, 0, 0 }, 1 }, "", 30, 500 }, { { { { "b" }, 0, 0 }, 1 }, "", 100, 30000 } } };
+    test.step(AgentSaid { "agent", LinkId { 1 }, report });
+    test.now += milliseconds(1450);
+    test.step(AgentSaid { "agent", LinkId { 1 }, report });
+    test.step(AgentSaid { "agent", LinkId { 1 }, report });
+    CHECK_FALSE(test.machine.workers().at("agent").standsStill(test.now));
+    CHECK_FALSE(test.sent<StopRun>());
+}
+
 TEST_CASE("scheduler: an agent's runs are given up only when its leases have expired", "[jobs]")
 {
     SchedulerUnderTest test;
