--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -71,6 +71,11 @@
     [[nodiscard]] bool pending() const;
 };
 
+/// @param job the job
+/// @param now the present
+/// @return its queue and priority, its age and the time until it is due, for logs
+[[nodiscard]] std::string describeTrack(const JobEntry& job, TimePoint now);
+
 /// @brief What the end of a run meant.
 enum class RunVerdict : unsigned char {
     /// The run is not one that the book has open.
--- a/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
@@ -73,6 +73,17 @@
     bool operator==(const RunStatus&) const = default;
 };
 
+/// @brief Progress in percent of a serving run that is at work; before, its tail says nothing.
+constexpr std::uint32_t runAtWork = 100;
+
+/// @brief Pace in percent of a run that nothing slows.
+constexpr std::uint32_t fullPace = 100;
+
+/// @param tailMs tail latency of a serving run in milliseconds; one that is too short to be measured counts as one
+/// @param target its target
+/// @return the slack: target over tail, one at the target
+[[nodiscard]] double slackOf(std::uint32_t tailMs, Duration target) noexcept;
+
 /// @brief Slack that a filling run at full pace takes from serving runs of one image beside it.
 struct SlackLoss {
     std::string image;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -14,9 +14,6 @@
 
 namespace cowslipdoor {
 
-/// @brief Progress in percent of a serving run that is at work.
-constexpr std::uint32_t runAtWork = 100;
-
 /// @brief Settings of the judgement of workers.
 struct WorkerHealthConfig {
     /// Failures in a row, of different jobs, that take a worker out of placement. One job that always fails must not.
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -23,6 +23,12 @@
 
 }
 
+std::string describeTrack(const JobEntry& job, TimePoint now)
+{
+    return "queue " + job.spec->queue + ", priority " + std::to_string(job.spec->priority) + ", age " + std::to_string(toMilliseconds(now - job.arrived)) + " ms, due in "
+        + std::to_string(toMilliseconds(job.due - now)) + " ms";
+}
+
 bool JobEntry::stepReady(std::size_t step) const
 {
     const std::vector<std::uint32_t>& after = this->spec->steps[step].after;
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -6,14 +6,9 @@
 
 namespace {
 
-    constexpr std::uint32_t fullPace = 100;
-
     /// Percentage points under which a change of pace is not worth a call, as figures vary by as much.
     constexpr std::uint32_t leastChange = 4;
 
-    /// Progress of a serving run that is at work; before, its tail says nothing.
-    constexpr std::uint32_t atWork = 100;
-
     bool worthACall(std::optional<std::uint32_t> before, std::uint32_t after)
     {
         if (!before)
@@ -22,23 +17,6 @@
         return change >= leastChange || (change > 0 && (after == 0 || after == fullPace));
     }
 
-    /// Slack of a run whose tail is too short to be measured.
-    double slackOf(const RunStatus& status, Duration target)
-    {
-        return static_cast<double>(toMilliseconds(target)) / static_cast<double>(std::max(1U, status.figure));
-    }
-
-}
-
-double PaceTraits::lossFor(const std::string& serving) const
-{
-    double worst = 0;
-    for (const SlackLoss& item : this->losses) {
-        if (item.image == serving)
-            return item.loss;
-        worst = std::max(worst, item.loss);
-    }
-    return worst;
 }
 
 PaceControl::PaceControl(PaceConfig config)
@@ -97,9 +75,9 @@
     this->worst.reset();
     for (const RunStatus& status : running) {
         const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
-        if (it == this->traits.end() || it->second.target <= Duration {} || status.percent < atWork)
+        if (it == this->traits.end() || it->second.target <= Duration {} || status.percent < runAtWork)
             continue;
-        const double slack = slackOf(status, it->second.target);
+        const double slack = slackOf(status.figure, it->second.target);
         this->worst = this->worst ? std::min(*this->worst, slack) : slack;
         const double alone = slack + this->lostTo(running, it->second.image);
         this->allowances.push_back({ it->second.image, std::max(0.0, alone - this->config.leastSlack) });
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -1,5 +1,4 @@
 #include "cowslipdoor/scheduling/Scheduler.h"
-#include "cowslipdoor/scheduling/Placement.h"
 #include <algorithm>
 #include <utility>
 
@@ -15,12 +14,6 @@
         return std::chrono::milliseconds(readAtMs - spec.acceptedAtMs);
     }
 
-    std::string describeTrack(const JobEntry& job, TimePoint now)
-    {
-        return "queue " + job.spec->queue + ", priority " + std::to_string(job.spec->priority) + ", age " + std::to_string(toMilliseconds(now - job.arrived)) + " ms, due in "
-            + std::to_string(toMilliseconds(job.due - now)) + " ms";
-    }
-
 }
 
 Scheduler::Scheduler(SchedulerConfig config)
@@ -229,122 +222,6 @@
     this->passAt.reset();
 }
 
-void Scheduler::committed(TimePoint now, Effects& effects)
-{
-    for (const std::map<std::string, AcknowledgeEnds>::value_type& item : std::exchange(this->acknowledgeAfterWrite, {}))
-        this->send(this->knownWorkers[item.first], item.second, effects);
-    for (const JobId& job : std::exchange(this->writing, {}))
-        this->orderStored(job, effects);
-    if (this->book.changed() || !this->acknowledgeNext.empty())
-        this->wantPass(now);
-}
-
-void Scheduler::placeTasks(TimePoint now, Effects& effects)
-{
-    for (const JobEntry* const job : placementOrder(this->book.waiting(), this->book, now))
-        this->placeJob(*job, now, effects);
-}
-
-void Scheduler::placeJob(const JobEntry& job, TimePoint now, Effects& effects)
-{
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        if (!job.stepReady(step) || job.remaining[step] == 0)
-            continue;
-        for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
-            const TaskState& task = job.steps[step][index];
-            if (!task.unplaced())
-                continue;
-            if (now < task.notBefore) {
-                this->passAt = this->passAt ? std::min(*this->passAt, task.notBefore) : task.notBefore;
-                continue;
-            }
-            const WorkerEntry* const chosen = chooseWorker(job, step, task, this->knownWorkers, this->interference, now);
-            if (!chosen)
-                break;
-            WorkerEntry& worker = this->knownWorkers[chosen->agent];
-            const TaskId id { job.spec->id, step, index };
-            const RunId run = this->book.assign(id, { worker.agent, worker.info->identity }, now);
-            worker.take(id, job.spec->steps[step], worker.info->identity);
-            effects.emplace_back(RecordEvent { EventId::RunAssigned, describe(run) + " to " + worker.agent + "; " + describeTrack(job, now) + "; free there " + std::to_string(worker.free().milliCores) + " milli-cores, " + std::to_string(worker.free().memoryMb) + " MB" });
-        }
-    }
-}
-
-std::vector<RowWrite> Scheduler::takeWrites(TimePoint now)
-{
-    ++this->writes;
-    std::vector<RowWrite> rows;
-    this->writing = this->book.takeChanged(this->config.rowsPerWrite);
-    for (const JobId& job : this->writing) {
-        rows.push_back({ progressRowKey(job), print(this->book.record(job)) });
-        for (const TaskId& id : this->book.placedTasks(job)) {
-            TaskState& task = *this->book.task(id);
-            if (task.storedBy == 0)
-                task.storedBy = this->writes;
-        }
-    }
-    if (this->pendingCountsDue(now)) {
-        const PendingCounts counts = this->book.pendingCounts();
-        rows.push_back({ pendingRowKey(), print(counts) });
-        this->pendingWritten = counts;
-        this->pendingWrittenAt = now;
-    }
-    if (!this->book.changed())
-        this->acknowledgeAfterWrite = std::exchange(this->acknowledgeNext, {});
-    this->addModelRow(rows, now);
-    return rows;
-}
-
-void Scheduler::addModelRow(std::vector<RowWrite>& rows, TimePoint now)
-{
-    if (now < this->modelWrittenAt + this->config.modelInterval)
-        return;
-    this->modelWrittenAt = now;
-    const std::vector<LearntLoss> known = this->interference.learnt(this->config.pairsPerRow);
-    std::string text = print(known);
-    if (known.empty() || text == this->modelWritten)
-        return;
-    rows.push_back({ interferenceRowKey(), text });
-    this->modelWritten = std::move(text);
-}
-
-bool Scheduler::pendingCountsDue(TimePoint now) const
-{
-    return now >= this->pendingWrittenAt + this->config.pendingInterval && this->pendingWritten != this->book.pendingCounts();
-}
-
-std::vector<RowKey> Scheduler::takeRemovals(TimePoint now)
-{
-    std::vector<RowKey> removals;
-    if (now < this->sweptAt + this->config.sweepInterval)
-        return removals;
-    this->sweptAt = now;
-    for (const JobId& job : this->book.takeExpired(now - this->config.retention, this->config.removedAtOnce)) {
-        this->interference.forget(job);
-        removals.push_back(progressRowKey(job));
-        removals.push_back(jobRowKey(job));
-        removals.push_back(cancelRowKey(job));
-    }
-    return removals;
-}
-
-void Scheduler::orderStored(const JobId& job, Effects& effects)
-{
-    const JobSpec& spec = *this->book.find(job)->spec;
-    for (const TaskId& id : this->book.placedTasks(job)) {
-        TaskState& task = *this->book.task(id);
-        if (task.ordered || task.storedBy != this->writes)
-            continue;
-        task.ordered = true;
-        task.order = ++this->orders;
-        const Assignment& place = *task.record.assignment;
-        WorkerEntry& worker = this->knownWorkers[place.agent];
-        const PaceTraits traits = this->traitsOf(spec.steps[id.step], worker);
-        worker.describedLosses[{ id, task.record.run }] = traits.losses;
-        this->send(worker, StartRun { { id, task.record.run }, place.worker, spec.payload, task.record.checkpoint, traits, task.order, worker.lastPing }, effects);
-    }
-}
-
 void Scheduler::stopLeftovers(const JobId& job, TimePoint now, Effects& effects)
 {
     const JobState state = this->book.find(job)->state;
--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -26,8 +26,7 @@
             continue;
         const StepSpec& step = this->book.find(status.run.task.job)->spec->steps[status.run.task.step];
         noteSince(task->starvingSince, step.fills && status.pace < this->config.relocation.starvingPace, now);
-        const double slack = static_cast<double>(toMilliseconds(step.target)) / std::max(1U, status.figure);
-        noteSince(task->stalledSince, step.target > Duration {} && slack < this->config.relocation.standstillSlack, now);
+        noteSince(task->stalledSince, step.target > Duration {} && slackOf(status.figure, step.target) < this->config.relocation.standstillSlack, now);
         // What was held back by its pace, or not seen for a while, has its full time again.
         if (task->starvingSince || gap)
             task->progressedAt = now;
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    constexpr std::uint32_t fullPace = 100;
-
     /// Whether losses have changed so much that an agent should learn it: by a fifth and a little.
     bool differ(const std::vector<SlackLoss>& told, const std::vector<SlackLoss>& present)
     {
@@ -160,7 +158,7 @@
             worker.pacedDownMilliCores += step.demand.milliCores * (fullPace - std::min(fullPace, status.pace)) / fullPace;
         }
         if (step.target > Duration {} && status.percent == runAtWork)
-            serving.push_back({ job->spec->id, step.image, static_cast<double>(toMilliseconds(step.target)) / std::max(1U, status.figure) });
+            serving.push_back({ job->spec->id, step.image, slackOf(status.figure, step.target) });
     }
     std::vector<FillingSample> filling;
     filling.reserve(shares.size());
