Look up listed runs, paces and counts once in the scheduler

What stood twice: each report of a worker was walked three times with two searches in the book for each run; the expected pace of a candidate was worked out for the choice and again for its score; the counts of waiting jobs up to three times a pass; three places told an agent a run's traits and noted them; the stop of a needless successor was written out beside orderStop (it has the log line of all stops now). A function that was declared and never written is gone. Behaviour stays: decisions are the same; the log of a worker that stands still counts the runs that the book knows.

--- a/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
@@ -144,7 +144,6 @@
     [[nodiscard]] Transaction send(LeaderRecord record, std::vector<RowWrite> writes, std::vector<RowKey> removals, TimePoint now);
     [[nodiscard]] CommitVerdict conflicted(const Conflict& conflict, TimePoint now);
     [[nodiscard]] CommitVerdict applied(RowVersion version, TimePoint sentAt);
-    [[nodiscard]] bool ownRecord(const LeaderRecord& record) const noexcept;
 
     LeaseConfig config;
     LeaderRecord current;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -198,6 +198,14 @@
     [[nodiscard]] bool serving() const noexcept { return this->tablesRead && this->leaderLease.leading(); }
 
 private:
+    /// A run that a worker listed, with what the book holds of it.
+    struct ListedRun {
+        const RunStatus& status;
+        const JobEntry& job;
+        const StepSpec& step;
+        TaskState& task;
+    };
+
     void on(const TimePassed& event, TimePoint now, Effects& effects);
     void on(const LeaderRowRead& event, TimePoint now, Effects& effects);
     void on(const LeaderRowUnread& event, TimePoint now, Effects& effects);
@@ -226,7 +234,7 @@
     void placeTasks(TimePoint now, Effects& effects);
     void placeJob(const JobEntry& job, TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<RowWrite> takeWrites(TimePoint now);
-    [[nodiscard]] bool pendingCountsDue(TimePoint now) const;
+    [[nodiscard]] std::optional<PendingCounts> duePendingCounts(TimePoint now) const;
     void addModelRow(std::vector<RowWrite>& rows, TimePoint now);
     [[nodiscard]] std::vector<RowKey> takeRemovals(TimePoint now);
     void orderStored(const JobId& job, Effects& effects);
@@ -234,10 +242,11 @@
     void cancelJob(const JobId& job, TimePoint now, Effects& effects);
     void takeEnds(WorkerEntry& worker, const WorkerIdentity& life, const std::vector<RunEnd>& ends, TimePoint now, Effects& effects);
     void takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects);
-    void learnInterference(WorkerEntry& worker, const RunProgress& report, TimePoint now);
+    [[nodiscard]] std::vector<ListedRun> openRuns(const std::vector<RunStatus>& running);
+    void learnInterference(WorkerEntry& worker, const std::vector<ListedRun>& listed, TimePoint now);
     void describeChanges(WorkerEntry& worker, Effects& effects);
-    void notePace(WorkerEntry& worker, const RunProgress& report, TimePoint now);
-    void leaveStalledWorker(WorkerEntry& worker, const RunProgress& report, TimePoint now, Effects& effects);
+    void notePace(WorkerEntry& worker, const std::vector<ListedRun>& listed, TimePoint now);
+    void leaveStalledWorker(WorkerEntry& worker, const std::vector<ListedRun>& listed, TimePoint now, Effects& effects);
     [[nodiscard]] bool mayStop(const JobEntry& job, std::uint32_t step) const;
     void moveOneStarving(const WorkerEntry& worker, TimePoint now, Effects& effects);
     void orderStop(const WorkerEntry& worker, const TaskId& id, const std::string& reason, Effects& effects);
@@ -250,6 +259,7 @@
     void learnAgent(const KnownAgent& agent, Effects& effects);
     void send(const WorkerEntry& worker, LeaderMessage message, Effects& effects) const;
     [[nodiscard]] PaceTraits traitsOf(const StepSpec& step, const WorkerEntry& worker) const;
+    [[nodiscard]] PaceTraits traitsToTell(WorkerEntry& worker, const RunId& run, const StepSpec& step) const;
     void observeEnd(const JobId& job, TimePoint now, Effects& effects) const;
     void wantPass(TimePoint now);
 
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -1,6 +1,7 @@
 #include "cowslipdoor/scheduling/Placement.h"
 #include "cowslipdoor/scheduling/PaceControl.h"
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 namespace cowslipdoor {
@@ -47,17 +48,6 @@
     /// Slack that a serving image keeps without filling tasks until its worker has listed it: that of half the load.
     constexpr double usualSlack = 2.5;
 
-    /// Whether a worker can bear one more filling task.
-    ///
-    /// Pattern it answers: filling tasks come in bursts. Sent all at once they share the cores, harm serving tasks, are
-    /// paced down together, and all end late. So each needs its cores and a useful pace; the rest waits for its turn.
-    bool bearsFilling(const WorkerEntry& worker, const StepSpec& step, const InterferenceModel& interference)
-    {
-        if (worker.fillingMilliCores() > 0 && unusedCores(worker) < step.demand.milliCores)
-            return false;
-        return expectedPace(worker, step, interference) >= leastUsefulPace;
-    }
-
     /// How differently filling images treat a serving image and its neighbours on a worker, weighted by their cores.
     double mismatch(const WorkerEntry& worker, const std::string& image, const InterferenceModel& interference)
     {
@@ -67,32 +57,46 @@
         return sum;
     }
 
-    bool eligible(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const InterferenceModel& interference, TimePoint now)
+    /// Whether a worker may be given a task as far as its room, its labels and what is there of the step go.
+    bool hasPlace(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, TimePoint now)
     {
         const StepSpec& step = job.spec->steps[number];
         if (!worker.usable(now) || worker.info->service != job.spec->service || !hasLabel(*worker.info, step.requiredLabel))
             return false;
         if (!worker.free().covers(step.countedDemand()))
             return false;
-        const bool overdue = job.assigned == 0 && now > job.waitingSince + longestFillingWait;
-        if (step.fills && !overdue && !bearsFilling(worker, step, interference))
-            return false;
         return step.maximumPerWorker == 0 || worker.countOf(job.spec->id, number) < step.maximumPerWorker;
     }
 
+    /// Whether a worker can bear one more filling task that would run at a pace.
+    ///
+    /// Pattern it answers: filling tasks come in bursts. Sent all at once they share the cores, harm serving tasks, are
+    /// paced down together, and all end late. So each needs its cores and a useful pace; the rest waits for its turn.
+    bool bearsFilling(const WorkerEntry& worker, const StepSpec& step, double pace)
+    {
+        return pace >= leastUsefulPace && (worker.fillingMilliCores() == 0 || unusedCores(worker) >= step.demand.milliCores);
+    }
+
     /// Greater is better; parts are compared one after another.
     using Score = std::tuple<bool, bool, double, double>;
 
-    Score scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task, const InterferenceModel& interference)
+    /// Gives nothing for a worker that may not be given the task.
+    std::optional<Score> scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task, const InterferenceModel& interference, TimePoint now)
     {
+        if (!hasPlace(worker, job, number, now))
+            return std::nullopt;
         const StepSpec& step = job.spec->steps[number];
         const bool elsewhere = worker.agent != task.avoidedAgent;
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
+        const double pace = step.fills ? expectedPace(worker, step, interference) : 1;
+        const bool overdue = job.assigned == 0 && now > job.waitingSince + longestFillingWait;
+        if (step.fills && !overdue && !bearsFilling(worker, step, pace))
+            return std::nullopt;
         if (step.longRunning)
-            return { elsewhere, nearData, -mismatch(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
+            return Score { elsewhere, nearData, -mismatch(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
         if (step.fills)
-            return { elsewhere, nearData, expectedPace(worker, step, interference), unusedCores(worker) };
-        return { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
+            return Score { elsewhere, nearData, pace, unusedCores(worker) };
+        return Score { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
     }
 
 }
@@ -133,12 +137,11 @@
 const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, const InterferenceModel& interference, TimePoint now)
 {
     const WorkerEntry* best = nullptr;
-    Score bestScore {};
+    std::optional<Score> bestScore;
     for (const Workers::value_type& item : workers) {
-        if (!eligible(item.second, job, step, interference, now))
-            continue;
-        const Score score = scoreOf(item.second, job, step, task, interference);
-        if (!best || score > bestScore) {
+        const std::optional<Score> score = scoreOf(item.second, job, step, task, interference, now);
+        // Nothing is less than any score.
+        if (score > bestScore) {
             best = &item.second;
             bestScore = score;
         }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -183,7 +183,7 @@
 void Scheduler::advanceWrites(TimePoint now, Effects& effects)
 {
     const bool pass = this->passAt && now >= *this->passAt;
-    const bool countsDue = this->pendingCountsDue(now);
+    const bool countsDue = this->duePendingCounts(now).has_value();
     if (!pass && !countsDue && !this->leaderLease.wantsRenewal(now))
         return;
     this->passAt.reset();
@@ -249,6 +249,13 @@
     return traits;
 }
 
+PaceTraits Scheduler::traitsToTell(WorkerEntry& worker, const RunId& run, const StepSpec& step) const
+{
+    PaceTraits traits = this->traitsOf(step, worker);
+    worker.describedLosses[run] = traits.losses;
+    return traits;
+}
+
 void Scheduler::cancelJob(const JobId& job, TimePoint now, Effects& effects)
 {
     if (!this->book.cancel(job, now))
@@ -267,9 +274,7 @@
         if (!step.fills && step.target <= Duration {})
             continue;
         const RunId run { item.first, task.record.run };
-        const PaceTraits traits = this->traitsOf(step, worker);
-        worker.describedLosses[run] = traits.losses;
-        this->send(worker, DescribeRun { run, traits }, effects);
+        this->send(worker, DescribeRun { run, this->traitsToTell(worker, run, step) }, effects);
     }
 }
 
--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -16,51 +16,47 @@
 
 }
 
-void Scheduler::notePace(WorkerEntry& worker, const RunProgress& report, TimePoint now)
+void Scheduler::notePace(WorkerEntry& worker, const std::vector<ListedRun>& listed, TimePoint now)
 {
     const bool gap = now > worker.listedAt + this->config.relocation.longestListGap;
     worker.listedAt = now;
-    for (const RunStatus& status : report.running) {
-        TaskState* const task = this->book.openRun(status.run);
-        if (!task)
-            continue;
-        const StepSpec& step = this->book.find(status.run.task.job)->spec->steps[status.run.task.step];
-        noteSince(task->starvingSince, step.fills && status.pace < this->config.relocation.starvingPace, now);
-        noteSince(task->stalledSince, step.target > Duration {} && slackOf(status.figure, step.target) < this->config.relocation.standstillSlack, now);
+    const RelocationConfig& limits = this->config.relocation;
+    for (const ListedRun& run : listed) {
+        const bool serves = run.step.target > Duration {};
+        noteSince(run.task.starvingSince, run.step.fills && run.status.pace < limits.starvingPace, now);
+        noteSince(run.task.stalledSince, serves && slackOf(run.status.figure, run.step.target) < limits.standstillSlack, now);
         // What was held back by its pace, or not seen for a while, has its full time again.
-        if (task->starvingSince || gap)
-            task->progressedAt = now;
+        if (run.task.starvingSince || gap)
+            run.task.progressedAt = now;
         if (gap)
-            task->stalledSince.reset();
+            run.task.stalledSince.reset();
     }
 }
 
-void Scheduler::leaveStalledWorker(WorkerEntry& worker, const RunProgress& report, TimePoint now, Effects& effects)
+void Scheduler::leaveStalledWorker(WorkerEntry& worker, const std::vector<ListedRun>& listed, TimePoint now, Effects& effects)
 {
-    std::vector<TaskId> stalled;
-    for (const RunStatus& status : report.running) {
-        const TaskState* const task = this->book.openRun(status.run);
-        if (!task || task->stopping)
+    const RelocationConfig& limits = this->config.relocation;
+    std::vector<const ListedRun*> stalled;
+    for (const ListedRun& run : listed) {
+        if (run.task.stopping)
             continue;
-        const JobEntry& job = *this->book.find(status.run.task.job);
-        const StepSpec& step = job.spec->steps[status.run.task.step];
-        const RelocationConfig& limits = this->config.relocation;
-        const bool still = step.longRunning ? task->stalledSince && now > *task->stalledSince + limits.leastStandstill : standsStill(step, *task, limits, now);
         // One run that has moved on shows that the worker works.
-        if (!step.longRunning && movesOn(*task, limits, now))
+        if (!run.step.longRunning && movesOn(run.task, limits, now))
             return;
-        if (still && !isTerminal(job.state))
-            stalled.push_back(status.run.task);
+        const bool still = run.step.longRunning ? run.task.stalledSince && now > *run.task.stalledSince + limits.leastStandstill : standsStill(run.step, run.task, limits, now);
+        if (still && !isTerminal(run.job.state))
+            stalled.push_back(&run);
     }
     if (stalled.empty())
         return;
     if (!worker.standsStill(now))
-        effects.emplace_back(RecordEvent { EventId::WorkerExcluded, worker.agent + ": " + std::to_string(stalled.size()) + " of " + std::to_string(report.running.size()) + " runs stand still" });
-    worker.standstillUntil = now + this->config.relocation.standstillExclusion;
-    for (const TaskId& id : stalled) {
-        if (!this->mayStop(*this->book.find(id.job), id.step))
+        effects.emplace_back(RecordEvent { EventId::WorkerExcluded, worker.agent + ": " + std::to_string(stalled.size()) + " of " + std::to_string(listed.size()) + " runs stand still" });
+    worker.standstillUntil = now + limits.standstillExclusion;
+    for (const ListedRun* const run : stalled) {
+        const TaskId& id = run->status.run.task;
+        if (!this->mayStop(run->job, id.step))
             continue;
-        this->book.task(id)->avoidedAgent = worker.agent;
+        run->task.avoidedAgent = worker.agent;
         this->orderStop(worker, id, "it stands still", effects);
     }
 }
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -75,11 +75,12 @@
 {
     if (!worker.info || worker.info->identity != report.worker)
         return;
-    this->learnInterference(worker, report, now);
+    const std::vector<ListedRun> listed = this->openRuns(report.running);
+    this->learnInterference(worker, listed, now);
     this->describeChanges(worker, effects);
     this->takeStatus(worker, report.running, now, effects);
-    this->notePace(worker, report, now);
-    this->leaveStalledWorker(worker, report, now, effects);
+    this->notePace(worker, listed, now);
+    this->leaveStalledWorker(worker, listed, now, effects);
     this->moveOneStarving(worker, now, effects);
     if (!this->book.waiting().empty())
         this->wantPass(now);
@@ -118,11 +119,9 @@
         this->stopLeftovers(end.run.task.job, now, effects);
     }
     // A run that was given up turned out to have finished: its successor is stopped.
-    TaskState* const successor = this->book.task(end.run.task);
-    if (verdict == RunVerdict::TaskDone && successor->record.assignment && !successor->stopping) {
-        successor->stopping = true;
-        this->send(this->knownWorkers[successor->record.assignment->agent], StopRun { { end.run.task, successor->record.run } }, effects);
-    }
+    const TaskState& successor = *this->book.task(end.run.task);
+    if (verdict == RunVerdict::TaskDone && successor.record.assignment && !successor.stopping)
+        this->orderStop(this->knownWorkers[successor.record.assignment->agent], end.run.task, "an earlier run of the task is done", effects);
 }
 
 void Scheduler::takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects)
@@ -142,23 +141,33 @@
     }
 }
 
-void Scheduler::learnInterference(WorkerEntry& worker, const RunProgress& report, TimePoint now)
+std::vector<Scheduler::ListedRun> Scheduler::openRuns(const std::vector<RunStatus>& running)
+{
+    std::vector<ListedRun> listed;
+    listed.reserve(running.size());
+    for (const RunStatus& status : running) {
+        TaskState* const task = this->book.openRun(status.run);
+        if (!task)
+            continue;
+        const JobEntry& job = *this->book.find(status.run.task.job);
+        listed.push_back({ status, job, job.spec->steps[status.run.task.step], *task });
+    }
+    return listed;
+}
+
+void Scheduler::learnInterference(WorkerEntry& worker, const std::vector<ListedRun>& listed, TimePoint now)
 {
     const double cores = std::max(1U, worker.info->capacity.milliCores);
     std::vector<ServingSample> serving;
     std::map<std::string, double> shares;
     worker.pacedDownMilliCores = 0;
-    for (const RunStatus& status : report.running) {
-        const JobEntry* const job = this->book.find(status.run.task.job);
-        if (!job || !this->book.openRun(status.run))
-            continue;
-        const StepSpec& step = job->spec->steps[status.run.task.step];
-        if (step.fills) {
-            shares[step.image] += status.figure / cores;
-            worker.pacedDownMilliCores += step.demand.milliCores * (fullPace - std::min(fullPace, status.pace)) / fullPace;
+    for (const ListedRun& run : listed) {
+        if (run.step.fills) {
+            shares[run.step.image] += run.status.figure / cores;
+            worker.pacedDownMilliCores += run.step.demand.milliCores * (fullPace - std::min(fullPace, run.status.pace)) / fullPace;
         }
-        if (step.target > Duration {} && status.percent == runAtWork)
-            serving.push_back({ job->spec->id, step.image, slackOf(status.figure, step.target) });
+        if (run.step.target > Duration {} && run.status.percent == runAtWork)
+            serving.push_back({ run.job.spec->id, run.step.image, slackOf(run.status.figure, run.step.target) });
     }
     std::vector<FillingSample> filling;
     filling.reserve(shares.size());
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -59,10 +59,10 @@
                 task.storedBy = this->writes;
         }
     }
-    if (this->pendingCountsDue(now)) {
-        const PendingCounts counts = this->book.pendingCounts();
-        rows.push_back({ pendingRowKey(), print(counts) });
-        this->pendingWritten = counts;
+    std::optional<PendingCounts> counts = this->duePendingCounts(now);
+    if (counts) {
+        rows.push_back({ pendingRowKey(), print(*counts) });
+        this->pendingWritten = std::move(*counts);
         this->pendingWrittenAt = now;
     }
     if (!this->book.changed())
@@ -84,9 +84,12 @@
     this->modelWritten = std::move(text);
 }
 
-bool Scheduler::pendingCountsDue(TimePoint now) const
+std::optional<PendingCounts> Scheduler::duePendingCounts(TimePoint now) const
 {
-    return now >= this->pendingWrittenAt + this->config.pendingInterval && this->pendingWritten != this->book.pendingCounts();
+    if (now < this->pendingWrittenAt + this->config.pendingInterval)
+        return std::nullopt;
+    PendingCounts counts = this->book.pendingCounts();
+    return counts == this->pendingWritten ? std::nullopt : std::optional<PendingCounts>(std::move(counts));
 }
 
 std::vector<RowKey> Scheduler::takeRemovals(TimePoint now)
@@ -115,9 +118,8 @@
         task.order = ++this->orders;
         const Assignment& place = *task.record.assignment;
         WorkerEntry& worker = this->knownWorkers[place.agent];
-        const PaceTraits traits = this->traitsOf(spec.steps[id.step], worker);
-        worker.describedLosses[{ id, task.record.run }] = traits.losses;
-        this->send(worker, StartRun { { id, task.record.run }, place.worker, spec.payload, task.record.checkpoint, traits, task.order, worker.lastPing }, effects);
+        const RunId run { id, task.record.run };
+        this->send(worker, StartRun { run, place.worker, spec.payload, task.record.checkpoint, this->traitsToTell(worker, run, spec.steps[id.step]), task.order, worker.lastPing }, effects);
     }
 }
 
