Share connections and requests among the HTTP clients; narrow messages of jobs in one place

KeepAliveClient had the connection of UpstreamCaller, its connecting, and the requests of HttpClient written again; they stand in HttpConnection now. Two visitors that listed the messages of one side give way to fromJobMessage, the twin of toJobMessage. Behaviour stays. Looked at and left: AdminServer and CallerAdapter both tell a peer of an unreadable request, but the latter must count as busy while it does, or a drain would cut that answer.

--- a/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
+++ b/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
@@ -3,7 +3,7 @@
 /// @file
 /// @brief HTTP calls to one peer on connections that are kept open.
 
-#include "Asio.h"
+#include "HttpConnection.h"
 #include <cowslipdoor/core/Request.h>
 #include <cowslipdoor/core/Time.h>
 #include <memory>
@@ -62,14 +62,7 @@
     [[nodiscard]] asio::awaitable<PeerResult> call(PeerCall call);
 
 private:
-    struct Connection {
-        explicit Connection(const asio::any_io_executor& executor);
-
-        beast::tcp_stream stream;
-        beast::flat_buffer buffer;
-    };
-
-    using ConnectionHandle = std::shared_ptr<Connection>;
+    using ConnectionHandle = std::shared_ptr<HttpConnection>;
 
     asio::awaitable<PeerResult> exchange(ConnectionHandle connection, PeerCall call, bool fresh);
 
--- a/libs/runtime/include/cowslipdoor/runtime/UpstreamCaller.h
+++ b/libs/runtime/include/cowslipdoor/runtime/UpstreamCaller.h
@@ -3,7 +3,7 @@
 /// @file
 /// @brief Calls of the agent to its upstream over HTTP.
 
-#include "Asio.h"
+#include "HttpConnection.h"
 #include <cowslipdoor/core/AgentMachine.h>
 #include <functional>
 #include <map>
@@ -47,14 +47,7 @@
     void abandon(const AbandonCall& call);
 
 private:
-    struct Connection {
-        explicit Connection(const asio::any_io_executor& executor);
-
-        beast::tcp_stream stream;
-        beast::flat_buffer buffer;
-    };
-
-    using ConnectionHandle = std::shared_ptr<Connection>;
+    using ConnectionHandle = std::shared_ptr<HttpConnection>;
     using CallKey = std::pair<RequestId, AttemptId>;
 
     struct CallResult {
@@ -66,8 +59,8 @@
 
     asio::awaitable<void> run(CallUpstream call);
     asio::awaitable<CallResult> callOnce(const CallUpstream& call, bool reuse);
-    asio::awaitable<std::optional<FailureReason>> connect(Connection& connection, const std::string& address);
-    asio::awaitable<CallResult> exchange(Connection& connection, const CallUpstream& call, bool reused);
+    asio::awaitable<std::optional<FailureReason>> reach(HttpConnection& connection, const std::string& address);
+    asio::awaitable<CallResult> exchange(HttpConnection& connection, const CallUpstream& call, bool reused);
     [[nodiscard]] http::request<http::string_body> makeRequest(const CallUpstream& call) const;
     [[nodiscard]] ConnectionHandle takeIdle(const std::string& address);
 
--- a/libs/runtime/src/AgentDialer.cpp
+++ b/libs/runtime/src/AgentDialer.cpp
@@ -6,20 +6,6 @@
 
 namespace cowslipdoor::runtime {
 
-namespace {
-
-    struct ToReport {
-        std::optional<AgentReport> operator()(const Ping& message) const { return message; }
-        std::optional<AgentReport> operator()(const WorkerSnapshot& message) const { return message; }
-        std::optional<AgentReport> operator()(const RunsEnded& message) const { return message; }
-        std::optional<AgentReport> operator()(const RunRejected& message) const { return message; }
-        std::optional<AgentReport> operator()(const RunProgress& message) const { return message; }
-        template <typename Other>
-        std::optional<AgentReport> operator()(const Other&) const { return std::nullopt; }
-    };
-
-}
-
 AgentDialer::AgentDialer(asio::any_io_executor executor, AgentDialerConfig config, SchedulerEventSink sink, const Log& log, Metrics& metrics)
     : executor(std::move(executor))
     , config(config)
@@ -89,7 +75,7 @@
     try {
         while (true) {
             const JobMessage message = co_await stream->receive();
-            const std::optional<AgentReport> report = std::visit(ToReport {}, message);
+            const std::optional<AgentReport> report = fromJobMessage<AgentReport>(message);
             if (!report)
                 throw Error(ErrorKind::BadFrame, "an agent sent a message of a leader");
             const SchedulerEvent said = AgentSaid { agent, link, *report };
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "cowslipdoor/runtime/HttpClient.h"
 #include "cowslipdoor/runtime/Address.h"
+#include "cowslipdoor/runtime/HttpConnection.h"
 #include <cowslipdoor/core/Error.h>
 #include <exception>
 #include <optional>
@@ -13,16 +14,7 @@
     const std::tuple<error_code> connected = co_await stream.async_connect(parseAddress(call.address), asTuple);
     if (std::get<0>(connected))
         throw Error(ErrorKind::UpstreamUnreachable, call.address + ": " + std::get<0>(connected).message());
-    http::request<http::string_body> request;
-    request.version(11);
-    request.method_string(call.method);
-    request.target(call.target);
-    request.set(http::field::host, call.address);
-    for (const Header& header : call.headers)
-        request.set(header.name, header.value);
-    request.body() = call.body;
-    request.keep_alive(false);
-    request.prepare_payload();
+    const http::request<http::string_body> request = makeRequest(call.address, call.method, call.target, call.headers, call.body, false);
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     const std::tuple<error_code, std::size_t> written = co_await http::async_write(stream, request, asTuple);
--- a/libs/runtime/src/KeepAliveClient.cpp
+++ b/libs/runtime/src/KeepAliveClient.cpp
@@ -1,5 +1,4 @@
 #include "cowslipdoor/runtime/KeepAliveClient.h"
-#include "cowslipdoor/runtime/Address.h"
 #include <utility>
 
 namespace cowslipdoor::runtime {
@@ -11,11 +10,6 @@
 
 }
 
-KeepAliveClient::Connection::Connection(const asio::any_io_executor& executor)
-    : stream(executor)
-{
-}
-
 KeepAliveClient::KeepAliveClient(asio::any_io_executor executor, std::string address)
     : executor(std::move(executor))
     , address(std::move(address))
@@ -27,34 +21,23 @@
     ConnectionHandle connection;
     const bool fresh = this->idle.empty();
     if (fresh) {
-        connection = std::make_shared<Connection>(this->executor);
+        connection = std::make_shared<HttpConnection>(this->executor);
     } else {
         connection = this->idle.back();
         this->idle.pop_back();
     }
     connection->stream.expires_after(call.timeout);
     if (fresh) {
-        const std::tuple<error_code> connected = co_await connection->stream.async_connect(parseAddress(this->address), asTuple);
-        if (std::get<0>(connected))
-            co_return PeerFailure { false, "connecting to " + this->address + ": " + std::get<0>(connected).message() };
-        error_code ignored;
-        connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+        const error_code error = co_await connect(*connection, this->address);
+        if (error)
+            co_return PeerFailure { false, "connecting to " + this->address + ": " + error.message() };
     }
     co_return co_await this->exchange(std::move(connection), std::move(call), fresh);
 }
 
 asio::awaitable<PeerResult> KeepAliveClient::exchange(ConnectionHandle connection, PeerCall call, bool fresh)
 {
-    http::request<http::string_body> request;
-    request.version(11);
-    request.method_string(call.method);
-    request.target(call.target);
-    request.set(http::field::host, this->address);
-    for (const Header& header : call.headers)
-        request.set(header.name, header.value);
-    request.body() = std::move(call.body);
-    request.keep_alive(true);
-    request.prepare_payload();
+    const http::request<http::string_body> request = makeRequest(this->address, call.method, call.target, call.headers, std::move(call.body), true);
     http::response_parser<http::string_body> parser;
     parser.body_limit(largestAnswer);
     const std::tuple<error_code, std::size_t> written = co_await http::async_write(connection->stream, request, asTuple);
--- a/libs/runtime/src/UpstreamCaller.cpp
+++ b/libs/runtime/src/UpstreamCaller.cpp
@@ -1,5 +1,4 @@
 #include "cowslipdoor/runtime/UpstreamCaller.h"
-#include "cowslipdoor/runtime/Address.h"
 #include "cowslipdoor/runtime/HttpServer.h"
 #include <cowslipdoor/core/Error.h>
 #include <utility>
@@ -39,11 +38,6 @@
 
 }
 
-UpstreamCaller::Connection::Connection(const asio::any_io_executor& executor)
-    : stream(executor)
-{
-}
-
 UpstreamCaller::UpstreamCaller(asio::any_io_executor executor, UpstreamCallerConfig config, CallEnd onEnd)
     : executor(std::move(executor))
     , config(config)
@@ -81,7 +75,7 @@
     ConnectionHandle connection = reuse ? this->takeIdle(call.address) : nullptr;
     const bool reused = connection != nullptr;
     if (!reused)
-        connection = std::make_shared<Connection>(this->executor);
+        connection = std::make_shared<HttpConnection>(this->executor);
     const CallKey key { call.id, call.attempt };
     this->active.insert_or_assign(key, connection);
     const CallResult result = co_await this->exchange(*connection, call, reused);
@@ -93,21 +87,19 @@
     co_return result;
 }
 
-asio::awaitable<std::optional<FailureReason>> UpstreamCaller::connect(Connection& connection, const std::string& address)
+asio::awaitable<std::optional<FailureReason>> UpstreamCaller::reach(HttpConnection& connection, const std::string& address)
 {
     connection.stream.expires_after(this->config.connectTime);
-    const std::tuple<error_code> connected = co_await connection.stream.async_connect(parseAddress(address), asTuple);
-    if (std::get<0>(connected))
-        co_return FailureReason { ErrorKind::UpstreamUnreachable, address + ": " + std::get<0>(connected).message() };
-    error_code ignored;
-    connection.stream.socket().set_option(tcp::no_delay(true), ignored);
+    const error_code error = co_await connect(connection, address);
+    if (error)
+        co_return FailureReason { ErrorKind::UpstreamUnreachable, address + ": " + error.message() };
     co_return std::nullopt;
 }
 
-asio::awaitable<UpstreamCaller::CallResult> UpstreamCaller::exchange(Connection& connection, const CallUpstream& call, bool reused)
+asio::awaitable<UpstreamCaller::CallResult> UpstreamCaller::exchange(HttpConnection& connection, const CallUpstream& call, bool reused)
 {
     if (!reused) {
-        const std::optional<FailureReason> failure = co_await this->connect(connection, call.address);
+        const std::optional<FailureReason> failure = co_await this->reach(connection, call.address);
         if (failure)
             co_return CallResult { *failure };
     }
--- a/libs/runtime/src/WorkerTask.cpp
+++ b/libs/runtime/src/WorkerTask.cpp
@@ -19,17 +19,6 @@
     /// reason for the agent to give up and the leader dials again by itself.
     constexpr Duration leaderSilenceLimit = std::chrono::milliseconds(5000);
 
-    struct ToLeaderMessage {
-        std::optional<LeaderMessage> operator()(const LeaderHello& message) const { return message; }
-        std::optional<LeaderMessage> operator()(const DescribeRun& message) const { return message; }
-        std::optional<LeaderMessage> operator()(const StartRun& message) const { return message; }
-        std::optional<LeaderMessage> operator()(const StopRun& message) const { return message; }
-        std::optional<LeaderMessage> operator()(const AcknowledgeEnds& message) const { return message; }
-        std::optional<LeaderMessage> operator()(const Pong& message) const { return message; }
-        template <typename Other>
-        std::optional<LeaderMessage> operator()(const Other&) const { return std::nullopt; }
-    };
-
 }
 
 WorkerTask::WorkerTask(asio::any_io_executor executor, WorkerMachineConfig config, WorkerPort worker, const Log& log, Metrics& metrics)
@@ -180,7 +169,7 @@
     try {
         while (true) {
             const JobMessage message = co_await stream->receive();
-            const std::optional<LeaderMessage> said = std::visit(ToLeaderMessage {}, message);
+            const std::optional<LeaderMessage> said = fromJobMessage<LeaderMessage>(message);
             if (!said)
                 throw Error(ErrorKind::BadFrame, "a leader sent a message of an agent");
             const WorkerInput input(WorkerEvent(LeaderSaid { link, *said }));
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
@@ -5,6 +5,7 @@
 
 #include "Worker.h"
 #include <optional>
+#include <type_traits>
 #include <variant>
 
 namespace cowslipdoor {
@@ -131,4 +132,19 @@
     return std::visit([](const auto& alternative) { return JobMessage(alternative); }, message);
 }
 
+/// @brief Narrows a message of the link to one of a side.
+/// @param message any message
+/// @return the same message as a LeaderMessage or an AgentReport, or nothing if that side does not send it
+template <typename SideMessage>
+[[nodiscard]] std::optional<SideMessage> fromJobMessage(const JobMessage& message)
+{
+    const auto narrow = [](const auto& alternative) -> std::optional<SideMessage> {
+        if constexpr (std::is_constructible_v<SideMessage, decltype(alternative)>)
+            return SideMessage(alternative);
+        else
+            return std::nullopt;
+    };
+    return std::visit(narrow, message);
+}
+
 }
