Give an agent one dialling task, also when it is wanted again at once

Cause: found in reading: a task that keeps a link ended when its agent was no longer wanted, which it asked only after a pause. Change: a task knows its number and ends once another one keeps the agent. Test: all links closed and the agent wanted again at once; it failed before with three links instead of two.

--- a/libs/runtime/include/cowslipdoor/runtime/AgentDialer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/AgentDialer.h
@@ -58,17 +58,24 @@
     void closeAll();
 
 private:
-    asio::awaitable<void> keep(std::string agent, std::string address);
-    asio::awaitable<void> linkOnce(std::string agent, std::string address);
+    /// Where an agent is dialled, and by which task: one that was told to end may still be waiting.
+    struct Wanted {
+        std::string address;
+        std::uint64_t task = 0;
+    };
+
+    asio::awaitable<void> keep(std::string agent, Wanted wanted);
+    asio::awaitable<void> linkOnce(std::string agent, Wanted wanted);
     asio::awaitable<void> relayAll(std::string agent, LinkId link, std::shared_ptr<JobStream> stream);
-    [[nodiscard]] bool wanted(const std::string& agent, const std::string& address) const;
+    [[nodiscard]] bool isCurrent(const std::string& agent, std::uint64_t task) const;
 
     asio::any_io_executor executor;
     AgentDialerConfig config;
     SchedulerEventSink sink;
     const Log& log;
     Metrics& metrics;
-    std::map<std::string, std::string> addresses;
+    std::map<std::string, Wanted> agents;
+    std::uint64_t lastTask = 0;
     std::map<LinkId, std::shared_ptr<JobStream>> links;
     std::uint64_t lastLink = 0;
 };
--- a/libs/runtime/src/AgentDialer.cpp
+++ b/libs/runtime/src/AgentDialer.cpp
@@ -17,11 +17,13 @@
 
 void AgentDialer::keepLinked(const std::string& agent, const std::string& address)
 {
-    if (this->wanted(agent, address))
+    const std::map<std::string, Wanted>::const_iterator known = this->agents.find(agent);
+    if (known != this->agents.end() && known->second.address == address)
         return;
-    this->addresses.insert_or_assign(agent, address);
+    const Wanted wanted { address, ++this->lastTask };
+    this->agents.insert_or_assign(agent, wanted);
     asio::co_spawn(
-        this->executor, [this, agent, address]() { return this->keep(agent, address); }, asio::detached);
+        this->executor, [this, agent, wanted]() { return this->keep(agent, wanted); }, asio::detached);
 }
 
 void AgentDialer::send(LinkId link, const JobMessage& message)
@@ -35,25 +37,25 @@
 
 void AgentDialer::closeAll()
 {
-    this->addresses.clear();
+    this->agents.clear();
     for (const std::map<LinkId, std::shared_ptr<JobStream>>::value_type& item : this->links)
         item.second->close();
 }
 
-asio::awaitable<void> AgentDialer::keep(std::string agent, std::string address)
+asio::awaitable<void> AgentDialer::keep(std::string agent, Wanted wanted)
 {
-    while (this->wanted(agent, address)) {
-        co_await this->linkOnce(agent, address);
+    while (this->isCurrent(agent, wanted.task)) {
+        co_await this->linkOnce(agent, wanted);
         co_await pauseFor(this->config.redialDelay);
     }
 }
 
-asio::awaitable<void> AgentDialer::linkOnce(std::string agent, std::string address)
+asio::awaitable<void> AgentDialer::linkOnce(std::string agent, Wanted wanted)
 {
     beast::tcp_stream dialled(this->executor);
     dialled.expires_after(this->config.connectLimit);
-    const std::tuple<error_code> connected = co_await dialled.async_connect(parseAddress(address), asTuple);
-    if (std::get<0>(connected) || !this->wanted(agent, address))
+    const std::tuple<error_code> connected = co_await dialled.async_connect(parseAddress(wanted.address), asTuple);
+    if (std::get<0>(connected) || !this->isCurrent(agent, wanted.task))
         co_return;
     dialled.expires_never();
     const std::shared_ptr<JobStream> stream = std::make_shared<JobStream>(dialled.release_socket(), [this](const JobMessage&, std::size_t bytes) { this->metrics.countControlBytes(bytes); });
@@ -89,10 +91,10 @@
     }
 }
 
-bool AgentDialer::wanted(const std::string& agent, const std::string& address) const
+bool AgentDialer::isCurrent(const std::string& agent, std::uint64_t task) const
 {
-    const std::map<std::string, std::string>::const_iterator it = this->addresses.find(agent);
-    return it != this->addresses.end() && it->second == address;
+    const std::map<std::string, Wanted>::const_iterator it = this->agents.find(agent);
+    return it != this->agents.end() && it->second.task == task;
 }
 
 }
--- /dev/null
+++ b/libs/runtime/tests/AgentDialerTests.cpp
@@ -0,0 +1,50 @@
+#include <catch2/catch.hpp>
+#include <cowslipdoor/runtime/AgentDialer.h>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::runtime;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A dialer and a place that takes links and keeps them open.
+struct DialerUnderTest {
+    asio::io_context context { 1 };
+    Log log { "test", LogForm::Text, EventLevel::Error };
+    Metrics metrics {};
+    tcp::acceptor acceptor { this->context, { asio::ip::make_address("127.0.0.1"), 0 } };
+    std::vector<tcp::socket> taken {};
+    AgentDialer dialer { this->context.get_executor(), AgentDialerConfig {}, [](const SchedulerEvent&) -> asio::awaitable<void> { co_return; }, this->log, this->metrics };
+
+    DialerUnderTest()
+    {
+        asio::co_spawn(
+            this->context, [this]() { return this->takeAll(); }, asio::detached);
+    }
+
+    asio::awaitable<void> takeAll()
+    {
+        while (true) {
+            tcp::socket socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+            this->taken.push_back(std::move(socket));
+        }
+    }
+
+    void keepLinked() { this->dialer.keepLinked("agent", "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port())); }
+};
+
+}
+
+TEST_CASE("agent dialer: an agent has one link, also when all links were closed and it is wanted again at once", "[jobs]")
+{
+    DialerUnderTest test;
+    test.keepLinked();
+    test.keepLinked();
+    test.context.run_for(milliseconds(100));
+    CHECK(test.taken.size() == 1);
+    test.dialer.closeAll();
+    test.keepLinked();
+    // Longer than the pause after which the first link's task would dial again.
+    test.context.run_for(milliseconds(600));
+    CHECK(test.taken.size() == 2);
+}
