--- a/libs/core/include/cowslipdoor/core/Error.h
+++ b/libs/core/include/cowslipdoor/core/Error.h
@@ -55,7 +55,6 @@
     StoreUnavailable,
     StoreUnsettled,
     JobUnknown,
-    TurnedAway,
     Internal,
 };
 
--- a/libs/core/src/Error.cpp
+++ b/libs/core/src/Error.cpp
@@ -39,7 +39,6 @@
         { ErrorKind::StoreUnavailable, "store_unavailable", 503, Outcome::NotRun, true, "The store did not take the request; nothing is stored of it." },
         { ErrorKind::StoreUnsettled, "store_unsettled", 504, Outcome::Unknown, true, "Whether the request is stored could not be settled in time; the same identifier may be sent again." },
         { ErrorKind::JobUnknown, "job_unknown", 410, Outcome::NotRun, false, "There is no such job." },
-        { ErrorKind::TurnedAway, "turned_away", 429, Outcome::NotRun, true, "More jobs wait than can be finished in time; the header Retry-After says when to come back." },
         { ErrorKind::Internal, "internal", 500, Outcome::Unknown, false, "A fault of the program." },
     } };
 
