Raise a run's first accepted token once more before a worker is settled

With the store losing answers an agent took generation 6 from the leader; an order had no answer; all VMs lost power before the store knew of 6. The next run of the agent was granted 6 by the store, and its first look carried the very token of that order: the worker accepted it, was taken for settled, and carried the old order out 2.8 s late. Change: orders carry only tokens that the worker has accepted; so a run of the agent raises the first one that is accepted, and settles under the raised one, which is above all earlier ones whatever the generation. The same after a refusal by the fence. One look more for each life of a worker or run of an agent. Tests: two cases of the agent, which failed before; two others name the look in flight instead of its number.

--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -173,7 +173,8 @@
 ///
 /// The agent is the only caller of its worker. It sends one order after another. An order without an answer may be carried
 /// out seconds later, so the agent raises its fencing token and looks: once a look is answered under the new token, no
-/// older order can act, and the lists tell what is true.
+/// older order can act, and the lists tell what is true. Orders carry only tokens that the worker has accepted before. So a
+/// new run of the agent, whose token may be one of its predecessor's, raises the first one that is accepted once more.
 /// @code
 /// WorkerMachine machine(config);
 /// for (const WorkerEffect& effect : machine.step(WorkerBeat { info }, now))
@@ -234,6 +235,8 @@
         std::int64_t clockMs = 0;
         TimePoint clockReadAt {};
         TimePoint lastContact {};
+        /// Whether the worker has accepted a token of this run of the agent.
+        bool tokenAccepted = false;
         std::uint64_t settledToken = 0;
         CallNumber newestLook {};
         std::uint64_t acknowledged = 0;
@@ -283,6 +286,7 @@
     void beginLife(const WorkerInfo& info, TimePoint now, Effects& effects);
     void endLife(const std::string& reason, Effects& effects);
     void reportBlind(Effects& effects);
+    [[nodiscard]] bool raiseAcceptedToken(std::uint64_t token) noexcept;
     void settleDoubts(Effects& effects);
     void repeatStops();
     void reportMissing(CallNumber look, Effects& effects);
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -117,6 +117,7 @@
         if (end.number > this->life->acknowledged)
             this->life->ended.push_back(end);
     }
+    const bool raised = this->raiseAcceptedToken(underToken);
     const bool whole = event.ended.size() < this->config.mostListedEnds;
     if (underToken == this->token() && this->life->settledToken != underToken && whole) {
         this->life->settledToken = underToken;
@@ -129,7 +130,7 @@
     this->repeatStops();
     this->regulatePace(now, effects);
     this->reportProgress(now, effects);
-    this->lookAt = this->life->ended.empty() ? now : now + this->config.acknowledgeWait;
+    this->lookAt = raised || this->life->ended.empty() ? now : now + this->config.acknowledgeWait;
 }
 
 void WorkerMachine::on(const OrderAnswered& event, TimePoint now, Effects& effects)
@@ -176,6 +177,8 @@
     }
     // No other agent calls this worker, so the greater token is that of an earlier run of this one.
     this->generation = this->generation.value_or(0) + 1;
+    if (this->life)
+        this->life->tokenAccepted = false;
     this->looking.reset();
     this->lookAt = now + this->config.retryDelay;
     effects.emplace_back(RecordEvent { EventId::GenerationTaken, std::to_string(*this->generation) + ", after a refusal by the worker's fence" });
@@ -354,6 +357,15 @@
     this->sendSnapshot(effects);
 }
 
+bool WorkerMachine::raiseAcceptedToken(std::uint64_t token) noexcept
+{
+    // An accepted token is no less than any that the worker has seen, but it may be the same as one of an earlier run.
+    if (token != this->token() || std::exchange(this->life->tokenAccepted, true))
+        return false;
+    ++this->tokenRaises;
+    return true;
+}
+
 void WorkerMachine::reportMissing(CallNumber look, Effects& effects)
 {
     bool missing = false;
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -17,7 +17,14 @@
     WorkerMachine::Effects effects {};
     TimePoint now = start;
 
-    void step(const WorkerEvent& event) { this->effects = this->machine.step(event, this->now); }
+    CallNumber lastLook {};
+
+    void step(const WorkerEvent& event)
+    {
+        this->effects = this->machine.step(event, this->now);
+        const std::optional<CallLook> look = this->find<CallLook>();
+        this->lastLook = look ? look->call : this->lastLook;
+    }
 
     template <typename Effect>
     std::optional<Effect> find() const
@@ -53,6 +60,7 @@
         const CallLook look = *this->find<CallLook>();
         this->step(LeaderSaid { leaderLink, LeaderHello { 1, "entry", 2 } });
         this->step(this->answerTo(look));
+        this->step(this->answerTo(*this->find<CallLook>()));
         this->step(LeaderSaid { leaderLink, Pong { this->now.time_since_epoch().count() } });
     }
 
@@ -71,7 +79,35 @@
     REQUIRE(look);
     CHECK(look->wait == Duration {});
     CHECK_FALSE(look->leaseUntilMs);
+    // The worker may have seen this very token from an earlier run of the agent, whose orders may still be under way.
     agent.step(agent.answerTo(*look));
+    CHECK_FALSE(agent.machine.settled());
+    const std::optional<CallLook> greater = agent.find<CallLook>();
+    REQUIRE(greater);
+    CHECK(greater->token > look->token);
+    CHECK(greater->wait == Duration {});
+    agent.step(agent.answerTo(*greater));
+    CHECK(agent.machine.settled());
+}
+
+TEST_CASE("agent: after a refusal by the fence a token is proved anew before the worker is settled", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    REQUIRE(agent.machine.settled());
+    agent.now += milliseconds(600);
+    agent.step(CallUnanswered { agent.lastLook });
+    agent.now += milliseconds(200);
+    agent.step(TimePassed {});
+    agent.step(CallFenced { agent.find<CallLook>()->call });
+    agent.now += milliseconds(200);
+    agent.step(TimePassed {});
+    const CallLook first = *agent.find<CallLook>();
+    agent.step(agent.answerTo(first));
+    CHECK_FALSE(agent.machine.settled());
+    const CallLook second = *agent.find<CallLook>();
+    CHECK(second.token > first.token);
+    agent.step(agent.answerTo(second));
     CHECK(agent.machine.settled());
 }
 
@@ -80,7 +116,7 @@
     AgentUnderTest agent;
     agent.settle();
     agent.now += milliseconds(500);
-    agent.step(CallUnanswered { CallNumber { 2 } });
+    agent.step(CallUnanswered { agent.lastLook });
     agent.now += milliseconds(200);
     agent.step(TimePassed {});
     REQUIRE(agent.find<CallLook>());
@@ -151,7 +187,7 @@
     agent.settle();
     const RunEnd end { 4, run, RunEndKind::Done, "" };
     agent.now += milliseconds(100);
-    agent.step(CallUnanswered { CallNumber { 2 } });
+    agent.step(CallUnanswered { agent.lastLook });
     agent.now += milliseconds(200);
     agent.step(TimePassed {});
     const CallLook look = *agent.find<CallLook>();
