Take in what came during a standstill before deadlines count

Cause: the entry's deadline (2 s) passed while the attempt was in progress. An entry gives an attempt up at half of its deadline, so one such answer needs either three silent attempts in a row or an entry that did not run from before the first second to after the second. When it runs again, its timer fires first and the answer that lies in the socket is dropped. A frozen entry (SIGSTOP for 3 s and 6 s) gives that very answer, each time.

Change: a wakeup that is late by 100 ms or more waits for another 100 ms (WakeupGate, core), in which sockets are read. Time limits of sockets keep to the same (SocketDeadline, one copy for requests that are read and calls to upstreams), and a standstill is no silence of a link. New event E106 stood_still, so that the next such case can be read from the log.

--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -25,6 +25,7 @@
     DrainFinished = 103,
     DrainCut = 104,
     ListenFailed = 105,
+    StoodStill = 106,
     RulesInForce = 200,
     RulesRefused = 201,
     RulesConflict = 202,
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -13,6 +13,7 @@
         EventDescription { EventId::DrainFinished, "drain_finished", EventLevel::Info, "A planned stop finished everything that was held." },
         EventDescription { EventId::DrainCut, "drain_cut", EventLevel::Warning, "A second signal or the drain limit ended a planned stop; the detail says what was cut off." },
         EventDescription { EventId::ListenFailed, "listen_failed", EventLevel::Error, "An address cannot be listened on." },
+        EventDescription { EventId::StoodStill, "stood_still", EventLevel::Warning, "The process did not run for a while; what came meanwhile is taken in before deadlines count." },
         EventDescription { EventId::RulesInForce, "rules_in_force", EventLevel::Info, "A greater version of the rules is in force." },
         EventDescription { EventId::RulesRefused, "rules_refused", EventLevel::Error, "A rules file has faults or cannot be read; the rules in force stay." },
         EventDescription { EventId::RulesConflict, "rules_conflict", EventLevel::Error, "Two different rules files state the same version; the one in force stays." },
--- a/libs/runtime/include/cowslipdoor/runtime/EntryTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/EntryTask.h
@@ -8,6 +8,7 @@
 #include "Log.h"
 #include "Metrics.h"
 #include <cowslipdoor/core/EntryMachine.h>
+#include <cowslipdoor/core/WakeupGate.h>
 #include <map>
 #include <memory>
 #include <string>
@@ -102,6 +103,7 @@
     void carryOut(const ObserveRequest& effect);
     void carryOut(const RecordEvent& effect);
     void step(const EntryEvent& event);
+    void tellTime();
     void armTimer();
 
     asio::any_io_executor executor;
@@ -109,6 +111,7 @@
     const Log& log;
     Metrics& metrics;
     Mailbox<EntryInput> messages;
+    WakeupGate gate;
     asio::steady_timer timer;
     std::map<CallerId, Mailbox<CallerMessage>> callers;
     std::map<LinkId, Outbox> links;
--- a/libs/runtime/src/EntryTask.cpp
+++ b/libs/runtime/src/EntryTask.cpp
@@ -35,14 +35,14 @@
         if (std::get<0>(received))
             co_return;
         std::visit([this](const auto& message) { this->on(message); }, std::get<1>(received));
-        const std::optional<TimePoint> wakeup = this->machine.nextWakeup();
-        if (wakeup && *wakeup <= monotonicNow())
-            this->step(TimePassed {});
+        this->tellTime();
     }
 }
 
 void EntryTask::on(const EntryEvent& event)
 {
+    if (std::holds_alternative<TimePassed>(event))
+        return;
     const AgentLinkClosed* const closed = std::get_if<AgentLinkClosed>(&event);
     if (closed)
         this->links.erase(closed->link);
@@ -119,12 +119,31 @@
         std::visit([this](const auto& alternative) { this->carryOut(alternative); }, effect);
 }
 
+void EntryTask::tellTime()
+{
+    const std::optional<TimePoint> wakeup = this->machine.nextWakeup();
+    if (!wakeup)
+        return;
+    const TimePoint now = monotonicNow();
+    const bool heldBefore = this->gate.holds();
+    const TimePoint opensAt = this->gate.opensAt(*wakeup, now);
+    if (this->gate.holds() && !heldBefore)
+        this->carryOut(RecordEvent { EventId::StoodStill, std::to_string(toMilliseconds(now - *wakeup)) + " ms" });
+    if (opensAt > now)
+        return;
+    this->gate.told();
+    this->step(TimePassed {});
+}
+
 void EntryTask::armTimer()
 {
     const std::optional<TimePoint> wakeup = this->machine.nextWakeup();
-    if (!wakeup || this->timer.expiry() == toSteady(*wakeup))
+    if (!wakeup)
+        return;
+    const std::chrono::steady_clock::time_point opensAt = toSteady(this->gate.opensAt(*wakeup, monotonicNow()));
+    if (this->timer.expiry() == opensAt)
         return;
-    this->timer.expires_at(toSteady(*wakeup));
+    this->timer.expires_at(opensAt);
     const Mailbox<EntryInput> inbox = this->messages;
     this->timer.async_wait([inbox](error_code error) {
         if (!error)
--- a/libs/runtime/src/FramedStream.cpp
+++ b/libs/runtime/src/FramedStream.cpp
@@ -1,6 +1,7 @@
 #include "cowslipdoor/runtime/FramedStream.h"
 #include <boost/asio/write.hpp>
 #include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/core/WakeupGate.h>
 #include <cowslipdoor/wire/Codec.h>
 #include <cowslipdoor/wire/JobCodec.h>
 
@@ -154,10 +155,14 @@
 asio::awaitable<void> BasicFramedStream<Message>::watchSilence()
 {
     while (!this->closed) {
+        const TimePoint due = monotonicNow() + silenceCheckInterval;
         this->watchdog.expires_after(silenceCheckInterval);
         const std::tuple<error_code> waited = co_await this->watchdog.async_wait(asTuple);
         if (std::get<0>(waited) || this->closed)
             co_return;
+        const Duration late = monotonicNow() - due;
+        if (late >= standstillFrom)
+            this->lastHeard += late;
         this->silent = monotonicNow() - this->lastHeard > this->silenceLimit;
         if (this->silent)
             this->close();
--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -1,4 +1,5 @@
 #include "cowslipdoor/runtime/HttpServer.h"
+#include "cowslipdoor/runtime/SocketDeadline.h"
 #include <algorithm>
 #include <array>
 #include <cowslipdoor/core/Error.h>
@@ -8,47 +9,6 @@
 
 namespace {
 
-    /// Cancels what a socket waits for at a time limit, and leaves the socket open for an answer.
-    class ReadDeadline {
-    public:
-        ReadDeadline(tcp::socket& socket, Duration limit)
-            : timer(socket.get_executor(), limit)
-            , state(std::make_shared<State>(State::Waiting))
-        {
-            this->timer.async_wait([&socket, shared = this->state](error_code) {
-                if (*shared != State::Waiting)
-                    return;
-                *shared = State::Passed;
-                error_code ignored;
-                socket.cancel(ignored);
-            });
-        }
-
-        ~ReadDeadline() { this->end(); }
-
-        ReadDeadline(const ReadDeadline&) = delete;
-        ReadDeadline& operator=(const ReadDeadline&) = delete;
-
-        /// Ends the wait; a limit that has not passed by now never does.
-        void end() noexcept
-        {
-            if (*this->state == State::Waiting)
-                *this->state = State::Over;
-        }
-
-        [[nodiscard]] bool passed() const noexcept { return *this->state == State::Passed; }
-
-    private:
-        enum class State : unsigned char {
-            Waiting,
-            Passed,
-            Over,
-        };
-
-        asio::steady_timer timer;
-        std::shared_ptr<State> state;
-    };
-
     HttpReadFailure failureOf(error_code error, bool tooSlow)
     {
         if (tooSlow)
@@ -90,12 +50,12 @@
         buffer.commit(std::get<1>(first));
         stream.expires_never();
     }
-    ReadDeadline headerDeadline(stream.socket(), limits.headerTime);
+    SocketDeadline headerDeadline(stream.socket(), limits.headerTime);
     const std::tuple<error_code, std::size_t> header = co_await http::async_read_header(stream, buffer, parser, asTuple);
     if (std::get<0>(header))
         co_return failureOf(std::get<0>(header), headerDeadline.passed());
     headerDeadline.end();
-    ReadDeadline bodyDeadline(stream.socket(), limits.bodyTime);
+    SocketDeadline bodyDeadline(stream.socket(), limits.bodyTime);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> goOn(http::status::continue_, parser.get().version());
         const std::tuple<error_code, std::size_t> written = co_await http::async_write(stream, goOn, asTuple);
--- a/libs/runtime/src/UpstreamCaller.cpp
+++ b/libs/runtime/src/UpstreamCaller.cpp
@@ -1,5 +1,6 @@
 #include "cowslipdoor/runtime/UpstreamCaller.h"
 #include "cowslipdoor/runtime/HttpServer.h"
+#include "cowslipdoor/runtime/SocketDeadline.h"
 #include <cowslipdoor/core/Error.h>
 #include <utility>
 
@@ -7,9 +8,9 @@
 
 namespace {
 
-    FailureReason failureOf(error_code error, const std::string& address)
+    FailureReason failureOf(bool tooLate, error_code error, const std::string& address)
     {
-        if (error == beast::error::timeout)
+        if (tooLate)
             return { ErrorKind::UpstreamTimeout, address + " did not answer in time" };
         if (error == http::error::body_limit || error == http::error::header_limit || error == http::error::buffer_overflow)
             return { ErrorKind::AnswerTooLarge, "the answer of " + address + " is over the limit" };
@@ -104,20 +105,20 @@
             co_return CallResult { *failure };
     }
     const http::request<http::string_body> request = this->makeRequest(call);
-    connection.stream.expires_after(call.timeout);
+    connection.stream.expires_never();
+    const SocketDeadline deadline(connection.stream.socket(), call.timeout);
     const std::tuple<error_code, std::size_t> written = co_await http::async_write(connection.stream, request, asTuple);
     if (std::get<0>(written))
-        co_return CallResult { failureOf(std::get<0>(written), call.address), false, reused && std::get<0>(written) != beast::error::timeout };
+        co_return CallResult { failureOf(deadline.passed(), std::get<0>(written), call.address), false, reused && !deadline.passed() };
     http::response_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(this->config.headerBytes));
     parser.body_limit(this->config.bodyBytes);
     parser.skip(call.head.method == "HEAD");
     const std::tuple<error_code, std::size_t> read = co_await http::async_read(connection.stream, connection.buffer, parser, asTuple);
     const error_code error = std::get<0>(read);
-    const bool nothingCame = !parser.got_some() && error != beast::error::timeout && error != asio::error::operation_aborted;
+    const bool nothingCame = !parser.got_some() && error != asio::error::operation_aborted;
     if (error)
-        co_return CallResult { failureOf(error, call.address), false, reused && nothingCame };
-    connection.stream.expires_never();
+        co_return CallResult { failureOf(deadline.passed(), error, call.address), false, reused && nothingCame };
     co_return CallResult { toResponse(parser.get()), parser.get().keep_alive() };
 }
 
--- a/tests/FaultTests.cpp
+++ b/tests/FaultTests.cpp
@@ -53,6 +53,37 @@
     checkNothingBroke(load, deployment);
 }
 
+TEST_CASE("faults: an answer that is there when a frozen entry goes on is delivered, though its deadline has passed", "[system]")
+{
+    const std::chrono::milliseconds frozen(GENERATE(3000, 6000));
+    TestDeployment deployment({ .agents = 2, .entries = 1 });
+    std::future<Response> slow = deployment.callLater(0, "/quick?n=f&ms=300");
+    Deployment::await("the request to run", [&deployment]() { return deployment.counts().running == 1; });
+    deployment.entry(0).signal(SIGSTOP);
+    sleepFor(frozen);
+    deployment.entry(0).signal(SIGCONT);
+    const Response response = slow.get();
+    CHECK(response.status == 200);
+    CHECK(response.body.view() == "answer f ");
+    CHECK(deployment.startsOf("f") == 1);
+}
+
+TEST_CASE("faults: a request outlives a standstill of the whole deployment", "[system]")
+{
+    TestDeployment deployment({ .agents = 2, .entries = 1 });
+    std::future<Response> slow = deployment.callLater(0, "/quick?n=w&ms=300");
+    Deployment::await("the request to run", [&deployment]() { return deployment.counts().running == 1; });
+    const std::vector<standins::ChildProcess*> processes { &deployment.entry(0), &deployment.agent(0), &deployment.agent(1), &deployment.upstream(0), &deployment.upstream(1) };
+    for (const standins::ChildProcess* const process : processes)
+        process->signal(SIGSTOP);
+    sleepFor(std::chrono::milliseconds(3000));
+    for (const standins::ChildProcess* const process : processes)
+        process->signal(SIGCONT);
+    const Response response = slow.get();
+    CHECK(response.status == 200);
+    CHECK(response.body.view() == "answer w ");
+}
+
 TEST_CASE("faults: links are cut again and again", "[system]")
 {
     TestDeployment deployment({ .proxied = true });
