Let larger entries contend for a free lease first

Cause: on the grown sites the leader often ran on a front of 0.12 or 0.069 of a core: any front that polls first takes a released lease. Ruled out: the store (same calls), the agents (0.0017 cores each).

The leader's row carries the cores of the largest leader so far; an entry with fewer leaves a free lease to others for 450 ms (two polls and a write). At the very first start, when nobody is known, by up to a second according to its own size. Entries of equal size wait for nobody, as before.

--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -21,6 +21,7 @@
         SchedulerConfig config;
         config.lease.holder = settings.text("name");
         config.lease.incarnation = static_cast<std::uint64_t>(newIncarnation());
+        config.lease.milliCores = settings.milliCores("cores");
         return config;
     }
 
@@ -42,6 +43,7 @@
         { "listen", AddressSetting {}, std::nullopt, "Address for callers, behind the platform's balancer." },
         { "ready-listen", AddressSetting {}, std::nullopt, "Address for the probe of the platform's balancer." },
         { "store", AddressSetting {}, std::nullopt, "Address of the platform's store." },
+        { "cores", CoresSetting { 1'000'000 }, "1", "Processor cores of this VM; of several entries, the one with most leads the jobs." },
         { "connection-limit", NumberSetting { 1, 1'000'000 }, "3000", "Callers' connections at most." },
         { "drain-grace", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(10) }, "2500ms", "How long a stopping entry still accepts, until the balancer has missed two probes." },
     };
--- a/libs/runtime/include/cowslipdoor/runtime/Settings.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Settings.h
@@ -46,6 +46,14 @@
     bool operator==(const DurationSetting&) const = default;
 };
 
+/// @brief Processor cores such as 2 or 0.25.
+struct CoresSetting {
+    /// Largest number of cores, in thousandths.
+    std::uint64_t mostMilliCores = 0;
+
+    bool operator==(const CoresSetting&) const = default;
+};
+
 /// @brief One of several words.
 struct ChoiceSetting {
     std::vector<std::string> words;
@@ -54,7 +62,7 @@
 };
 
 /// @brief What values a setting takes.
-using SettingForm = std::variant<TextSetting, AddressSetting, AddressListSetting, NumberSetting, DurationSetting, ChoiceSetting>;
+using SettingForm = std::variant<TextSetting, AddressSetting, AddressListSetting, NumberSetting, DurationSetting, CoresSetting, ChoiceSetting>;
 
 /// @brief One setting of a program.
 struct SettingSpec {
@@ -89,6 +97,10 @@
     /// @return its value
     [[nodiscard]] std::uint64_t number(const std::string& name) const;
 
+    /// @param name a CoresSetting
+    /// @return its value in thousandths of a core
+    [[nodiscard]] std::uint64_t milliCores(const std::string& name) const;
+
     /// @param name a DurationSetting
     /// @return its value
     [[nodiscard]] Duration duration(const std::string& name) const;
--- a/libs/runtime/src/Settings.cpp
+++ b/libs/runtime/src/Settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <getopt.h>
 #include <sstream>
@@ -15,6 +16,8 @@
     constexpr int helpCode = 1000;
     constexpr int versionCode = 1001;
     constexpr int firstSettingCode = 2000;
+    /// More cores than any VM has; keeps the thousandths within their type.
+    constexpr double mostCores = 1e6;
 
     std::string joined(const std::vector<std::string>& parts, std::string_view separator)
     {
@@ -38,6 +41,16 @@
         return value;
     }
 
+    /// Thousandths of a core, at least one.
+    std::optional<std::uint64_t> parseCores(std::string_view text) noexcept
+    {
+        double cores = 0;
+        const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), cores, std::chars_format::fixed);
+        if (result.ec != std::errc() || result.ptr != text.data() + text.size() || !(cores >= 0.001 && cores <= mostCores))
+            return std::nullopt;
+        return static_cast<std::uint64_t>(std::llround(cores * 1000));
+    }
+
     struct AcceptedBy {
         std::string operator()(const TextSetting&) const { return "a text that is not empty"; }
         std::string operator()(const AddressSetting&) const { return "IP:PORT, with [] round an IPv6 number"; }
@@ -50,6 +63,7 @@
         {
             return "a duration such as 300ms, 2s or 5m, from " + printDuration(form.least) + " to " + printDuration(form.most);
         }
+        std::string operator()(const CoresSetting& form) const { return "cores such as 2 or 0.25, up to " + std::to_string(form.mostMilliCores / 1000); }
         std::string operator()(const ChoiceSetting& form) const { return joined(form.words, " or "); }
     };
 
@@ -76,6 +90,11 @@
             const std::optional<Duration> duration = parseDuration(this->value);
             return duration && *duration >= form.least && *duration <= form.most;
         }
+        bool operator()(const CoresSetting& form) const
+        {
+            const std::optional<std::uint64_t> milliCores = parseCores(this->value);
+            return milliCores && *milliCores <= form.mostMilliCores;
+        }
         bool operator()(const ChoiceSetting& form) const
         {
             return std::find(form.words.begin(), form.words.end(), this->value) != form.words.end();
@@ -182,6 +201,11 @@
     return parseNumber(this->text(name)).value();
 }
 
+std::uint64_t Settings::milliCores(const std::string& name) const
+{
+    return parseCores(this->text(name)).value();
+}
+
 Duration Settings::duration(const std::string& name) const
 {
     return parseDuration(this->text(name)).value();
--- a/libs/runtime/tests/SettingsTests.cpp
+++ b/libs/runtime/tests/SettingsTests.cpp
@@ -11,6 +11,7 @@
     { "listen", AddressSetting {}, std::nullopt, "Address." },
     { "links", NumberSetting { 1, 64 }, "4", "Links." },
     { "drain-limit", DurationSetting { std::chrono::seconds(1), std::chrono::minutes(1) }, "30s", "Limit." },
+    { "cores", CoresSetting { 64'000 }, "1", "Cores." },
     { "form", ChoiceSetting { { "text", "json" } }, "text", "Form." },
 };
 
@@ -52,6 +53,19 @@
     }
 }
 
+TEST_CASE("settings: cores are fractions of a core or whole cores", "[settings]")
+{
+    const auto coresOf = [](const std::string& value) {
+        return readCommandLine(specs, { "--name=n", "--listen=[::1]:80", "--cores=" + value }, environmentOf({})).settings.milliCores("cores");
+    };
+    CHECK(coresOf("0.069") == 69);
+    CHECK(coresOf("64") == 64'000);
+    for (const std::string refused : { "", "0", "-1", "64.1", "1,5", "1e3", "nan", "inf", "0.0001" }) {
+        INFO(refused);
+        CHECK_THROWS_AS(coresOf(refused), SettingsError);
+    }
+}
+
 TEST_CASE("settings: help and version need no settings", "[settings]")
 {
     CHECK(readCommandLine(specs, { "--help" }, environmentOf({})).helpWanted);
--- a/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
@@ -19,6 +19,8 @@
     std::string holder;
     /// Number of this run of the process.
     std::uint64_t incarnation = 0;
+    /// Cores of this process, in thousandths.
+    std::uint64_t milliCores = 1000;
     /// How long a write of the leader keeps others from taking over. Long enough for a renewal and one lost answer.
     Duration leaseTime = std::chrono::milliseconds(1500);
     /// Longest time between two writes of the leader. A quarter of the lease, so that three may fail.
@@ -27,6 +29,10 @@
     Duration pollInterval = std::chrono::milliseconds(200);
     /// Pause before a failed call to the store is repeated.
     Duration retryDelay = std::chrono::milliseconds(100);
+    /// How long a process leaves a free lease to those with more cores. Two polls and a write of theirs.
+    Duration deference = std::chrono::milliseconds(450);
+    /// The same at the very first start, for a process without any core; one with a whole core waits for nobody.
+    Duration firstDeference = std::chrono::milliseconds(1000);
 
     bool operator==(const LeaseConfig&) const = default;
 };
@@ -47,7 +53,9 @@
 /// Each write has the version of the leader's row as its condition and replaces the row. So a write that is carried out
 /// late finds another version and does nothing, and a deposed leader can write nothing at all.
 ///
-/// Pattern it answers: leaders that are killed, frozen, cut off or turned away by the store, and answers that are lost.
+/// Patterns it answers: leaders that are killed, frozen, cut off or turned away by the store, and answers that are lost;
+/// entries of unequal size, of which the small ones cannot keep up with the placing: they leave a free lease to larger
+/// ones for a moment.
 /// @code
 /// LeaderLease lease(config);
 /// lease.rowRead(record, version, now);
@@ -141,6 +149,7 @@
         std::optional<TimePoint> repeatAt;
     };
 
+    [[nodiscard]] Duration deferenceNow() const noexcept;
     [[nodiscard]] Transaction send(LeaderRecord record, std::vector<RowWrite> writes, std::vector<RowKey> removals, TimePoint now);
     [[nodiscard]] CommitVerdict conflicted(const Conflict& conflict, TimePoint now);
     [[nodiscard]] CommitVerdict applied(RowVersion version, TimePoint sentAt);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
@@ -38,6 +38,8 @@
     std::uint64_t incarnation = 0;
     /// Number of the leader's write.
     std::uint64_t sequence = 0;
+    /// Cores of the largest process that has led, in thousandths.
+    std::uint64_t mostMilliCores = 0;
 
     bool operator==(const LeaderRecord&) const = default;
 };
--- a/libs/scheduling/src/LeaderLease.cpp
+++ b/libs/scheduling/src/LeaderLease.cpp
@@ -4,6 +4,12 @@
 
 namespace cowslipdoor {
 
+namespace {
+
+    constexpr std::uint64_t wholeCore = 1000;
+
+}
+
 LeaderLease::LeaderLease(LeaseConfig config)
     : config(std::move(config))
 {
@@ -39,8 +45,16 @@
 {
     if (this->leads || this->inFlight || this->retired || !this->version)
         return false;
-    const bool vacant = this->current.holder.empty() || this->current.holder == this->config.holder;
-    return vacant || now - this->unchangedSince >= this->config.leaseTime;
+    const bool own = this->current.holder == this->config.holder;
+    const Duration lease = this->current.holder.empty() ? Duration::zero() : this->config.leaseTime;
+    return own || now - this->unchangedSince >= lease + this->deferenceNow();
+}
+
+Duration LeaderLease::deferenceNow() const noexcept
+{
+    if (this->version == RowVersion { 0 })
+        return this->config.firstDeference * (wholeCore - std::min(this->config.milliCores, wholeCore)) / wholeCore;
+    return this->config.milliCores < this->current.mostMilliCores ? this->config.deference : Duration::zero();
 }
 
 bool LeaderLease::wantsRenewal(TimePoint now) const noexcept
@@ -50,7 +64,11 @@
 
 Transaction LeaderLease::begin(std::vector<RowWrite> writes, std::vector<RowKey> removals, TimePoint now)
 {
-    LeaderRecord next { this->current.epoch, this->config.holder, this->config.incarnation, this->current.sequence + 1 };
+    LeaderRecord next = this->current;
+    next.holder = this->config.holder;
+    next.incarnation = this->config.incarnation;
+    ++next.sequence;
+    next.mostMilliCores = std::max(next.mostMilliCores, this->config.milliCores);
     if (!this->leads) {
         next.epoch = this->current.epoch + 1;
         next.sequence = 1;
@@ -60,7 +78,11 @@
 
 Transaction LeaderLease::beginRelease(TimePoint now)
 {
-    return this->send({ this->current.epoch, "", 0, this->current.sequence + 1 }, {}, {}, now);
+    LeaderRecord next = this->current;
+    next.holder.clear();
+    next.incarnation = 0;
+    ++next.sequence;
+    return this->send(std::move(next), {}, {}, now);
 }
 
 CommitVerdict LeaderLease::finished(const TransactionResult& result, TimePoint now)
--- a/libs/scheduling/src/Rows.cpp
+++ b/libs/scheduling/src/Rows.cpp
@@ -123,7 +123,7 @@
 
 std::string print(const LeaderRecord& record)
 {
-    return Json { { "epoch", record.epoch }, { "holder", record.holder }, { "incarnation", record.incarnation }, { "sequence", record.sequence } }.dump();
+    return Json { { "epoch", record.epoch }, { "holder", record.holder }, { "incarnation", record.incarnation }, { "sequence", record.sequence }, { "most_milli_cores", record.mostMilliCores } }.dump();
 }
 
 std::string print(const AgentRecord& record)
@@ -174,7 +174,7 @@
 {
     return parseRecord<LeaderRecord>(text, [](const Json& json) {
         return LeaderRecord { json.at("epoch").get<std::uint64_t>(), json.at("holder").get<std::string>(), json.at("incarnation").get<std::uint64_t>(),
-            json.at("sequence").get<std::uint64_t>() };
+            json.at("sequence").get<std::uint64_t>(), json.value("most_milli_cores", std::uint64_t(0)) };
     });
 }
 
--- a/libs/scheduling/tests/JobWorld.cpp
+++ b/libs/scheduling/tests/JobWorld.cpp
@@ -111,6 +111,7 @@
     SchedulerConfig settings = this->config.scheduler;
     settings.lease.holder = node.name;
     settings.lease.incarnation = ++node.life;
+    settings.lease.milliCores = 500 / (1 + index);
     node.machine = std::make_unique<Scheduler>(settings);
     node.up = true;
     node.wanted.clear();
--- a/libs/scheduling/tests/LeaderLeaseTests.cpp
+++ b/libs/scheduling/tests/LeaderLeaseTests.cpp
@@ -72,6 +72,60 @@
     CHECK(again.wantsTakeover(start));
 }
 
+TEST_CASE("lease: a free row is left to larger entries for a moment, and to none for longer", "[jobs]")
+{
+    const Duration deference = LeaseConfig {}.deference;
+    LeaseConfig config;
+    config.holder = "small";
+    config.milliCores = 120;
+    LeaderLease small(config);
+    config.holder = "large";
+    config.milliCores = 500;
+    LeaderLease large(config);
+    for (LeaderLease* const lease : { &small, &large })
+        lease->rowRead(LeaderRecord { 3, "", 0, 9, 500 }, 40, start);
+    CHECK(large.wantsTakeover(start));
+    CHECK_FALSE(small.wantsTakeover(start + deference - milliseconds(1)));
+    CHECK(small.wantsTakeover(start + deference));
+    for (LeaderLease* const lease : { &small, &large })
+        lease->rowRead(LeaderRecord { 3, "other", 1, 9, 500 }, 41, start);
+    CHECK(large.wantsTakeover(start + leaseTime));
+    CHECK_FALSE(small.wantsTakeover(start + leaseTime + deference - milliseconds(1)));
+    CHECK(small.wantsTakeover(start + leaseTime + deference));
+}
+
+TEST_CASE("lease: at the very first start the largest entry contends first, and its size is remembered", "[jobs]")
+{
+    LeaseConfig config;
+    config.holder = "small";
+    config.milliCores = 120;
+    LeaderLease small(config);
+    config.holder = "large";
+    config.milliCores = 500;
+    LeaderLease large(config);
+    for (LeaderLease* const lease : { &small, &large })
+        lease->rowRead(std::nullopt, 0, start);
+    CHECK(large.wantsTakeover(start + milliseconds(500)));
+    CHECK_FALSE(small.wantsTakeover(start + milliseconds(879)));
+    CHECK(small.wantsTakeover(start + milliseconds(880)));
+    const std::optional<LeaderRecord> written = parseLeaderRecord(large.begin({}, {}, start).writes.back().value);
+    CHECK(written->mostMilliCores == 500);
+    small.rowRead(LeaderRecord { 3, "", 0, 9, 500 }, 40, start);
+    const std::optional<LeaderRecord> after = parseLeaderRecord(small.begin({}, {}, start + milliseconds(450)).writes.back().value);
+    CHECK(after->mostMilliCores == 500);
+    CHECK(after->holder == "small");
+}
+
+TEST_CASE("lease: entries of equal size wait for nobody", "[jobs]")
+{
+    LeaseConfig config;
+    config.holder = "me";
+    config.milliCores = 100;
+    LeaderLease lease(config);
+    lease.rowRead(LeaderRecord { 3, "", 0, 9, 100 }, 40, start);
+    CHECK(lease.wantsTakeover(start));
+}
+
 TEST_CASE("lease: a write without an answer is repeated, and known by its own record if it was done", "[jobs]")
 {
     LeaderLease lease = leadingLease();
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -10,7 +10,7 @@
 
 TEST_CASE("rows: every record is read as it was printed", "[jobs]")
 {
-    const LeaderRecord leader { 3, "entry", 17, 4 };
+    const LeaderRecord leader { 3, "entry", 17, 4, 500 };
     CHECK(parseLeaderRecord(print(leader)) == leader);
     const AgentRecord agent { "10.0.0.1:7720", 9 };
     CHECK(parseAgentRecord(print(agent)) == agent);
