Dial an agent less and less while it refuses the link

Cause: a leader that the store turns away does not learn of its successor and dials each agent every 200 ms; each agent that follows the successor refuses it with a log line (E302).

Change: a link that ends within a second counts as refused; refusals in a row double the pause up to a second. A link that lasted, or a connection that failed, is dialled again after 200 ms as before.

Proof: the new case counts 16 links in 3.1 s before and 5 after, and one within 0.7 s after a link that lasted.

--- a/libs/runtime/include/cowslipdoor/runtime/AgentDialer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/AgentDialer.h
@@ -19,6 +19,10 @@
 struct AgentDialerConfig {
     /// Pause before an agent is dialled again.
     Duration redialDelay = std::chrono::milliseconds(200);
+    /// A link that ends sooner was refused: an agent refuses a leader of the past as soon as it has said its epoch.
+    Duration shortestLink = std::chrono::milliseconds(1000);
+    /// Longest pause after refusals in a row, each of which doubles it; one line a second of each agent is enough.
+    Duration longestRedialDelay = std::chrono::milliseconds(1000);
     /// Longest time to connect. A machine without power gives no answer at all.
     Duration connectLimit = std::chrono::milliseconds(700);
     /// Silence that closes a link; agents ask for a word every 400 ms.
@@ -65,7 +69,8 @@
     };
 
     asio::awaitable<void> keep(std::string agent, Wanted wanted);
-    asio::awaitable<void> linkOnce(std::string agent, Wanted wanted);
+    /// Gives whether a link came about and was refused.
+    asio::awaitable<bool> linkOnce(std::string agent, Wanted wanted);
     asio::awaitable<void> relayAll(std::string agent, LinkId link, std::shared_ptr<JobStream> stream);
     [[nodiscard]] bool isCurrent(const std::string& agent, std::uint64_t task) const;
 
--- a/libs/runtime/src/AgentDialer.cpp
+++ b/libs/runtime/src/AgentDialer.cpp
@@ -1,11 +1,20 @@
 #include "cowslipdoor/runtime/AgentDialer.h"
 #include "cowslipdoor/runtime/Address.h"
+#include "cowslipdoor/runtime/Clock.h"
 #include "cowslipdoor/runtime/Process.h"
+#include <algorithm>
 #include <cowslipdoor/core/Error.h>
 #include <utility>
 
 namespace cowslipdoor::runtime {
 
+namespace {
+
+    /// Doublings of a pause at most; the longest pause is reached long before.
+    constexpr std::uint32_t mostDoublings = 8;
+
+}
+
 AgentDialer::AgentDialer(asio::any_io_executor executor, AgentDialerConfig config, SchedulerEventSink sink, const Log& log, Metrics& metrics)
     : executor(std::move(executor))
     , config(config)
@@ -44,20 +53,24 @@
 
 asio::awaitable<void> AgentDialer::keep(std::string agent, Wanted wanted)
 {
+    std::uint32_t refusals = 0;
     while (this->isCurrent(agent, wanted.task)) {
-        co_await this->linkOnce(agent, wanted);
-        co_await pauseFor(this->config.redialDelay);
+        const bool refused = co_await this->linkOnce(agent, wanted);
+        refusals = refused ? refusals + 1 : 0;
+        const std::uint32_t doublings = std::min(std::max(refusals, 1U) - 1, mostDoublings);
+        co_await pauseFor(std::min(this->config.redialDelay * (1 << doublings), this->config.longestRedialDelay));
     }
 }
 
-asio::awaitable<void> AgentDialer::linkOnce(std::string agent, Wanted wanted)
+asio::awaitable<bool> AgentDialer::linkOnce(std::string agent, Wanted wanted)
 {
     beast::tcp_stream dialled(this->executor);
     dialled.expires_after(this->config.connectLimit);
     const std::tuple<error_code> connected = co_await dialled.async_connect(parseAddress(wanted.address), asTuple);
     if (std::get<0>(connected) || !this->isCurrent(agent, wanted.task))
-        co_return;
+        co_return false;
     dialled.expires_never();
+    const TimePoint linkedAt = monotonicNow();
     const std::shared_ptr<JobStream> stream = std::make_shared<JobStream>(dialled.release_socket(), [this](const JobMessage&, std::size_t bytes) { this->metrics.countControlBytes(bytes); });
     stream->setSilenceLimit(this->config.silenceLimit);
     stream->startWriter();
@@ -70,6 +83,7 @@
     this->links.erase(link);
     const SchedulerEvent unlinked = AgentUnlinked { agent, link };
     co_await this->sink(unlinked);
+    co_return monotonicNow() - linkedAt < this->config.shortestLink;
 }
 
 asio::awaitable<void> AgentDialer::relayAll(std::string agent, LinkId link, std::shared_ptr<JobStream> stream)
--- a/libs/runtime/tests/AgentDialerTests.cpp
+++ b/libs/runtime/tests/AgentDialerTests.cpp
@@ -14,6 +14,8 @@
     Metrics metrics {};
     tcp::acceptor acceptor { this->context, { asio::ip::make_address("127.0.0.1"), 0 } };
     std::vector<tcp::socket> taken {};
+    /// Whether links are closed as soon as they are open.
+    bool refuses = false;
     AgentDialer dialer { this->context.get_executor(), AgentDialerConfig {}, [](const SchedulerEvent&) -> asio::awaitable<void> { co_return; }, this->log, this->metrics };
 
     DialerUnderTest()
@@ -26,6 +28,8 @@
     {
         while (true) {
             tcp::socket socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+            if (this->refuses)
+                socket.close();
             this->taken.push_back(std::move(socket));
         }
     }
@@ -48,3 +52,20 @@
     test.context.run_for(milliseconds(600));
     CHECK(test.taken.size() == 2);
 }
+
+TEST_CASE("agent dialer: an agent that refuses links is dialled less and less, and at once again after one that lasted", "[jobs]")
+{
+    // Replays a leader that the store turns away: agents that follow its successor refuse it five times a second each.
+    DialerUnderTest test;
+    test.refuses = true;
+    test.keepLinked();
+    test.context.run_for(milliseconds(3100));
+    // At 0, 0.2, 0.6, 1.4 and 2.4 s.
+    CHECK(test.taken.size() == 5);
+    test.refuses = false;
+    test.context.run_for(milliseconds(1600));
+    REQUIRE(test.taken.size() == 6);
+    test.taken.back().close();
+    test.context.run_for(milliseconds(700));
+    CHECK(test.taken.size() == 7);
+}
