Note a standstill wherever a wakeup is held; bound the silence that it excuses

Read again as a newcomer: a standstill that was first seen while the timer was armed was held back without its log line; both places now ask one function. The time that a standstill excuses a peer's silence never reaches beyond the present.

--- a/libs/runtime/include/cowslipdoor/runtime/EntryTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/EntryTask.h
@@ -103,6 +103,8 @@
     void carryOut(const ObserveRequest& effect);
     void carryOut(const RecordEvent& effect);
     void step(const EntryEvent& event);
+    /// When the machine may be told that time has passed, if it waits for that; notes a standstill.
+    [[nodiscard]] std::optional<TimePoint> gateOpensAt(TimePoint now);
     void tellTime();
     void armTimer();
 
--- a/libs/runtime/src/EntryTask.cpp
+++ b/libs/runtime/src/EntryTask.cpp
@@ -119,17 +119,23 @@
         std::visit([this](const auto& alternative) { this->carryOut(alternative); }, effect);
 }
 
-void EntryTask::tellTime()
+std::optional<TimePoint> EntryTask::gateOpensAt(TimePoint now)
 {
     const std::optional<TimePoint> wakeup = this->machine.nextWakeup();
     if (!wakeup)
-        return;
-    const TimePoint now = monotonicNow();
+        return std::nullopt;
     const bool heldBefore = this->gate.holds();
     const TimePoint opensAt = this->gate.opensAt(*wakeup, now);
     if (this->gate.holds() && !heldBefore)
         this->carryOut(RecordEvent { EventId::StoodStill, std::to_string(toMilliseconds(now - *wakeup)) + " ms" });
-    if (opensAt > now)
+    return opensAt;
+}
+
+void EntryTask::tellTime()
+{
+    const TimePoint now = monotonicNow();
+    const std::optional<TimePoint> opensAt = this->gateOpensAt(now);
+    if (!opensAt || *opensAt > now)
         return;
     this->gate.told();
     this->step(TimePassed {});
@@ -137,13 +143,10 @@
 
 void EntryTask::armTimer()
 {
-    const std::optional<TimePoint> wakeup = this->machine.nextWakeup();
-    if (!wakeup)
-        return;
-    const std::chrono::steady_clock::time_point opensAt = toSteady(this->gate.opensAt(*wakeup, monotonicNow()));
-    if (this->timer.expiry() == opensAt)
+    const std::optional<TimePoint> opensAt = this->gateOpensAt(monotonicNow());
+    if (!opensAt || this->timer.expiry() == toSteady(*opensAt))
         return;
-    this->timer.expires_at(opensAt);
+    this->timer.expires_at(toSteady(*opensAt));
     const Mailbox<EntryInput> inbox = this->messages;
     this->timer.async_wait([inbox](error_code error) {
         if (!error)
--- a/libs/runtime/src/FramedStream.cpp
+++ b/libs/runtime/src/FramedStream.cpp
@@ -1,4 +1,5 @@
 #include "cowslipdoor/runtime/FramedStream.h"
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/core/WakeupGate.h>
@@ -160,9 +161,10 @@
         const std::tuple<error_code> waited = co_await this->watchdog.async_wait(asTuple);
         if (std::get<0>(waited) || this->closed)
             co_return;
-        const Duration late = monotonicNow() - due;
-        if (late >= standstillFrom)
-            this->lastHeard += late;
+        const TimePoint now = monotonicNow();
+        // The time of a standstill is no silence of the peer.
+        if (now - due >= standstillFrom)
+            this->lastHeard = std::min(now, this->lastHeard + (now - due));
         this->silent = monotonicNow() - this->lastHeard > this->silenceLimit;
         if (this->silent)
             this->close();
