--- a/libs/scheduling/tests/JobWorld.h
+++ b/libs/scheduling/tests/JobWorld.h
@@ -5,6 +5,7 @@
 
 #include <cowslipdoor/scheduling/Scheduler.h>
 #include <cowslipdoor/scheduling/WorkerMachine.h>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,6 +61,8 @@
         bool up = false;
         bool storeCut = false;
         TimePoint frozenUntil {};
+        /// What came while it was frozen, in the order in which it came.
+        std::deque<SchedulerEvent> backlog {};
         std::uint64_t timer = 0;
         /// Address of each agent that is to be linked.
         std::set<std::string> wanted {};
@@ -74,6 +77,8 @@
         std::uint64_t life = 0;
         bool up = false;
         TimePoint frozenUntil {};
+        /// What came while it was frozen, in the order in which it came.
+        std::deque<WorkerEvent> backlog {};
         std::uint64_t timer = 0;
     };
 
@@ -137,7 +142,11 @@
     void startWorker(std::size_t index);
     void beat(std::size_t index, std::int64_t born);
     void toEntry(std::size_t index, std::uint64_t life, SchedulerEvent event);
+    void stepEntry(std::size_t index, const SchedulerEvent& event);
+    void thawEntry(std::size_t index, std::uint64_t life);
     void toAgent(std::size_t index, std::uint64_t life, WorkerEvent event);
+    void stepAgent(std::size_t index, const WorkerEvent& event);
+    void thawAgent(std::size_t index, std::uint64_t life);
     void armEntry(std::size_t index);
     void armAgent(std::size_t index);
     void carryOut(std::size_t entry, const SchedulerEffect& effect);
