Double pauses in one place; deliver to entries and agents of the world by one path

Found on reading the change once more: - The pause after refused links, new in AgentDialer, repeated what RetryBudget, Router and EntryLinker each had: first pause, doublings with a bound of their own, longest pause. doubled() in core's Time.h serves all four. The bound of 10 instead of 8 doublings changes nothing: 200 ms and 50 ms reach their longest pause of 1 s after three and five. - The world of jobs held the backlog of a frozen process twice, for entries and for agents; deliver() and thaw() serve both. - Two cases of the leader's lease set up the same pair by hand; leaseOf() takes the cores.

Behaviour and assertions are as they were.

--- a/libs/core/include/cowslipdoor/core/Time.h
+++ b/libs/core/include/cowslipdoor/core/Time.h
@@ -3,7 +3,9 @@
 /// @file
 /// @brief The core's notion of time: a monotonic instant that is always passed in, never read.
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 
 namespace cowslipdoor {
 
@@ -25,6 +27,18 @@
 /// @brief Time has passed.
 struct TimePassed { };
 
+/// @brief Pause that doubles each time.
+/// @param first the pause at the beginning
+/// @param times how often it has doubled since
+/// @param longest the pause that it does not pass
+/// @return the pause
+[[nodiscard]] constexpr Duration doubled(Duration first, std::uint32_t times, Duration longest) noexcept
+{
+    // Keeps the factor within its type; every longest pause here is reached long before.
+    constexpr std::uint32_t mostDoublings = 10;
+    return std::min(first * (1 << std::min(times, mostDoublings)), longest);
+}
+
 /// @brief Whole milliseconds of a duration, rounded down.
 /// @param duration any duration
 /// @return the number of milliseconds
--- a/libs/core/src/RetryBudget.cpp
+++ b/libs/core/src/RetryBudget.cpp
@@ -7,7 +7,6 @@
 
     constexpr Duration firstRetryDelay = std::chrono::milliseconds(5);
     constexpr Duration longestRetryDelay = std::chrono::milliseconds(500);
-    constexpr std::uint32_t mostDoublings = 10;
 
 }
 
@@ -32,8 +31,7 @@
 
 Duration retryDelay(std::uint32_t retry, std::mt19937_64& random)
 {
-    const std::uint32_t doublings = std::min(retry > 0 ? retry - 1 : 0, mostDoublings);
-    const Duration whole = std::min(firstRetryDelay * (1 << doublings), longestRetryDelay);
+    const Duration whole = doubled(firstRetryDelay, retry > 0 ? retry - 1 : 0, longestRetryDelay);
     std::uniform_int_distribution<Duration::rep> distribution(whole.count() / 2, whole.count());
     return Duration(distribution(random));
 }
--- a/libs/core/src/Router.cpp
+++ b/libs/core/src/Router.cpp
@@ -7,7 +7,6 @@
 namespace {
 
     constexpr std::uint32_t percent = 100;
-    constexpr std::uint32_t mostDoublings = 10;
     constexpr int latencyWeightShift = 3;
 
     Capacity smallerOf(const Capacity& left, const Capacity& right) noexcept
@@ -212,8 +211,7 @@
     const bool wasOut = health.ejectedUntil.has_value();
     if (!wasOut && (health.failuresInRow < this->config.ejectAfter || !this->mayEject()))
         return HealthChange::None;
-    const Duration ejection = this->config.firstEjection * (1 << std::min(health.ejections, mostDoublings));
-    health.ejectedUntil = now + std::min(ejection, this->config.longestEjection);
+    health.ejectedUntil = now + doubled(this->config.firstEjection, health.ejections, this->config.longestEjection);
     ++health.ejections;
     if (wasOut)
         return HealthChange::None;
--- a/libs/runtime/src/AgentDialer.cpp
+++ b/libs/runtime/src/AgentDialer.cpp
@@ -2,19 +2,11 @@
 #include "cowslipdoor/runtime/Address.h"
 #include "cowslipdoor/runtime/Clock.h"
 #include "cowslipdoor/runtime/Process.h"
-#include <algorithm>
 #include <cowslipdoor/core/Error.h>
 #include <utility>
 
 namespace cowslipdoor::runtime {
 
-namespace {
-
-    /// Doublings of a pause at most; the longest pause is reached long before.
-    constexpr std::uint32_t mostDoublings = 8;
-
-}
-
 AgentDialer::AgentDialer(asio::any_io_executor executor, AgentDialerConfig config, SchedulerEventSink sink, const Log& log, Metrics& metrics)
     : executor(std::move(executor))
     , config(config)
@@ -57,8 +49,7 @@
     while (this->isCurrent(agent, wanted.task)) {
         const bool refused = co_await this->linkOnce(agent, wanted);
         refusals = refused ? refusals + 1 : 0;
-        const std::uint32_t doublings = std::min(std::max(refusals, 1U) - 1, mostDoublings);
-        co_await pauseFor(std::min(this->config.redialDelay * (1 << doublings), this->config.longestRedialDelay));
+        co_await pauseFor(doubled(this->config.redialDelay, refusals > 0 ? refusals - 1 : 0, this->config.longestRedialDelay));
     }
 }
 
--- a/libs/runtime/src/EntryLinker.cpp
+++ b/libs/runtime/src/EntryLinker.cpp
@@ -1,6 +1,5 @@
 #include "cowslipdoor/runtime/EntryLinker.h"
 #include "cowslipdoor/runtime/Address.h"
-#include <algorithm>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/core/Rendezvous.h>
 #include <utility>
@@ -11,7 +10,6 @@
 
     constexpr Duration firstReconnectDelay = std::chrono::milliseconds(50);
     constexpr Duration longestReconnectDelay = std::chrono::milliseconds(1000);
-    constexpr std::uint32_t mostDoublings = 8;
 
 }
 
@@ -94,7 +92,7 @@
 
 Duration EntryLinker::reconnectDelay(std::uint32_t failures)
 {
-    const Duration whole = std::min(firstReconnectDelay * (1 << std::min(failures, mostDoublings)), longestReconnectDelay);
+    const Duration whole = doubled(firstReconnectDelay, failures, longestReconnectDelay);
     std::uniform_int_distribution<Duration::rep> distribution(whole.count() / 2, whole.count());
     return Duration(distribution(this->random));
 }
--- a/libs/scheduling/tests/JobWorld.cpp
+++ b/libs/scheduling/tests/JobWorld.cpp
@@ -159,70 +159,56 @@
     this->after(beatInterval, [this, index, born]() { this->beat(index, born); });
 }
 
-void JobWorld::toEntry(std::size_t index, std::uint64_t life, SchedulerEvent event)
+template <typename Nodes, typename Event>
+void JobWorld::deliver(Nodes& nodes, std::size_t index, std::uint64_t life, Event event)
 {
-    EntryNode& node = this->entries[index];
+    typename Nodes::value_type& node = nodes[index];
     if (!node.up || node.life != life)
         return;
     if (this->now >= node.frozenUntil && node.backlog.empty())
-        return this->stepEntry(index, event);
+        return this->step(index, event);
     node.backlog.push_back(std::move(event));
     if (node.backlog.size() == 1)
-        this->at(node.frozenUntil, [this, index, life]() { this->thawEntry(index, life); });
-}
-
-void JobWorld::stepEntry(std::size_t index, const SchedulerEvent& event)
-{
-    for (const SchedulerEffect& effect : this->entries[index].machine->step(event, this->now))
-        this->carryOut(index, effect);
-    this->armEntry(index);
+        this->at(node.frozenUntil, [this, &nodes, index, life]() { this->thaw(nodes, index, life); });
 }
 
-void JobWorld::thawEntry(std::size_t index, std::uint64_t life)
+template <typename Nodes>
+void JobWorld::thaw(Nodes& nodes, std::size_t index, std::uint64_t life)
 {
-    EntryNode& node = this->entries[index];
+    typename Nodes::value_type& node = nodes[index];
     if (!node.up || node.life != life)
         return;
     if (this->now < node.frozenUntil) {
-        this->at(node.frozenUntil, [this, index, life]() { this->thawEntry(index, life); });
+        this->at(node.frozenUntil, [this, &nodes, index, life]() { this->thaw(nodes, index, life); });
         return;
     }
-    const std::deque<SchedulerEvent> backlog = std::exchange(node.backlog, {});
-    for (const SchedulerEvent& event : backlog)
-        this->stepEntry(index, event);
+    const decltype(node.backlog) backlog = std::exchange(node.backlog, {});
+    for (const typename decltype(node.backlog)::value_type& event : backlog)
+        this->step(index, event);
+}
+
+void JobWorld::toEntry(std::size_t index, std::uint64_t life, SchedulerEvent event)
+{
+    this->deliver(this->entries, index, life, std::move(event));
 }
 
 void JobWorld::toAgent(std::size_t index, std::uint64_t life, WorkerEvent event)
 {
-    AgentNode& node = this->agents[index];
-    if (!node.up || node.life != life)
-        return;
-    if (this->now >= node.frozenUntil && node.backlog.empty())
-        return this->stepAgent(index, event);
-    node.backlog.push_back(std::move(event));
-    if (node.backlog.size() == 1)
-        this->at(node.frozenUntil, [this, index, life]() { this->thawAgent(index, life); });
+    this->deliver(this->agents, index, life, std::move(event));
 }
 
-void JobWorld::stepAgent(std::size_t index, const WorkerEvent& event)
+void JobWorld::step(std::size_t index, const SchedulerEvent& event)
 {
-    for (const WorkerEffect& effect : this->agents[index].machine->step(event, this->now))
+    for (const SchedulerEffect& effect : this->entries[index].machine->step(event, this->now))
         this->carryOut(index, effect);
-    this->armAgent(index);
+    this->armEntry(index);
 }
 
-void JobWorld::thawAgent(std::size_t index, std::uint64_t life)
+void JobWorld::step(std::size_t index, const WorkerEvent& event)
 {
-    AgentNode& node = this->agents[index];
-    if (!node.up || node.life != life)
-        return;
-    if (this->now < node.frozenUntil) {
-        this->at(node.frozenUntil, [this, index, life]() { this->thawAgent(index, life); });
-        return;
-    }
-    const std::deque<WorkerEvent> backlog = std::exchange(node.backlog, {});
-    for (const WorkerEvent& event : backlog)
-        this->stepAgent(index, event);
+    for (const WorkerEffect& effect : this->agents[index].machine->step(event, this->now))
+        this->carryOut(index, effect);
+    this->armAgent(index);
 }
 
 void JobWorld::armEntry(std::size_t index)
--- a/libs/scheduling/tests/JobWorld.h
+++ b/libs/scheduling/tests/JobWorld.h
@@ -141,12 +141,15 @@
     void startAgent(std::size_t index);
     void startWorker(std::size_t index);
     void beat(std::size_t index, std::int64_t born);
+    /// Gives an event to a process; one that is frozen takes it in later, in the order in which events came.
+    template <typename Nodes, typename Event>
+    void deliver(Nodes& nodes, std::size_t index, std::uint64_t life, Event event);
+    template <typename Nodes>
+    void thaw(Nodes& nodes, std::size_t index, std::uint64_t life);
+    void step(std::size_t index, const SchedulerEvent& event);
+    void step(std::size_t index, const WorkerEvent& event);
     void toEntry(std::size_t index, std::uint64_t life, SchedulerEvent event);
-    void stepEntry(std::size_t index, const SchedulerEvent& event);
-    void thawEntry(std::size_t index, std::uint64_t life);
     void toAgent(std::size_t index, std::uint64_t life, WorkerEvent event);
-    void stepAgent(std::size_t index, const WorkerEvent& event);
-    void thawAgent(std::size_t index, std::uint64_t life);
     void armEntry(std::size_t index);
     void armAgent(std::size_t index);
     void carryOut(std::size_t entry, const SchedulerEffect& effect);
--- a/libs/scheduling/tests/LeaderLeaseTests.cpp
+++ b/libs/scheduling/tests/LeaderLeaseTests.cpp
@@ -9,10 +9,11 @@
 const TimePoint start { std::chrono::seconds(100) };
 const Duration leaseTime = LeaseConfig {}.leaseTime;
 
-LeaderLease leaseOf(const std::string& holder)
+LeaderLease leaseOf(const std::string& holder, std::uint64_t milliCores = LeaseConfig {}.milliCores)
 {
     LeaseConfig config;
     config.holder = holder;
+    config.milliCores = milliCores;
     config.incarnation = 5;
     return LeaderLease(config);
 }
@@ -75,13 +76,8 @@
 TEST_CASE("lease: a free row is left to larger entries for a moment, and to none for longer", "[jobs]")
 {
     const Duration deference = LeaseConfig {}.deference;
-    LeaseConfig config;
-    config.holder = "small";
-    config.milliCores = 120;
-    LeaderLease small(config);
-    config.holder = "large";
-    config.milliCores = 500;
-    LeaderLease large(config);
+    LeaderLease small = leaseOf("small", 120);
+    LeaderLease large = leaseOf("large", 500);
     for (LeaderLease* const lease : { &small, &large })
         lease->rowRead(LeaderRecord { 3, "", 0, 9, 500 }, 40, start);
     CHECK(large.wantsTakeover(start));
@@ -96,13 +92,8 @@
 
 TEST_CASE("lease: at the very first start the largest entry contends first, and its size is remembered", "[jobs]")
 {
-    LeaseConfig config;
-    config.holder = "small";
-    config.milliCores = 120;
-    LeaderLease small(config);
-    config.holder = "large";
-    config.milliCores = 500;
-    LeaderLease large(config);
+    LeaderLease small = leaseOf("small", 120);
+    LeaderLease large = leaseOf("large", 500);
     for (LeaderLease* const lease : { &small, &large })
         lease->rowRead(std::nullopt, 0, start);
     CHECK(large.wantsTakeover(start + milliseconds(500)));
@@ -118,10 +109,7 @@
 
 TEST_CASE("lease: entries of equal size wait for nobody", "[jobs]")
 {
-    LeaseConfig config;
-    config.holder = "me";
-    config.milliCores = 100;
-    LeaderLease lease(config);
+    LeaderLease lease = leaseOf("me", 100);
     lease.rowRead(LeaderRecord { 3, "", 0, 9, 100 }, 40, start);
     CHECK(lease.wantsTakeover(start));
 }
