Give entries that start in the same microsecond incarnations of their own

Cause: the incarnation of an entry was its start in microseconds, and agents tell requests, claims and attempts of entries apart by it alone. Two entries with equal incarnations number their requests alike: an agent gives the answer of one to the other while it runs, and drops the other's attempts as late copies.

Ruled out: truncated answers (they fail with partial_message), a connection used twice, ports given twice, counts of upstreams that do not answer.

Change: an entry's incarnation has 12 random bits below its microseconds. Agents keep theirs, as upstreams read it as a JSON number, and only one agent speaks to an upstream. Test: 'agent: requests of two entries that started in the same microsecond ...' and 'process: entries that start at once ...'; with equal numbers the first one finds no call where one is due, twice (0 == 1).

--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -18,7 +18,7 @@
         std::random_device device;
         EntryConfig config;
         config.name = settings.text("name");
-        config.incarnation = newIncarnation();
+        config.incarnation = newEntryIncarnation();
         config.randomSeed = device();
         config.router.failureDomain = settings.text("failure-domain");
         config.maximumQueued = settings.number("queue-limit");
--- a/libs/core/include/cowslipdoor/core/Ids.h
+++ b/libs/core/include/cowslipdoor/core/Ids.h
@@ -3,6 +3,7 @@
 /// @file
 /// @brief Identifiers of requests, attempts, callers, links and process incarnations.
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <functional>
@@ -47,6 +48,19 @@
     std::strong_ordering operator<=>(const AttemptId&) const = default;
 };
 
+/// @brief Makes the incarnation of a process whose numbers are kept beside those of others that may start in the same instant.
+/// Agents tell requests, claims and attempts of several entries apart by the entry's incarnation alone.
+/// @param sinceEpoch start of the run, on the wall clock
+/// @param salt random number; its lowest bits are taken
+/// @return a number that grows with the start
+[[nodiscard]] constexpr Incarnation saltedIncarnation(std::chrono::microseconds sinceEpoch, std::uint64_t salt) noexcept
+{
+    // 64 bits hold the microseconds until the year 2112 beside them.
+    constexpr unsigned saltBits = 12;
+    constexpr std::uint64_t saltMask = (std::uint64_t { 1 } << saltBits) - 1;
+    return Incarnation { static_cast<std::uint64_t>(sinceEpoch.count()) << saltBits | (salt & saltMask) };
+}
+
 /// @brief Derives the identifier that all copies of a keyed request share.
 /// @param user the user who sent the request
 /// @param key the idempotency key that the user chose
--- a/libs/core/tests/AgentMachineTests.cpp
+++ b/libs/core/tests/AgentMachineTests.cpp
@@ -189,3 +189,26 @@
     (void)agent.step(UpstreamAnnounced { CallerId { 1 }, quickOnly });
     CHECK(refusalIn(agent.dispatch(entryLink, { 1, 1 }, { ourClaim, 1 }, TrafficClass::Batch)) == ErrorKind::Refused);
 }
+
+TEST_CASE("agent: requests of two entries that started in the same microsecond keep their own answers", "[agent]")
+{
+    constexpr std::chrono::microseconds start { 1'796'407'200'000'000 };
+    const Incarnation first = saltedIncarnation(start, 0x5a1);
+    const Incarnation second = saltedIncarnation(start, 0x5a2);
+    ReadyAgent agent;
+    const RequestId ours { static_cast<std::uint64_t>(first), 1 };
+    const RequestId others { static_cast<std::uint64_t>(second), 1 };
+    CHECK(only<CallUpstream>(agent.dispatch(entryLink, ours, { { first, 1 }, 1 }, TrafficClass::Quick)).size() == 1);
+    CHECK(only<CallUpstream>(agent.dispatch(otherLink, others, { { second, 1 }, 1 }, TrafficClass::Quick)).size() == 1);
+    CHECK(sent<Answer>(agent.step(UpstreamCallEnded { ours, { { first, 1 }, 1 }, done })).size() == 1);
+    CHECK(only<CallUpstream>(agent.dispatch(otherLink, { others.high, 2 }, { { second, 2 }, 2 }, TrafficClass::Quick)).size() == 1);
+    CHECK(only<CallUpstream>(agent.dispatch(entryLink, { ours.high, 2 }, { { first, 2 }, 2 }, TrafficClass::Quick)).size() == 1);
+}
+
+TEST_CASE("agent: an incarnation grows with the start of its run, whatever its salt", "[agent]")
+{
+    constexpr std::chrono::microseconds start { 1'796'407'200'000'000 };
+    constexpr std::uint64_t anySalt = ~std::uint64_t { 0 };
+    CHECK(saltedIncarnation(start + std::chrono::microseconds(1), 0) > saltedIncarnation(start, anySalt));
+    CHECK(saltedIncarnation(start, anySalt) != saltedIncarnation(start, 0));
+}
--- a/libs/runtime/include/cowslipdoor/runtime/Process.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Process.h
@@ -33,6 +33,10 @@
 /// @return microseconds of the wall clock
 [[nodiscard]] Incarnation newIncarnation();
 
+/// @brief Makes a number for this run of an entry that no other entry has, started in the same instant or not.
+/// @return microseconds of the wall clock, then random bits
+[[nodiscard]] Incarnation newEntryIncarnation();
+
 /// @brief Makes HTTP limits from the settings header-limit, body-limit and idle-limit.
 /// @param settings checked settings
 /// @return the limits
--- a/libs/runtime/src/Process.cpp
+++ b/libs/runtime/src/Process.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <csignal>
 #include <iostream>
+#include <random>
 
 namespace cowslipdoor::runtime {
 
@@ -12,6 +13,11 @@
     constexpr Duration conditionInterval = std::chrono::milliseconds(10);
     constexpr std::uint64_t largestBody = 7 * 1024 * 1024;
 
+    Duration sinceEpoch()
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+    }
+
 }
 
 std::vector<SettingSpec> commonSettings()
@@ -34,8 +40,13 @@
 
 Incarnation newIncarnation()
 {
-    const Duration sinceEpoch = std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
-    return Incarnation { static_cast<std::uint64_t>(sinceEpoch.count()) };
+    return Incarnation { static_cast<std::uint64_t>(sinceEpoch().count()) };
+}
+
+Incarnation newEntryIncarnation()
+{
+    std::random_device device;
+    return saltedIncarnation(sinceEpoch(), device());
 }
 
 HttpLimits httpLimits(const Settings& settings)
