Log every answer 'not run' with the request's identifier and why

Cause: a request that expired in an entry's queue left no line in the log; a soak's batch request that was told 'not run' could not be traced from its identifier. E500 was recorded only for requests refused on arrival, without identifier, on level debug. Change: E500 comes with each answer 'not run', on level info (the log is bounded and nobody waits for it), and error answers carry Cowslipdoor-Request-Id. Test: 'entry: every answer that is no success is recorded ...'.

--- a/libs/core/src/EntryMachine.cpp
+++ b/libs/core/src/EntryMachine.cpp
@@ -36,6 +36,11 @@
         return std::min<Duration>(std::chrono::milliseconds(milliseconds), longest);
     }
 
+    std::string describe(const FailureReason& reason)
+    {
+        return std::string(answerOf(reason.kind).name) + ": " + reason.detail;
+    }
+
     struct OutcomeOf {
         Outcome operator()(const Response&) const noexcept { return Outcome::Ran; }
         Outcome operator()(const FailureReason& reason) const noexcept { return answerOf(reason.kind).outcome; }
@@ -355,6 +360,8 @@
     const Outcome outcome = std::visit(OutcomeOf {}, completion);
     if (outcome == Outcome::Unknown)
         effects.push_back(RecordEvent { EventId::OutcomeUnknown, toString(id) + " " + std::get<FailureReason>(completion).detail });
+    if (outcome == Outcome::NotRun)
+        effects.push_back(RecordEvent { EventId::RequestRefused, toString(id) + " " + describe(std::get<FailureReason>(completion)) });
     for (const CallerId caller : request.callers) {
         ++this->counts.answered;
         effects.push_back(ReplyToCaller { caller, id, completion });
@@ -371,8 +378,9 @@
 void EntryMachine::refuseCaller(const RequestArrived& event, const RequestId& id, ErrorKind kind, const std::string& detail, Effects& effects)
 {
     ++this->counts.answered;
-    effects.push_back(RecordEvent { EventId::RequestRefused, std::string(answerOf(kind).name) + " " + detail });
-    effects.push_back(ReplyToCaller { event.caller, id, FailureReason { kind, detail } });
+    const FailureReason reason { kind, detail };
+    effects.push_back(RecordEvent { EventId::RequestRefused, toString(id) + " " + describe(reason) });
+    effects.push_back(ReplyToCaller { event.caller, id, reason });
 }
 
 void EntryMachine::forget(const RequestId& id)
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -28,7 +28,7 @@
         EventDescription { EventId::UpstreamLeaving, "upstream_leaving", EventLevel::Info, "The upstream is leaving and gets no new work." },
         EventDescription { EventId::UpstreamEjected, "upstream_ejected", EventLevel::Warning, "An agent's attempts failed in a row; it gets no work but probes." },
         EventDescription { EventId::UpstreamReadmitted, "upstream_readmitted", EventLevel::Info, "A probe succeeded; the agent gets a growing share of work." },
-        EventDescription { EventId::RequestRefused, "request_refused", EventLevel::Debug, "A request was refused before it was sent anywhere." },
+        EventDescription { EventId::RequestRefused, "request_refused", EventLevel::Info, "A caller was told that its request did not run; the detail says why." },
         EventDescription { EventId::OutcomeUnknown, "outcome_unknown", EventLevel::Warning, "A caller was told that the outcome of its request is unknown." },
         EventDescription { EventId::LateAnswerDropped, "late_answer_dropped", EventLevel::Debug, "An answer came for an attempt that nobody waits for." },
         EventDescription { EventId::RetryScheduled, "retry_scheduled", EventLevel::Debug, "An attempt failed and another follows." },
--- a/libs/core/tests/EntryMachineTests.cpp
+++ b/libs/core/tests/EntryMachineTests.cpp
@@ -347,3 +347,19 @@
     CHECK(entry.machine.router().size() == 1);
     CHECK(dispatches(entry.ask(1, "/quick/1")).at(0).link == LinkId { 5 });
 }
+
+TEST_CASE("entry: every answer that is no success is recorded with the request's identifier and why", "[entry]")
+{
+    LinkedEntry entry(0);
+    const std::vector<EntryEffect> unknownPath = entry.ask(1, "/nowhere");
+    REQUIRE(only<RecordEvent>(unknownPath).size() == 1);
+    CHECK(only<RecordEvent>(unknownPath)[0].event == EventId::RequestRefused);
+    (void)entry.ask(2, "/quick");
+    const std::vector<EntryEffect> expired = entry.after(std::chrono::seconds(1));
+    REQUIRE(only<ReplyToCaller>(expired).size() == 1);
+    const RequestId id = only<ReplyToCaller>(expired)[0].id;
+    const std::vector<RecordEvent> events = only<RecordEvent>(expired);
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].event == EventId::RequestRefused);
+    CHECK(events[0].detail == toString(id) + " deadline_before_start: no VM had room within the deadline");
+}
--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -95,7 +95,7 @@
     };
     return {
         row.httpStatus,
-        { { "Content-Type", "application/json" }, { "Cowslipdoor-Error", std::string(row.name) }, { "Cowslipdoor-Outcome", std::string(toString(row.outcome)) } },
+        { { "Content-Type", "application/json" }, { "Cowslipdoor-Error", std::string(row.name) }, { "Cowslipdoor-Outcome", std::string(toString(row.outcome)) }, { "Cowslipdoor-Request-Id", requestId } },
         Bytes(body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n"),
     };
 }
