Add a soak that plays faults drawn from a seed against the real programs

LinkProxy became FaultProxy: it also forwards bytes (before the store), holds one way back and delays. Callers of the load can keep connections open until the entry is gone, and send a request again until it is answered.

--- a/libs/runtime/include/cowslipdoor/runtime/HttpClient.h
+++ b/libs/runtime/include/cowslipdoor/runtime/HttpClient.h
@@ -4,6 +4,7 @@
 /// @brief Small HTTP client for commands, stand-ins and tests.
 
 #include "Asio.h"
+#include "HttpConnection.h"
 #include <cowslipdoor/core/Request.h>
 #include <cowslipdoor/core/Time.h>
 #include <string>
@@ -29,6 +30,22 @@
 /// @throws Error as fetch() does
 [[nodiscard]] asio::awaitable<Response> asyncFetch(HttpCall call);
 
+/// @brief Response, and whether the server keeps the connection open.
+struct KeptResponse {
+    Response response;
+    bool keptOpen = false;
+
+    bool operator==(const KeptResponse&) const = default;
+};
+
+/// @brief Calls as part of a task, on a connection that is open.
+/// @param connection the connection; it stays in use until the call has ended
+/// @param call the request
+/// @param keepAlive whether the connection is to be kept
+/// @return the response
+/// @throws Error with ErrorKind::UpstreamTruncated or UpstreamTimeout when no whole answer came
+[[nodiscard]] asio::awaitable<KeptResponse> asyncFetchOn(HttpConnection& connection, HttpCall call, bool keepAlive);
+
 /// @brief Calls and waits for the whole answer, on a connection of its own.
 /// @param call the request
 /// @return the response
--- a/standins/CallerLoad.h
+++ b/standins/CallerLoad.h
@@ -8,6 +8,7 @@
 #include <cowslipdoor/runtime/Asio.h>
 #include <cowslipdoor/runtime/HttpClient.h>
 #include <map>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,10 +22,13 @@
     std::string name;
     std::string path;
     bool keyed = false;
+    /// Requests a second, each on a connection of its own.
     std::uint32_t perSecond = 0;
     std::uint32_t milliseconds = 0;
     std::size_t answerBytes = 0;
     Duration patience = std::chrono::seconds(5);
+    /// Callers that send one request after another on one connection, as long as it is open.
+    std::uint32_t keptConnections = 0;
 
     bool operator==(const LoadClass&) const = default;
 };
@@ -48,9 +52,14 @@
     bool keyed = false;
     bool answered = false;
     bool wholeAndOwn = false;
+    /// How often it was sent until an answer came.
+    std::uint32_t copies = 0;
     std::uint16_t status = 0;
     std::string outcome;
     std::string error;
+    /// Identifier that the answer names, and the begin of its body.
+    std::string requestId;
+    std::string begin;
     Duration latency {};
 
     bool operator==(const CallRecord&) const = default;
@@ -92,8 +101,18 @@
     [[nodiscard]] const std::vector<CallRecord>& records() const noexcept { return this->finished; }
 
 private:
+    /// Connection that a caller keeps, if it is open, and the entry that it leads to.
+    struct Kept {
+        std::size_t entry = 0;
+        std::unique_ptr<runtime::HttpConnection> connection;
+    };
+
     runtime::asio::awaitable<void> sendClass(LoadClass loadClass);
-    runtime::asio::awaitable<void> sendOne(LoadClass loadClass, std::string number);
+    runtime::asio::awaitable<void> sendOnKept(LoadClass loadClass);
+    runtime::asio::awaitable<void> sendOne(LoadClass loadClass, std::string number, Kept* kept);
+    runtime::asio::awaitable<Response> callOnce(runtime::HttpCall call, Kept* kept);
+    runtime::asio::awaitable<Response> callOnKept(Kept& kept, runtime::HttpCall call);
+    [[nodiscard]] std::string nextNumber(const LoadClass& loadClass);
     runtime::asio::awaitable<void> watchReadiness(std::size_t entry);
     [[nodiscard]] std::size_t pickEntry(std::size_t avoided);
 
--- a/standins/Deployment.cpp
+++ b/standins/Deployment.cpp
@@ -62,7 +62,7 @@
     std::filesystem::create_directories(this->config.folder);
     this->writeRules(this->config.rules);
     for (std::size_t index = 0; index < this->proxyListen.size(); ++index)
-        this->proxies.push_back(std::make_unique<LinkProxy>(this->proxyListen[index], this->entryLink[index], index));
+        this->proxies.push_back(std::make_unique<FaultProxy>(this->proxyListen[index], this->entryLink[index], ProxyUnit::Frames, index));
 }
 
 void Deployment::startAll()
--- a/standins/Deployment.h
+++ b/standins/Deployment.h
@@ -4,7 +4,7 @@
 /// @brief A small deployment of real processes: entries, agents and stand-in upstreams on loopback.
 
 #include "ChildProcess.h"
-#include "LinkProxy.h"
+#include "FaultProxy.h"
 #include <cowslipdoor/core/Ids.h>
 #include <cowslipdoor/core/Time.h>
 #include <functional>
@@ -71,7 +71,7 @@
 
     /// @param index number of an entry from zero
     /// @return the proxy in front of its link address, when the deployment is proxied
-    [[nodiscard]] LinkProxy& proxy(std::size_t index) { return *this->proxies.at(index); }
+    [[nodiscard]] FaultProxy& proxy(std::size_t index) { return *this->proxies.at(index); }
 
     /// @return addresses for callers, one for each entry
     [[nodiscard]] const std::vector<std::string>& callerAddresses() const noexcept { return this->entryListen; }
@@ -126,7 +126,7 @@
     std::vector<std::string> agentAdmin;
     std::vector<std::string> upstreamListen;
     std::vector<std::string> proxyListen;
-    std::vector<std::unique_ptr<LinkProxy>> proxies;
+    std::vector<std::unique_ptr<FaultProxy>> proxies;
     Processes entryProcesses;
     Processes agentProcesses;
     Processes upstreamProcesses;
--- /dev/null
+++ b/standins/soak/JobSoak.h
@@ -0,0 +1,69 @@
+#pragma once
+
+/// @file
+/// @brief Soak of the programs that run jobs.
+
+#include "JobsDeployment.h"
+#include "ProxyDisturbances.h"
+#include "SoakPlan.h"
+#include "SoakReport.h"
+#include "Victims.h"
+#include <atomic>
+#include <random>
+#include <set>
+
+namespace cowslipdoor::soak {
+
+/// @brief Real entries and agents for jobs, with stand-ins of store and workers, under jobs and the faults of a plan.
+/// @code
+/// const SoakReport report = JobSoak({ .seed = 7 }, "logs").run();
+/// @endcode
+class JobSoak {
+public:
+    /// @param size size and seed
+    /// @param folder folder for logs; the story of the faults is its file story.txt
+    JobSoak(const SoakSize& size, const std::string& folder);
+
+    /// @brief Plays the plan and checks the promises while it runs and at its end.
+    /// @return what was seen
+    [[nodiscard]] SoakReport run();
+
+private:
+    /// What a caller knows of its job.
+    struct Submitted {
+        std::string job;
+        unsigned tasks = 0;
+        bool cancelled = false;
+    };
+
+    void handInJobs();
+    void play(const std::vector<Planned<JobFault>>& plan);
+    void checkWhileRunning();
+    void checkAtEnd();
+    void checkJob(const Submitted& submitted, const std::map<std::string, std::size_t>& done);
+    [[nodiscard]] standins::FaultProxy& proxyOf(const ProcessName& process);
+
+    void inject(const Kill& fault, TimePoint now);
+    void inject(const Replace& fault, TimePoint now);
+    void inject(const Freeze& fault, TimePoint now);
+    void inject(const CutConnections& fault, TimePoint now);
+    void inject(const HoldOneWay& fault, TimePoint now);
+    void inject(const SlowConnections& fault, TimePoint now);
+    void inject(const StoreAway& fault, TimePoint now);
+    void inject(const LoseStoreAnswers& fault, TimePoint now);
+    void inject(const DropStoreHistory& fault, TimePoint now);
+    void inject(const LoseWorkerAnswers& fault, TimePoint now);
+
+    SoakSize size;
+    std::string folder;
+    platform::JobsDeployment deployment;
+    Victims victims;
+    ProxyDisturbances disturbances;
+    std::optional<TimePoint> storeBackAt;
+    std::atomic<bool> stopping = false;
+    /// Written by the thread of the callers until it has ended.
+    std::vector<Submitted> accepted;
+    SoakReport report;
+};
+
+}
--- /dev/null
+++ b/standins/soak/RequestSoak.h
@@ -0,0 +1,56 @@
+#pragma once
+
+/// @file
+/// @brief Soak of the programs that serve requests.
+
+#include "CallerLoad.h"
+#include "Deployment.h"
+#include "ProxyDisturbances.h"
+#include "SoakPlan.h"
+#include "SoakReport.h"
+#include "Victims.h"
+#include <future>
+
+namespace cowslipdoor::soak {
+
+/// @brief Real entries, agents and stand-in upstreams under a mixed load and the faults of a plan.
+/// @code
+/// const SoakReport report = RequestSoak({ .seed = 7 }, "logs").run();
+/// @endcode
+class RequestSoak {
+public:
+    /// @param size size and seed
+    /// @param folder folder for logs and rules; the story of the faults is its file story.txt
+    RequestSoak(const SoakSize& size, const std::string& folder);
+
+    /// @brief Plays the plan and checks the promises while it runs and at its end.
+    /// @return what was seen
+    [[nodiscard]] SoakReport run();
+
+private:
+    void play(const std::vector<Planned<RequestFault>>& plan);
+    void checkWhileRunning();
+    void checkAtEnd(const standins::CallerLoad& load);
+
+    void inject(const Kill& fault, TimePoint now);
+    void inject(const Replace& fault, TimePoint now);
+    void inject(const Freeze& fault, TimePoint now);
+    void inject(const CutConnections& fault, TimePoint now);
+    void inject(const HoldOneWay& fault, TimePoint now);
+    void inject(const SilenceLinks& fault, TimePoint now);
+    void inject(const SlowConnections& fault, TimePoint now);
+    void inject(const DisturbAnswers& fault, TimePoint now);
+    void inject(const ChangeRules& fault, TimePoint now);
+
+    SoakSize size;
+    std::string folder;
+    std::uint64_t rulesVersion = 1;
+    standins::Deployment deployment;
+    Victims victims;
+    ProxyDisturbances disturbances;
+    std::future<standins::UpstreamCounts> counting;
+    TimePoint nextCount {};
+    SoakReport report;
+};
+
+}
--- /dev/null
+++ b/standins/soak/SoakPlan.cpp
@@ -0,0 +1,198 @@
+#include "SoakPlan.h"
+#include <random>
+#include <utility>
+
+namespace cowslipdoor::soak {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Faults come in series: after each one the next may follow at once.
+    constexpr std::uint32_t seriesPercent = 35;
+    constexpr Duration longestInSeries = milliseconds(120);
+    constexpr Duration longestPause = milliseconds(1500);
+
+    // Lengths pass the limits that the programs wait for: heartbeats of 1 s and silence of 4 s on links, leases of jobs.
+    constexpr Duration shortestFault = milliseconds(50);
+    constexpr Duration longestDown = milliseconds(1500);
+    constexpr Duration longestFreeze = milliseconds(5500);
+    constexpr Duration longestUpstreamFreeze = milliseconds(1500);
+    constexpr Duration longestDisturbance = milliseconds(5500);
+    constexpr Duration longestDelay = milliseconds(150);
+    constexpr int mostLostAnswers = 4;
+
+    /// Draws faults and their times; one stream of numbers, so that equal seeds give equal plans.
+    class Dice {
+    public:
+        explicit Dice(const SoakSize& size)
+            : size(size)
+            , random(size.seed)
+        {
+        }
+
+        std::size_t below(std::size_t count)
+        {
+            // The distributions of the standard library differ between implementations; plans must not.
+            return static_cast<std::size_t>(this->random() % count);
+        }
+
+        Duration upTo(Duration longest) { return shortestFault + Duration(static_cast<Duration::rep>(this->below(static_cast<std::size_t>((longest - shortestFault).count())))); }
+
+        Duration pause()
+        {
+            if (this->below(100) < seriesPercent)
+                return this->upTo(longestInSeries);
+            return this->upTo(longestPause);
+        }
+
+        std::size_t entry() { return this->below(this->size.entries); }
+        std::size_t agent() { return this->below(this->size.agents); }
+        ProcessName entryName() { return { Role::Entry, this->entry() }; }
+
+        ProcessName entryOrAgent()
+        {
+            const std::size_t number = this->below(this->size.entries + this->size.agents);
+            if (number < this->size.entries)
+                return { Role::Entry, number };
+            return { Role::Agent, number - this->size.entries };
+        }
+
+        ProcessName anyOfThree()
+        {
+            const ProcessName process = this->entryOrAgent();
+            return process.role == Role::Agent && this->below(2) == 0 ? ProcessName { Role::Upstream, process.index } : process;
+        }
+
+        Freeze freeze(ProcessName process)
+        {
+            return { process, this->upTo(process.role == Role::Upstream ? longestUpstreamFreeze : longestFreeze) };
+        }
+
+        int lostAnswers() { return 1 + static_cast<int>(this->below(mostLostAnswers)); }
+
+    private:
+        SoakSize size;
+        std::mt19937_64 random;
+    };
+
+    RequestFault drawRequestFault(Dice& dice)
+    {
+        switch (dice.below(9)) {
+        case 0:
+            return Kill { dice.entryOrAgent(), dice.upTo(longestDown) };
+        case 1:
+            return Replace { dice.entryOrAgent() };
+        case 2:
+            return dice.freeze(dice.anyOfThree());
+        case 3:
+            return CutConnections { dice.entryName() };
+        case 4:
+            return HoldOneWay { dice.entryName(), dice.below(2) == 0, dice.upTo(longestDisturbance) };
+        case 5:
+            return SilenceLinks { dice.entry(), dice.upTo(longestDisturbance) };
+        case 6:
+            return SlowConnections { dice.entryName(), dice.upTo(longestDelay), dice.upTo(longestDisturbance) };
+        case 7:
+            return DisturbAnswers { dice.entry(), dice.upTo(longestDisturbance) };
+        default:
+            return ChangeRules { dice.entry() };
+        }
+    }
+
+    JobFault drawJobFault(Dice& dice)
+    {
+        switch (dice.below(10)) {
+        case 0:
+            return Kill { dice.entryOrAgent(), dice.upTo(longestDown) };
+        case 1:
+            return Replace { dice.entryOrAgent() };
+        case 2:
+            return dice.freeze(dice.entryOrAgent());
+        case 3:
+            return CutConnections { dice.entryOrAgent() };
+        case 4:
+            return HoldOneWay { dice.entryOrAgent(), dice.below(2) == 0, dice.upTo(longestDisturbance) };
+        case 5:
+            return SlowConnections { dice.entryOrAgent(), dice.upTo(longestDelay), dice.upTo(longestDisturbance) };
+        case 6:
+            return StoreAway { dice.upTo(longestDisturbance) };
+        case 7:
+            return LoseStoreAnswers { dice.lostAnswers() };
+        case 8:
+            return DropStoreHistory {};
+        default:
+            return LoseWorkerAnswers { dice.agent(), dice.lostAnswers() };
+        }
+    }
+
+    template <typename Fault>
+    std::vector<Planned<Fault>> plan(const SoakSize& size, Fault (*draw)(Dice&))
+    {
+        Dice dice(size);
+        std::vector<Planned<Fault>> faults;
+        for (Duration at = dice.pause(); at < size.length; at += dice.pause())
+            faults.push_back({ at, draw(dice) });
+        return faults;
+    }
+
+    std::string nameOf(const ProcessName& process)
+    {
+        switch (process.role) {
+        case Role::Entry:
+            return "entry " + std::to_string(process.index);
+        case Role::Agent:
+            return "agent " + std::to_string(process.index);
+        case Role::Upstream:
+            break;
+        }
+        return "upstream " + std::to_string(process.index);
+    }
+
+    std::string lengthOf(Duration duration)
+    {
+        return " for " + std::to_string(toMilliseconds(duration)) + " ms";
+    }
+
+    struct Description {
+        std::string operator()(const Kill& fault) const { return nameOf(fault.process) + " is killed, down" + lengthOf(fault.downFor); }
+        std::string operator()(const Replace& fault) const { return nameOf(fault.process) + " is replaced"; }
+        std::string operator()(const Freeze& fault) const { return nameOf(fault.process) + " is frozen" + lengthOf(fault.length); }
+        std::string operator()(const CutConnections& fault) const { return "connections of " + nameOf(fault.process) + " are reset"; }
+        std::string operator()(const HoldOneWay& fault) const
+        {
+            return "connections of " + nameOf(fault.process) + " are held " + (fault.toServer ? "towards" : "from") + " the server" + lengthOf(fault.length);
+        }
+        std::string operator()(const SilenceLinks& fault) const { return "links of entry " + std::to_string(fault.entry) + " are silent" + lengthOf(fault.length); }
+        std::string operator()(const SlowConnections& fault) const { return "connections of " + nameOf(fault.process) + " are slow" + lengthOf(fault.length); }
+        std::string operator()(const DisturbAnswers& fault) const { return "answers to entry " + std::to_string(fault.entry) + " come twice or late" + lengthOf(fault.length); }
+        std::string operator()(const ChangeRules& fault) const { return "rules change at entry " + std::to_string(fault.entry); }
+        std::string operator()(const StoreAway& fault) const { return "the store is away" + lengthOf(fault.length); }
+        std::string operator()(const LoseStoreAnswers& fault) const { return "the store loses " + std::to_string(fault.count) + " answers"; }
+        std::string operator()(const DropStoreHistory&) const { return "the store drops its history"; }
+        std::string operator()(const LoseWorkerAnswers& fault) const { return "worker " + std::to_string(fault.worker) + " loses " + std::to_string(fault.count) + " answers"; }
+    };
+
+}
+
+std::vector<Planned<RequestFault>> planRequestFaults(const SoakSize& size)
+{
+    return plan<RequestFault>(size, drawRequestFault);
+}
+
+std::vector<Planned<JobFault>> planJobFaults(const SoakSize& size)
+{
+    return plan<JobFault>(size, drawJobFault);
+}
+
+std::string describe(const RequestFault& fault)
+{
+    return std::visit(Description {}, fault);
+}
+
+std::string describe(const JobFault& fault)
+{
+    return std::visit(Description {}, fault);
+}
+
+}
--- /dev/null
+++ b/standins/soak/SoakReport.h
@@ -0,0 +1,31 @@
+#pragma once
+
+/// @file
+/// @brief What a soak has seen.
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cowslipdoor::soak {
+
+/// @brief Promises that were broken, each with a line of text, and how much was checked.
+struct SoakReport {
+    /// Requests or jobs that callers were answered.
+    std::uint64_t checked = 0;
+    std::uint64_t faults = 0;
+    std::vector<std::string> broken;
+
+    bool operator==(const SoakReport&) const = default;
+
+    /// @brief Adds a broken promise, once.
+    /// @param line what was seen
+    void add(const std::string& line)
+    {
+        if (std::find(this->broken.begin(), this->broken.end(), line) == this->broken.end())
+            this->broken.push_back(line);
+    }
+};
+
+}
--- /dev/null
+++ b/standins/soak/tests/Main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/standins/soak/tests/SoakTests.cpp
@@ -0,0 +1,37 @@
+#include "JobSoak.h"
+#include "RequestSoak.h"
+#include <catch2/catch.hpp>
+#include <filesystem>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::soak;
+
+namespace {
+
+std::string folderOf(const std::string& name)
+{
+    const std::filesystem::path folder = std::filesystem::temp_directory_path() / ("cowslipdoor-soak-test-" + std::to_string(::getpid()) + "-" + name);
+    std::filesystem::create_directories(folder);
+    return folder.string();
+}
+
+void expectNothingBroken(const SoakReport& report)
+{
+    for (const std::string& line : report.broken)
+        UNSCOPED_INFO(line);
+    CHECK(report.broken.empty());
+    CHECK(report.faults > 5);
+    CHECK(report.checked > 10);
+}
+
+}
+
+TEST_CASE("soak: requests keep their promises under a short series of faults", "[soak][system]")
+{
+    expectNothingBroken(RequestSoak({ .seed = 1, .length = std::chrono::seconds(8) }, folderOf("requests")).run());
+}
+
+TEST_CASE("soak: jobs keep their promises under a short series of faults", "[soak][system]")
+{
+    expectNothingBroken(JobSoak({ .seed = 1, .length = std::chrono::seconds(8) }, folderOf("jobs")).run());
+}
--- /dev/null
+++ b/standins/soak/tests/VictimsTests.cpp
@@ -0,0 +1,70 @@
+#include "Victims.h"
+#include <catch2/catch.hpp>
+#include <cowslipdoor/runtime/Clock.h>
+#include <csignal>
+#include <memory>
+
+using namespace cowslipdoor;
+using namespace cowslipdoor::soak;
+using runtime::monotonicNow;
+using standins::ChildProcess;
+
+namespace {
+
+constexpr ProcessName name { Role::Agent, 0 };
+
+/// One process that sleeps, among victims.
+class Sleeper {
+public:
+    explicit Sleeper(const std::string& seconds = "60")
+        : seconds(seconds)
+    {
+        this->start();
+        this->victims.add(name, { [this]() -> ChildProcess& { return *this->process; }, [this]() { this->start(); } });
+    }
+
+    void start()
+    {
+        ++this->starts;
+        this->process = std::make_unique<ChildProcess>("/bin/sleep", std::vector<std::string> { this->seconds }, "/dev/null");
+    }
+
+    std::string seconds;
+    int starts = 0;
+    std::unique_ptr<ChildProcess> process;
+    Victims victims;
+};
+
+}
+
+TEST_CASE("victims: a killed process is started again when its time has come", "[soak]")
+{
+    Sleeper sleeper;
+    const TimePoint until = monotonicNow() + std::chrono::milliseconds(200);
+    sleeper.victims.kill(name, until);
+    (void)sleeper.process->wait();
+    sleeper.victims.tick(until - std::chrono::milliseconds(1));
+    CHECK(sleeper.starts == 1);
+    sleeper.victims.tick(until);
+    CHECK(sleeper.starts == 2);
+    CHECK(sleeper.victims.unaskedEnds().empty());
+}
+
+TEST_CASE("victims: a process that ends by itself is told of", "[soak]")
+{
+    Sleeper sleeper("0");
+    (void)sleeper.process->wait();
+    sleeper.victims.tick(monotonicNow());
+    CHECK(sleeper.victims.unaskedEnds().size() == 1);
+}
+
+TEST_CASE("victims: a frozen process can be killed, and healing brings all back", "[soak]")
+{
+    Sleeper sleeper;
+    sleeper.victims.freeze(name, monotonicNow() + std::chrono::hours(1));
+    sleeper.victims.kill(name, monotonicNow() + std::chrono::milliseconds(50));
+    sleeper.victims.heal();
+    CHECK(sleeper.starts == 2);
+    CHECK(sleeper.process->running());
+    CHECK(sleeper.victims.unaskedEnds().empty());
+}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -30,7 +30,7 @@
 fi
 # Clang reads no precompiled headers of GCC, so it gets compile commands without them.
 cmake -S . -B build/lint -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
-units=$(git ls-files --cached --others --exclude-standard 'libs/*/src/*.cpp' 'apps/*.cpp' 'platform/src/*.cpp' 'platform/standins/*.cpp' 'standins/*.cpp' 'bench/*.cpp')
+units=$(git ls-files --cached --others --exclude-standard 'libs/*/src/*.cpp' 'apps/*.cpp' 'platform/src/*.cpp' 'platform/standins/*.cpp' 'standins/*.cpp' 'bench/*.cpp' | grep -v /tests/)
 if ! echo "$units" | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p build/lint --extra-arg=-Wno-unknown-warning-option 2>/dev/null; then
     echo "lint: clang-tidy has findings"
     status=1
