List the jobs that the leader knows: cowslipdoor jobs list

JobList makes the lines without input or output; the leader's admin page /jobs and the command print them, another entry names the leader.

--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -7,9 +7,11 @@
 #include <cowslipdoor/runtime/HttpClient.h>
 #include <cowslipdoor/runtime/Process.h>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string_view>
 
 namespace cowslipdoor::entry {
@@ -24,6 +26,7 @@
                                        "  entry              run an entry behind the balancer\n"
                                        "  jobs submit ID FILE, jobs show ID, jobs cancel ID, jobs pending\n"
                                        "                     hand in, look at and cancel jobs at an entry\n"
+                                       "  jobs list          print all jobs that the leader knows, most urgent first\n"
                                        "  jobs entry         run an entry that takes in jobs and may lead their scheduling\n"
                                        "  rules check FILE   print every fault of a rules file\n"
                                        "  rules show         print the rules in force at an entry, and whose request each serves\n"
@@ -137,6 +140,51 @@
         return actOnJob(words, "GET", "jobs pending --entry IP:PORT --host HOST --queue PATH", 0);
     }
 
+    std::string secondsText(const nlohmann::json& milliseconds)
+    {
+        constexpr double perSecond = 1000;
+        if (milliseconds.is_null())
+            return "-";
+        std::ostringstream text;
+        text << std::fixed << std::setprecision(1) << milliseconds.get<double>() / perSecond;
+        return text.str();
+    }
+
+    void printJobTable(const nlohmann::json& jobs)
+    {
+        const auto row = [](const std::vector<std::string>& cells) {
+            constexpr std::array<int, 9> widths { 18, 20, 10, 11, 9, 9, 7, 8, 6 };
+            for (std::size_t cell = 0; cell < cells.size(); ++cell)
+                std::cout << std::left << std::setw(widths[cell]) << cells[cell] << ' ';
+            std::cout << "\n";
+        };
+        row({ "job", "queue", "priority", "state", "age s", "due s", "tasks", "placed", "done" });
+        for (const nlohmann::json& job : jobs) {
+            row({ job.at("job"), job.at("queue"), job.at("priority").dump(), job.at("state"), secondsText(job.at("age_ms")), secondsText(job.at("due_in_ms")),
+                job.at("tasks").dump(), job.at("placed").dump(), job.at("done").dump() });
+        }
+    }
+
+    int listJobs(const Words& words)
+    {
+        const std::vector<SettingSpec> specs = clientSettings();
+        const CommandLine line = readCommandLine(specs, words, processEnvironment);
+        if (helped(line, "jobs list --admin IP:PORT", specs))
+            return 0;
+        expectOperands(line, 0, "jobs list --admin IP:PORT");
+        const std::string page = fetchPage(line.settings.text("admin"), "/jobs");
+        const nlohmann::json json = nlohmann::json::parse(page);
+        if (!json.at("leading").get<bool>()) {
+            const std::string leader = json.at("leader");
+            throw Error(ErrorKind::Internal, "this entry does not lead the jobs; " + (leader.empty() ? "nor is it known who does" : "ask " + leader));
+        }
+        if (line.settings.text("form") == "json")
+            std::cout << page;
+        else
+            printJobTable(json.at("jobs"));
+        return 0;
+    }
+
     int runJobsEntry(const Words& words)
     {
         const std::vector<SettingSpec> specs = jobsEntrySettings();
@@ -206,6 +254,7 @@
             { { "entry" }, runEntry },
             { { "jobs", "entry" }, runJobsEntry },
             { { "jobs", "submit" }, submitJob },
+            { { "jobs", "list" }, listJobs },
             { { "jobs", "show" }, showJob },
             { { "jobs", "cancel" }, cancelJob },
             { { "jobs", "pending" }, showPendingJobs },
--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -1,10 +1,10 @@
 #include "JobsEntryProcess.h"
+#include "StatusJson.h"
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/platform/Readiness.h>
 #include <cowslipdoor/platform/StoreAdapter.h>
 #include <cowslipdoor/runtime/Clock.h>
 #include <cowslipdoor/runtime/Process.h>
-#include <nlohmann/json.hpp>
 
 namespace cowslipdoor::entry {
 
@@ -25,16 +25,6 @@
         return config;
     }
 
-    nlohmann::ordered_json toJson(const SchedulerStatus& status)
-    {
-        nlohmann::ordered_json workers = nlohmann::ordered_json::array();
-        for (const SchedulerStatus::WorkerLine& line : status.workers) {
-            workers.push_back({ { "agent", line.agent }, { "worker", line.worker }, { "linked", line.linked }, { "usable", line.usable }, { "runs", line.runs },
-                { "free_millicores", line.free.milliCores }, { "free_memory_mb", line.free.memoryMb } });
-        }
-        return { { "leading", status.leading }, { "epoch", status.epoch }, { "leader", status.leader }, { "jobs", status.jobs }, { "waiting_jobs", status.waitingJobs }, { "workers", workers } };
-    }
-
 }
 
 std::vector<SettingSpec> jobsEntrySettings()
@@ -92,7 +82,11 @@
     this->admin.handle("GET", "/healthz", [](const HttpRequest&) -> asio::awaitable<Response> { co_return plainResponse(200, "text/plain", "ok\n"); });
     this->admin.handle("GET", "/status", [this](const HttpRequest&) -> asio::awaitable<Response> {
         const SchedulerStatus status = co_await this->status();
-        co_return plainResponse(200, "application/json", toJson(status).dump(2) + "\n");
+        co_return plainResponse(200, "application/json", printStatus(status));
+    });
+    this->admin.handle("GET", "/jobs", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const JobList list = co_await this->jobs();
+        co_return plainResponse(200, "application/json", printJobs(list));
     });
     this->admin.handle("GET", "/metrics", [this](const HttpRequest&) -> asio::awaitable<Response> {
         const SchedulerStatus status = co_await this->status();
@@ -150,4 +144,13 @@
     co_return std::get<1>(received);
 }
 
+asio::awaitable<JobList> JobsEntryProcess::jobs()
+{
+    const Mailbox<JobList> reply = makeMailbox<JobList>(this->context.get_executor(), 1);
+    const SchedulerInput query(JobListQuery { reply });
+    co_await send(this->scheduler.inbox(), query);
+    const std::tuple<error_code, JobList> received = co_await reply->async_receive(asTuple);
+    co_return std::get<1>(received);
+}
+
 }
--- a/apps/entry/JobsEntryProcess.h
+++ b/apps/entry/JobsEntryProcess.h
@@ -36,6 +36,7 @@
     runtime::asio::awaitable<bool> drain();
     runtime::asio::awaitable<std::string> describeHeld();
     runtime::asio::awaitable<runtime::SchedulerStatus> status();
+    runtime::asio::awaitable<runtime::JobList> jobs();
 
     runtime::Settings settings;
     std::string name;
--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -9,6 +9,7 @@
 #include "Metrics.h"
 #include "StorePort.h"
 #include "TableFeed.h"
+#include <cowslipdoor/scheduling/JobList.h>
 #include <cowslipdoor/scheduling/Scheduler.h>
 #include <memory>
 #include <string>
@@ -43,8 +44,24 @@
     Mailbox<SchedulerStatus> reply;
 };
 
+/// @brief The jobs, as the leader knows them.
+struct JobList {
+    /// Whether this entry leads; the lines are empty if not.
+    bool leading = false;
+    /// Entry that leads, as far as this one knows.
+    std::string leader {};
+    std::vector<JobLine> lines {};
+
+    bool operator==(const JobList&) const = default;
+};
+
+/// @brief Asks for the jobs.
+struct JobListQuery {
+    Mailbox<JobList> reply;
+};
+
 /// @brief What the task takes.
-using SchedulerInput = std::variant<SchedulerEvent, SchedulerStatusQuery>;
+using SchedulerInput = std::variant<SchedulerEvent, SchedulerStatusQuery, JobListQuery>;
 
 /// @brief Steps the machine and carries out its effects.
 /// @code
@@ -77,6 +94,7 @@
     asio::awaitable<void> run();
     void on(const SchedulerEvent& event);
     void on(const SchedulerStatusQuery& query);
+    void on(const JobListQuery& query);
     void carryOut(const ReadLeaderRow& effect);
     void carryOut(const SubmitCommit& effect);
     void carryOut(const ReadTables& effect);
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -69,6 +69,14 @@
     trySend(*query.reply, std::move(status));
 }
 
+void SchedulerTask::on(const JobListQuery& query)
+{
+    JobList list { .leading = this->machine.serving(), .leader = this->machine.lease().record().holder };
+    if (list.leading)
+        list.lines = listJobs(this->machine.jobs(), leaseNow());
+    trySend(*query.reply, std::move(list));
+}
+
 void SchedulerTask::carryOut(const ReadLeaderRow&)
 {
     asio::co_spawn(
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -78,6 +78,30 @@
     CHECK(command({ "submit", jobId(3), config.folder + "/none" }).starts_with("2 "));
 }
 
+TEST_CASE("jobs: the list of jobs is printed by the leader, and others name it", "[system][jobs]")
+{
+    JobsDeploymentConfig config = configFor("list");
+    config.taskTime = std::chrono::seconds(20);
+    JobsDeployment deployment(config);
+    REQUIRE(deployment.submit(jobId(1), 2));
+    JobsDeployment::await("the job at work", [&deployment]() { return deployment.state(jobId(1)) == "running"; });
+    const std::size_t leader = *deployment.leader();
+    const auto list = [&deployment, &config](std::size_t entry, const std::string& form) {
+        const std::string output = config.folder + "/list-" + std::to_string(entry) + "-" + form;
+        const int code = standins::ChildProcess(COWSLIPDOOR_ENTRY, { "jobs", "list", "--admin", deployment.adminAddress(entry), "--form", form }, output).wait();
+        std::ifstream text(output);
+        return std::to_string(code) + " " + std::string(std::istreambuf_iterator<char>(text), {});
+    };
+    const std::string table = list(leader, "text");
+    CHECK(table.starts_with("0 job "));
+    CHECK(table.find("\n" + jobId(1)) != std::string::npos);
+    const nlohmann::json json = nlohmann::json::parse(list(leader, "json").substr(2));
+    REQUIRE(json.at("jobs").size() == 1);
+    CHECK(json.at("jobs")[0].at("state") == "running");
+    CHECK(json.at("jobs")[0].at("tasks") == 2);
+    CHECK(list(1 - leader, "text") == "1 cowslipdoor: this entry does not lead the jobs; ask entry-" + std::to_string(leader) + "\n");
+}
+
 TEST_CASE("jobs: a cancelled job ends and starts no more", "[system][jobs]")
 {
     JobsDeploymentConfig config = configFor("cancel");
