Report service-level burn: by rule or queue, and by who asked for it

BurnBook counts ends against objectives by minute without input or output; entries and the leader of jobs serve the counts at /burn; 'cowslipdoor report burn' adds up several entries and prints tables, JSON or one page with plots. docs/OPERATING.md says what counts as a miss. Tests: 'burn: ...', 'scheduler: ends of jobs are counted ...', 'commands: the report on burn ...'; the last one found the counts read from a page that was already gone.

--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -1,9 +1,13 @@
 #include "Commands.h"
+#include "BurnJson.h"
+#include "BurnReport.h"
 #include "EntryProcess.h"
+#include "Explain.h"
 #include "JobsEntryProcess.h"
 #include "RulesFile.h"
 #include <array>
 #include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/runtime/Address.h>
 #include <cowslipdoor/runtime/HttpClient.h>
 #include <cowslipdoor/runtime/Process.h>
 #include <fstream>
@@ -30,6 +34,9 @@
                                        "  jobs entry         run an entry that takes in jobs and may lead their scheduling\n"
                                        "  rules check FILE   print every fault of a rules file\n"
                                        "  rules show         print the rules in force at an entry, and whose request each serves\n"
+                                       "  explain ID [LOG...]\n"
+                                       "                     print what logs, or standard input, tell of a request or job\n"
+                                       "  report burn        print how fast objectives are missed, by rule and by who asked\n"
                                        "  status             print what an entry sees\n"
                                        "  version            print the version\n\n"
                                        "cowslipdoor COMMAND --help lists the settings of a command.\n";
@@ -225,6 +232,56 @@
         return 0;
     }
 
+    std::vector<SettingSpec> reportSettings()
+    {
+        return {
+            { "admins", AddressListSetting {}, std::nullopt, "Admin addresses of the entries whose counts are added up." },
+            { "form", ChoiceSetting { { "text", "json", "html" } }, "text", "Form of the output." },
+        };
+    }
+
+    int reportBurn(const Words& words)
+    {
+        const std::string synopsis = "report burn --admins IP:PORT,...";
+        const std::vector<SettingSpec> specs = reportSettings();
+        const CommandLine line = readCommandLine(specs, words, processEnvironment);
+        if (helped(line, synopsis, specs))
+            return 0;
+        expectOperands(line, 0, synopsis);
+        std::vector<std::vector<BurnLine>> pages;
+        for (const std::string& admin : parseAddressList(line.settings.text("admins")))
+            pages.push_back(parseBurn(fetchPage(admin, "/burn")));
+        const std::vector<BurnLine> merged = mergeBurn(pages);
+        const std::string form = line.settings.text("form");
+        std::cout << (form == "json" ? printBurn(merged) : form == "html" ? printBurnPage(merged)
+                                                                          : printBurnTables(merged));
+        return 0;
+    }
+
+    int explainId(const Words& words)
+    {
+        const std::string synopsis = "explain ID [LOG...]";
+        const CommandLine line = readCommandLine({}, words, processEnvironment);
+        if (helped(line, synopsis, {}))
+            return 0;
+        if (line.operands.empty())
+            throw SettingsError({ "usage: cowslipdoor " + synopsis });
+        std::vector<std::ifstream> files;
+        for (std::size_t operand = 1; operand < line.operands.size(); ++operand) {
+            files.emplace_back(line.operands[operand]);
+            if (!files.back())
+                throw Error(ErrorKind::BadSetting, line.operands[operand] + ": the file cannot be read");
+        }
+        std::vector<std::istream*> logs;
+        for (std::ifstream& file : files)
+            logs.push_back(&file);
+        if (logs.empty())
+            logs.push_back(&std::cin);
+        if (explain(line.operands.front(), logs, std::cout))
+            return 0;
+        throw Error(ErrorKind::NoRule, "no line tells of " + line.operands.front());
+    }
+
     int showStatus(const Words& words)
     {
         const std::vector<SettingSpec> specs = clientSettings();
@@ -260,6 +317,8 @@
             { { "jobs", "pending" }, showPendingJobs },
             { { "rules", "check" }, checkRules },
             { { "rules", "show" }, showRules },
+            { { "explain" }, explainId },
+            { { "report", "burn" }, reportBurn },
             { { "status" }, showStatus },
             { { "version" }, showVersion },
             { { "--version" }, showVersion },
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -1,4 +1,5 @@
 #include "EntryProcess.h"
+#include "BurnJson.h"
 #include "RulesFile.h"
 #include "StatusJson.h"
 #include <boost/asio/signal_set.hpp>
@@ -102,6 +103,10 @@
         const EntryStatus status = co_await this->status();
         co_return plainResponse(200, "text/plain; charset=utf-8", status.rules.text());
     });
+    this->admin.handle("GET", "/burn", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const std::vector<BurnLine> lines = co_await this->burn();
+        co_return plainResponse(200, "application/json", printBurn(lines));
+    });
     this->admin.handle("GET", "/metrics", [this](const HttpRequest&) -> asio::awaitable<Response> {
         const EntryStatus status = co_await this->status();
         this->metrics.setGauge("cowslipdoor_queued_requests", "Requests that wait for room", static_cast<double>(status.queued));
@@ -165,4 +170,13 @@
     co_return std::get<1>(received);
 }
 
+asio::awaitable<std::vector<BurnLine>> EntryProcess::burn()
+{
+    const Mailbox<std::vector<BurnLine>> reply = makeMailbox<std::vector<BurnLine>>(this->context.get_executor(), 1);
+    const EntryInput query(BurnQuery { reply });
+    co_await send(this->task.inbox(), query);
+    const std::tuple<error_code, std::vector<BurnLine>> received = co_await reply->async_receive(asTuple);
+    co_return std::get<1>(received);
+}
+
 }
--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -1,4 +1,5 @@
 #include "JobsEntryProcess.h"
+#include "BurnJson.h"
 #include "StatusJson.h"
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/platform/Readiness.h>
@@ -88,6 +89,10 @@
         const JobList list = co_await this->jobs();
         co_return plainResponse(200, "application/json", printJobs(list));
     });
+    this->admin.handle("GET", "/burn", [this](const HttpRequest&) -> asio::awaitable<Response> {
+        const std::vector<BurnLine> lines = co_await this->burn();
+        co_return plainResponse(200, "application/json", printBurn(lines));
+    });
     this->admin.handle("GET", "/metrics", [this](const HttpRequest&) -> asio::awaitable<Response> {
         const SchedulerStatus status = co_await this->status();
         this->metrics.setGauge("cowslipdoor_leading", "Whether this entry leads the jobs", status.leading ? 1 : 0);
@@ -153,4 +158,13 @@
     co_return std::get<1>(received);
 }
 
+asio::awaitable<std::vector<BurnLine>> JobsEntryProcess::burn()
+{
+    const Mailbox<std::vector<BurnLine>> reply = makeMailbox<std::vector<BurnLine>>(this->context.get_executor(), 1);
+    const SchedulerInput query(BurnQuery { reply });
+    co_await send(this->scheduler.inbox(), query);
+    const std::tuple<error_code, std::vector<BurnLine>> received = co_await reply->async_receive(asTuple);
+    co_return std::get<1>(received);
+}
+
 }
--- a/apps/entry/JobsEntryProcess.h
+++ b/apps/entry/JobsEntryProcess.h
@@ -37,6 +37,7 @@
     runtime::asio::awaitable<std::string> describeHeld();
     runtime::asio::awaitable<runtime::SchedulerStatus> status();
     runtime::asio::awaitable<runtime::JobList> jobs();
+    runtime::asio::awaitable<std::vector<BurnLine>> burn();
 
     runtime::Settings settings;
     std::string name;
--- a/libs/core/include/cowslipdoor/core/EntryMachine.h
+++ b/libs/core/include/cowslipdoor/core/EntryMachine.h
@@ -4,6 +4,7 @@
 /// @brief Every decision of the entry, as a state machine without input or output.
 
 #include "AgentMachine.h"
+#include "BurnBook.h"
 #include "EventCatalogue.h"
 #include "Ids.h"
 #include "Messages.h"
@@ -147,6 +148,9 @@
     /// @return when TimePassed is due next, or nothing
     [[nodiscard]] std::optional<TimePoint> nextWakeup() const;
 
+    /// @return counts of answers against the objectives of rules
+    [[nodiscard]] const BurnBook& burn() const noexcept { return this->burnBook; }
+
     /// @return the rules in force
     [[nodiscard]] const RuleSet& rules() const noexcept { return this->ruleSet; }
 
@@ -310,6 +314,7 @@
     std::map<std::string, std::uint32_t> inFlightOfTeam;
     std::set<std::pair<TimePoint, RequestId>> wakeups;
     EntryCounters counts;
+    BurnBook burnBook;
     std::optional<TimePoint> startedAt;
     std::uint64_t requestNumber = 0;
     std::uint32_t lastClaim = 0;
--- a/libs/core/include/cowslipdoor/core/RulesText.h
+++ b/libs/core/include/cowslipdoor/core/RulesText.h
@@ -40,6 +40,10 @@
 /// @endcode
 [[nodiscard]] RulesParseResult parseRules(std::string_view text);
 
+/// @param objective an objective
+/// @return its text in a rule, such as 99.9%<200ms
+[[nodiscard]] std::string printObjective(const Objective& objective);
+
 /// @brief Writes a rule as one line of a rules file, with its comment.
 /// @param rule the rule
 /// @return a line without a line end, which parseRules() reads back as the same rule
--- a/libs/core/src/EntryMachine.cpp
+++ b/libs/core/src/EntryMachine.cpp
@@ -109,8 +109,10 @@
 {
     if (this->quotaUsedUp(rule))
         return this->refuseCaller(event, id, ErrorKind::QuotaExceeded, "team " + rule.team, effects);
-    if (this->queued() >= this->config.maximumQueued)
+    if (this->queued() >= this->config.maximumQueued) {
+        this->burnBook.record(subjectOf(rule), true, now);
         return this->refuseCaller(event, id, ErrorKind::QueueFull, std::to_string(this->config.maximumQueued) + " requests wait", effects);
+    }
     const TimePoint deadline = now + callerDeadline(event.head, rule.deadline);
     Request request {
         .callers = { event.caller },
@@ -151,6 +153,9 @@
     if (!request.callers.empty())
         return;
     ++this->counts.cancelled;
+    // Who hangs up early has missed nothing; who waited for longer than the objective has.
+    if (missesObjective(request.rule, Outcome::Ran, now - request.arrivedAt))
+        this->burnBook.record(subjectOf(request.rule), true, now);
     if (request.keyed && !std::holds_alternative<Queued>(request.phase))
         return;
     this->cancelAttempt(id, request, effects);
@@ -365,6 +370,7 @@
     for (const CallerId caller : request.callers) {
         ++this->counts.answered;
         effects.push_back(ReplyToCaller { caller, id, completion });
+        this->burnBook.record(subjectOf(request.rule), missesObjective(request.rule, outcome, now - request.arrivedAt), now);
         effects.push_back(ObserveRequest { request.rule.name, request.rule.trafficClass, outcome, now - request.arrivedAt });
     }
     this->forget(id);
--- a/libs/core/src/RulesText.cpp
+++ b/libs/core/src/RulesText.cpp
@@ -24,20 +24,6 @@
         return text.str();
     }
 
-    std::string printObjective(const Objective& objective)
-    {
-        std::ostringstream text;
-        const std::uint32_t perMillionOfPercent = 10'000;
-        text << objective.perMillion / perMillionOfPercent;
-        if (objective.perMillion % perMillionOfPercent != 0) {
-            std::string fraction = std::to_string(perMillionOfPercent + objective.perMillion % perMillionOfPercent).substr(1);
-            fraction.erase(fraction.find_last_not_of('0') + 1);
-            text << '.' << fraction;
-        }
-        text << "%<" << printDuration(objective.latency);
-        return text.str();
-    }
-
     void printText(std::ostream& line, std::string_view key, const std::string& value)
     {
         if (!value.empty())
@@ -80,6 +66,20 @@
     return impl::RulesParser(text).parse();
 }
 
+std::string printObjective(const Objective& objective)
+{
+    std::ostringstream text;
+    const std::uint32_t perMillionOfPercent = 10'000;
+    text << objective.perMillion / perMillionOfPercent;
+    if (objective.perMillion % perMillionOfPercent != 0) {
+        std::string fraction = std::to_string(perMillionOfPercent + objective.perMillion % perMillionOfPercent).substr(1);
+        fraction.erase(fraction.find_last_not_of('0') + 1);
+        text << '.' << fraction;
+    }
+    text << "%<" << printDuration(objective.latency);
+    return text.str();
+}
+
 std::string printRule(const Rule& rule)
 {
     std::ostringstream line;
--- a/libs/runtime/include/cowslipdoor/runtime/EntryTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/EntryTask.h
@@ -4,6 +4,7 @@
 /// @brief The task that owns the entry's decisions; all others talk to it by messages.
 
 #include "Asio.h"
+#include "BurnQuery.h"
 #include "FramedStream.h"
 #include "Log.h"
 #include "Metrics.h"
@@ -67,7 +68,7 @@
 struct CloseIdleCallers { };
 
 /// @brief Every message to the entry's task.
-using EntryInput = std::variant<EntryEvent, CallerAttached, CallerDetached, AgentAttached, EntryStatusQuery, CloseIdleCallers>;
+using EntryInput = std::variant<EntryEvent, CallerAttached, CallerDetached, AgentAttached, EntryStatusQuery, BurnQuery, CloseIdleCallers>;
 
 /// @brief Runs an EntryMachine: takes messages in, carries its effects out.
 /// @code
@@ -96,6 +97,7 @@
     void on(const CallerDetached& message);
     void on(const AgentAttached& message);
     void on(const EntryStatusQuery& message);
+    void on(const BurnQuery& message);
     void on(const CloseIdleCallers& message);
     void carryOut(const SendToLink& effect);
     void carryOut(const CloseLink& effect);
--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -5,6 +5,7 @@
 
 #include "AgentDialer.h"
 #include "Asio.h"
+#include "BurnQuery.h"
 #include "Log.h"
 #include "Metrics.h"
 #include "StorePort.h"
@@ -61,7 +62,7 @@
 };
 
 /// @brief What the task takes.
-using SchedulerInput = std::variant<SchedulerEvent, SchedulerStatusQuery, JobListQuery>;
+using SchedulerInput = std::variant<SchedulerEvent, SchedulerStatusQuery, JobListQuery, BurnQuery>;
 
 /// @brief Steps the machine and carries out its effects.
 /// @code
@@ -95,6 +96,7 @@
     void on(const SchedulerEvent& event);
     void on(const SchedulerStatusQuery& query);
     void on(const JobListQuery& query);
+    void on(const BurnQuery& query);
     void carryOut(const ReadLeaderRow& effect);
     void carryOut(const SubmitCommit& effect);
     void carryOut(const ReadTables& effect);
--- a/libs/runtime/src/EntryTask.cpp
+++ b/libs/runtime/src/EntryTask.cpp
@@ -71,6 +71,11 @@
     trySend(*message.reply, EntryStatus { this->machine.ready(monotonicNow()), this->machine.stopping(), this->machine.queued(), this->machine.pending(), this->machine.counters(), this->machine.router().views(), this->machine.rules() });
 }
 
+void EntryTask::on(const BurnQuery& message)
+{
+    trySend(*message.reply, this->machine.burn().lines(monotonicNow()));
+}
+
 void EntryTask::on(const CloseIdleCallers&)
 {
     for (const std::map<CallerId, Mailbox<CallerMessage>>::value_type& item : this->callers)
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -77,6 +77,11 @@
     trySend(*query.reply, std::move(list));
 }
 
+void SchedulerTask::on(const BurnQuery& query)
+{
+    trySend(*query.reply, this->machine.burn().lines(leaseNow()));
+}
+
 void SchedulerTask::carryOut(const ReadLeaderRow&)
 {
     asio::co_spawn(
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -9,6 +9,7 @@
 #include "LeaderLease.h"
 #include "Relocation.h"
 #include "Workers.h"
+#include <cowslipdoor/core/BurnBook.h>
 #include <cowslipdoor/core/EventCatalogue.h>
 #include <cowslipdoor/core/Ids.h>
 #include <optional>
@@ -194,6 +195,9 @@
     /// @return the workers, for status pages; empty while another process leads
     [[nodiscard]] const Workers& workers() const noexcept { return this->knownWorkers; }
 
+    /// @return ends of jobs against their objectives, since this process has led
+    [[nodiscard]] const BurnBook& burn() const noexcept { return this->burnBook; }
+
     /// @return whether this process leads and knows the jobs
     [[nodiscard]] bool serving() const noexcept { return this->tablesRead && this->leaderLease.leading(); }
 
@@ -260,12 +264,13 @@
     void send(const WorkerEntry& worker, LeaderMessage message, Effects& effects) const;
     [[nodiscard]] PaceTraits traitsOf(const StepSpec& step, const WorkerEntry& worker) const;
     [[nodiscard]] PaceTraits traitsToTell(WorkerEntry& worker, const RunId& run, const StepSpec& step) const;
-    void observeEnd(const JobId& job, TimePoint now, Effects& effects) const;
+    void observeEnd(const JobId& job, TimePoint now, Effects& effects);
     void wantPass(TimePoint now);
 
     SchedulerConfig config;
     LeaderLease leaderLease;
     JobBook book;
+    BurnBook burnBook;
     Workers knownWorkers;
     InterferenceModel interference;
     bool tablesRead = false;
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -295,9 +295,11 @@
         effects.emplace_back(SendToAgent { *worker.link, std::move(message) });
 }
 
-void Scheduler::observeEnd(const JobId& job, TimePoint now, Effects& effects) const
+void Scheduler::observeEnd(const JobId& job, TimePoint now, Effects& effects)
 {
     const JobEntry& entry = *this->book.find(job);
+    if (entry.state != JobState::Cancelled && !entry.spec->lasts())
+        this->burnBook.record({ entry.spec->queue, "", "", std::nullopt }, entry.state != JobState::Done || now > entry.due, now);
     effects.emplace_back(ObserveJob { entry.spec->queue, entry.state, now - entry.arrived });
     effects.emplace_back(RecordEvent { EventId::JobEnded, job.text + ": " + std::string(toString(entry.state)) + ", " + describeTrack(entry, now) });
 }
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -309,3 +309,25 @@
     CHECK(removals == std::vector<RowKey> { progressRowKey({ "a" }), jobRowKey({ "a" }), cancelRowKey({ "a" }) });
     CHECK(test.machine.jobs().jobs().empty());
 }
+
+TEST_CASE("scheduler: ends of jobs are counted against their objectives, by queue", "[jobs]")
+{
+    StepSpec brief = stepOf(1, 100);
+    brief.estimate = milliseconds(100);
+    SchedulerUnderTest test;
+    test.lead({ jobOf("cancelled", { brief }), jobOf("late", { brief }), jobOf("timely", { brief }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    const auto end = [&test](const std::string& job, std::uint64_t number) {
+        test.step(AgentSaid { "agent", LinkId { 1 }, RunsEnded { firstLife, { { number, { { { job }, 0, 0 }, 1 }, RunEndKind::Done, "" } } } });
+    };
+    test.step(JobCancelStored { { "cancelled" } });
+    end("timely", 1);
+    test.now += milliseconds(300);
+    end("late", 2);
+    const std::vector<BurnLine> lines = test.machine.burn().lines(test.now);
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0].subject.name == "queue");
+    CHECK(lines[0].within(1) == BurnCounts { 2, 1 });
+    CHECK_FALSE(lines[0].burnRate(1).has_value());
+}
--- a/tests/CommandTests.cpp
+++ b/tests/CommandTests.cpp
@@ -103,6 +103,53 @@
     CHECK(run(COWSLIPDOOR_ENTRY, { "status", "--admin", "127.0.0.1:1" }).code == 1);
 }
 
+TEST_CASE("commands: the report on burn adds up entries, by rule and by who asked", "[system]")
+{
+    const std::string rules = "version 1\n"
+                              "rule quick path=/quick* class=quick deadline=4s objective=99%<1s # Siti: gangs <wait>\n"
+                              "rule batch path=/batch* class=batch deadline=30s # Ahmad: rain shifts the plan\n";
+    TestDeployment deployment({ .agents = 1, .rules = rules });
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        CHECK(deployment.call(entry, "/quick?n=1").status == 200);
+        CHECK(deployment.call(entry, "/batch?n=1").status == 200);
+    }
+    CHECK(deployment.call(0, "/quick?n=1&ms=1200").status == 200);
+    const std::string admins = deployment.entryAdmins().at(0) + "," + deployment.entryAdmins().at(1);
+    const auto report = [&admins](const std::string& form) { return run(COWSLIPDOOR_ENTRY, { "report", "burn", "--admins", admins, "--form", form }); };
+    const std::string text = report("text").output;
+    INFO(text);
+    CHECK(text.find("quick          Siti      99%<1000ms  3            1       33.3") != std::string::npos);
+    CHECK(text.find("batch          Ahmad     -           2            0       -") != std::string::npos);
+    CHECK(text.find("Siti      3          1       33.33%") != std::string::npos);
+    const nlohmann::json json = nlohmann::json::parse(report("json").output);
+    REQUIRE(json.at("lines").size() == 2);
+    CHECK(json.at("lines")[1].at("missed_by_minute").back() == 1);
+    const std::string page = report("html").output;
+    CHECK(page.find("<polyline") != std::string::npos);
+    CHECK(page.find("gangs &lt;wait&gt;") != std::string::npos);
+    CHECK(run(COWSLIPDOOR_ENTRY, { "report", "burn", "--admins", "127.0.0.1:1" }).code == 1);
+}
+
+TEST_CASE("commands: a refused request is explained from its identifier by the logs of all processes", "[system]")
+{
+    TestDeployment deployment({ .agents = 1, .entries = 1, .slots = 1 });
+    std::future<Response> running = deployment.callLater(0, "/batch?n=1&ms=3000");
+    Deployment::await("the only slot to be taken", [&deployment]() { return deployment.counts().running == 1; });
+    const Response refused = deployment.call(0, "/quick?n=2");
+    CHECK(refused.status == 504);
+    const std::string id(findHeader(refused.headers, "Cowslipdoor-Request-Id"));
+    const std::vector<std::string> logs { deployment.logPath("agent", 0), deployment.logPath("entry", 0) };
+    Deployment::await("the line in the log", [&logs, &id]() { return readText(logs[1]).find(id) != std::string::npos; });
+    const Run explained = run(COWSLIPDOOR_ENTRY, { "explain", id, logs[0], logs[1] });
+    CHECK(explained.code == 0);
+    CHECK(explained.output.find("[entry-0] request_refused: " + id + " deadline_before_start: no VM had room within the deadline") != std::string::npos);
+    CHECK(explained.output.find("\nE500 request_refused: ") != std::string::npos);
+    CHECK(run(COWSLIPDOOR_ENTRY, { "explain", "ffffffffffffffffffffffffffffffff", logs[0], logs[1] }).code == 1);
+    CHECK(run(COWSLIPDOOR_ENTRY, { "explain" }).code == 2);
+    CHECK(run(COWSLIPDOOR_ENTRY, { "explain", id, "/nowhere" }).code == 2);
+    CHECK(running.get().status == 200);
+}
+
 TEST_CASE("commands: addresses may be IPv6 numbers", "[system]")
 {
     const std::string rules = ruleFile(systemRules);
