--- a/libs/runtime/src/Log.cpp
+++ b/libs/runtime/src/Log.cpp
@@ -28,7 +28,8 @@
         return spdlog::level::err;
     }
 
-    std::string jsonLine(const EventDescription& event, const std::string& process, std::string_view detail)
+    /// Fields of a line; the time before them is the logger's to write.
+    std::string jsonFields(const EventDescription& event, const std::string& process, std::string_view detail)
     {
         const nlohmann::ordered_json line {
             { "event", static_cast<unsigned>(event.id) },
@@ -37,7 +38,7 @@
             { "process", process },
             { "detail", detail },
         };
-        return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+        return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace).substr(1);
     }
 
 }
@@ -51,7 +52,7 @@
 {
     this->logger->set_level(toSpdlog(least));
     this->logger->flush_on(spdlog::level::debug);
-    this->logger->set_pattern(form == LogForm::Json ? "%v" : "%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
+    this->logger->set_pattern(form == LogForm::Json ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ",%v)" : "%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
 }
 
 void Log::record(EventId event, std::string_view detail) const
@@ -60,7 +61,7 @@
     if (description.level < this->least)
         return;
     if (this->form == LogForm::Json)
-        this->logger->log(toSpdlog(description.level), "{}", jsonLine(description, this->process, detail));
+        this->logger->log(toSpdlog(description.level), "{}", jsonFields(description, this->process, detail));
     else
         this->logger->log(toSpdlog(description.level), "E{} {} [{}] {}", static_cast<unsigned>(event), description.name, this->process, detail);
 }
--- a/libs/runtime/tests/LogTests.cpp
+++ b/libs/runtime/tests/LogTests.cpp
@@ -31,10 +31,11 @@
 
 }
 
-TEST_CASE("log: a JSON line has number, name, level, process and detail", "[log]")
+TEST_CASE("log: a JSON line has time, number, name, level, process and detail", "[log]")
 {
     const std::string text = outputOf([]() { Log("entry-1", LogForm::Json, EventLevel::Info).record(EventId::LinkOpened, "say \"hi\"\n"); });
     const nlohmann::json line = nlohmann::json::parse(text);
+    CHECK(line.at("time").get<std::string>().size() == std::string("2026-12-04T18:18:02.926Z").size());
     CHECK(line.at("event") == 300);
     CHECK(line.at("name") == "link_opened");
     CHECK(line.at("level") == "info");
