--- a/apps/agent/AgentProcess.cpp
+++ b/apps/agent/AgentProcess.cpp
@@ -153,11 +153,7 @@
 
 asio::awaitable<AgentStatus> AgentProcess::status()
 {
-    const Mailbox<AgentStatus> reply = makeMailbox<AgentStatus>(this->context.get_executor(), 1);
-    const AgentInput agentStatusQuery(AgentStatusQuery { reply });
-    co_await send(this->task.inbox(), agentStatusQuery);
-    const std::tuple<error_code, AgentStatus> received = co_await reply->async_receive(asTuple);
-    co_return std::get<1>(received);
+    return ask<AgentInput, AgentStatusQuery, AgentStatus>(this->task.inbox());
 }
 
 }
--- a/apps/agent/JobsAgentProcess.cpp
+++ b/apps/agent/JobsAgentProcess.cpp
@@ -83,11 +83,7 @@
 
 asio::awaitable<WorkerTaskStatus> JobsAgentProcess::status()
 {
-    const Mailbox<WorkerTaskStatus> reply = makeMailbox<WorkerTaskStatus>(this->context.get_executor(), 1);
-    const WorkerInput query(WorkerStatusQuery { reply });
-    co_await send(this->task.inbox(), query);
-    const std::tuple<error_code, WorkerTaskStatus> received = co_await reply->async_receive(asTuple);
-    co_return std::get<1>(received);
+    return ask<WorkerInput, WorkerStatusQuery, WorkerTaskStatus>(this->task.inbox());
 }
 
 }
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -163,20 +163,12 @@
 
 asio::awaitable<EntryStatus> EntryProcess::status()
 {
-    const Mailbox<EntryStatus> reply = makeMailbox<EntryStatus>(this->context.get_executor(), 1);
-    const EntryInput entryStatusQuery(EntryStatusQuery { reply });
-    co_await send(this->task.inbox(), entryStatusQuery);
-    const std::tuple<error_code, EntryStatus> received = co_await reply->async_receive(asTuple);
-    co_return std::get<1>(received);
+    return ask<EntryInput, EntryStatusQuery, EntryStatus>(this->task.inbox());
 }
 
 asio::awaitable<std::vector<BurnLine>> EntryProcess::burn()
 {
-    const Mailbox<std::vector<BurnLine>> reply = makeMailbox<std::vector<BurnLine>>(this->context.get_executor(), 1);
-    const EntryInput query(BurnQuery { reply });
-    co_await send(this->task.inbox(), query);
-    const std::tuple<error_code, std::vector<BurnLine>> received = co_await reply->async_receive(asTuple);
-    co_return std::get<1>(received);
+    return ask<EntryInput, BurnQuery, std::vector<BurnLine>>(this->task.inbox());
 }
 
 }
--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -142,29 +142,17 @@
 
 asio::awaitable<SchedulerStatus> JobsEntryProcess::status()
 {
-    const Mailbox<SchedulerStatus> reply = makeMailbox<SchedulerStatus>(this->context.get_executor(), 1);
-    const SchedulerInput query(SchedulerStatusQuery { reply });
-    co_await send(this->scheduler.inbox(), query);
-    const std::tuple<error_code, SchedulerStatus> received = co_await reply->async_receive(asTuple);
-    co_return std::get<1>(received);
+    return ask<SchedulerInput, SchedulerStatusQuery, SchedulerStatus>(this->scheduler.inbox());
 }
 
 asio::awaitable<JobList> JobsEntryProcess::jobs()
 {
-    const Mailbox<JobList> reply = makeMailbox<JobList>(this->context.get_executor(), 1);
-    const SchedulerInput query(JobListQuery { reply });
-    co_await send(this->scheduler.inbox(), query);
-    const std::tuple<error_code, JobList> received = co_await reply->async_receive(asTuple);
-    co_return std::get<1>(received);
+    return ask<SchedulerInput, JobListQuery, JobList>(this->scheduler.inbox());
 }
 
 asio::awaitable<std::vector<BurnLine>> JobsEntryProcess::burn()
 {
-    const Mailbox<std::vector<BurnLine>> reply = makeMailbox<std::vector<BurnLine>>(this->context.get_executor(), 1);
-    const SchedulerInput query(BurnQuery { reply });
-    co_await send(this->scheduler.inbox(), query);
-    const std::tuple<error_code, std::vector<BurnLine>> received = co_await reply->async_receive(asTuple);
-    co_return std::get<1>(received);
+    return ask<SchedulerInput, BurnQuery, std::vector<BurnLine>>(this->scheduler.inbox());
 }
 
 }
--- a/libs/core/src/BurnBook.cpp
+++ b/libs/core/src/BurnBook.cpp
@@ -99,6 +99,7 @@
         }
     }
     std::vector<BurnLine> lines;
+    lines.reserve(merged.size());
     for (const std::map<std::string, BurnLine>::value_type& item : merged)
         lines.push_back(item.second);
     return lines;
--- a/libs/runtime/include/cowslipdoor/runtime/Asio.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Asio.h
@@ -74,4 +74,20 @@
     co_return !std::get<0>(result);
 }
 
+/// @brief Asks a task and waits for its answer.
+/// @param inbox the task's mailbox; it takes a Query, which has a mailbox for the answer as its only member
+/// @return what the task answers
+/// @code
+/// const EntryStatus status = co_await ask<EntryInput, EntryStatusQuery, EntryStatus>(task.inbox());
+/// @endcode
+template <typename Input, typename Query, typename Answer>
+[[nodiscard]] asio::awaitable<Answer> ask(Mailbox<Input> inbox)
+{
+    const Mailbox<Answer> reply = makeMailbox<Answer>(co_await asio::this_coro::executor, 1);
+    const Input query(Query { reply });
+    co_await send(inbox, query);
+    const std::tuple<error_code, Answer> received = co_await reply->async_receive(asTuple);
+    co_return std::get<1>(received);
+}
+
 }
--- a/standins/soak/Fault.h
+++ b/standins/soak/Fault.h
@@ -27,6 +27,10 @@
     std::strong_ordering operator<=>(const ProcessName&) const = default;
 };
 
+/// @param process a process
+/// @return its name, such as "agent 1"
+[[nodiscard]] std::string describe(const ProcessName& process);
+
 /// @brief SIGKILL; the process is started again later.
 struct Kill {
     ProcessName process;
--- a/standins/soak/RequestSoak.cpp
+++ b/standins/soak/RequestSoak.cpp
@@ -119,6 +119,12 @@
         this->report.add("an upstream got more than it holds");
     for (const std::string& line : this->victims.unaskedEnds())
         this->report.add(line);
+    this->checkRules();
+    this->report.checked = load.records().size();
+}
+
+void RequestSoak::checkRules()
+{
     const std::uint64_t version = this->rulesVersion;
     const auto newestEverywhere = [this, version]() {
         std::vector<std::string> admins = this->deployment.entryAdmins();
@@ -130,7 +136,6 @@
     };
     if (!newestEverywhere())
         this->report.add("rules of version " + std::to_string(version) + " are not in force everywhere");
-    this->report.checked = load.records().size();
 }
 
 void RequestSoak::inject(const Kill& fault, TimePoint now)
--- a/standins/soak/RequestSoak.h
+++ b/standins/soak/RequestSoak.h
@@ -31,6 +31,7 @@
     void play(const std::vector<Planned<RequestFault>>& plan);
     void checkWhileRunning();
     void checkAtEnd(const standins::CallerLoad& load);
+    void checkRules();
 
     void inject(const Kill& fault, TimePoint now);
     void inject(const Replace& fault, TimePoint now);
--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -136,35 +136,22 @@
         return faults;
     }
 
-    std::string nameOf(const ProcessName& process)
-    {
-        switch (process.role) {
-        case Role::Entry:
-            return "entry " + std::to_string(process.index);
-        case Role::Agent:
-            return "agent " + std::to_string(process.index);
-        case Role::Upstream:
-            break;
-        }
-        return "upstream " + std::to_string(process.index);
-    }
-
     std::string lengthOf(Duration duration)
     {
         return " for " + std::to_string(toMilliseconds(duration)) + " ms";
     }
 
     struct Description {
-        std::string operator()(const Kill& fault) const { return nameOf(fault.process) + " is killed, down" + lengthOf(fault.downFor); }
-        std::string operator()(const Replace& fault) const { return nameOf(fault.process) + " is replaced"; }
-        std::string operator()(const Freeze& fault) const { return nameOf(fault.process) + " is frozen" + lengthOf(fault.length); }
-        std::string operator()(const CutConnections& fault) const { return "connections of " + nameOf(fault.process) + " are reset"; }
+        std::string operator()(const Kill& fault) const { return describe(fault.process) + " is killed, down" + lengthOf(fault.downFor); }
+        std::string operator()(const Replace& fault) const { return describe(fault.process) + " is replaced"; }
+        std::string operator()(const Freeze& fault) const { return describe(fault.process) + " is frozen" + lengthOf(fault.length); }
+        std::string operator()(const CutConnections& fault) const { return "connections of " + describe(fault.process) + " are reset"; }
         std::string operator()(const HoldOneWay& fault) const
         {
-            return "connections of " + nameOf(fault.process) + " are held " + (fault.toServer ? "towards" : "from") + " the server" + lengthOf(fault.length);
+            return "connections of " + describe(fault.process) + " are held " + (fault.toServer ? "towards" : "from") + " the server" + lengthOf(fault.length);
         }
         std::string operator()(const SilenceLinks& fault) const { return "links of entry " + std::to_string(fault.entry) + " are silent" + lengthOf(fault.length); }
-        std::string operator()(const SlowConnections& fault) const { return "connections of " + nameOf(fault.process) + " are slow" + lengthOf(fault.length); }
+        std::string operator()(const SlowConnections& fault) const { return "connections of " + describe(fault.process) + " are slow" + lengthOf(fault.length); }
         std::string operator()(const DisturbAnswers& fault) const { return "answers to entry " + std::to_string(fault.entry) + " come twice or late" + lengthOf(fault.length); }
         std::string operator()(const ChangeRules& fault) const { return "rules change at entry " + std::to_string(fault.entry); }
         std::string operator()(const StoreAway& fault) const { return "the store is away" + lengthOf(fault.length); }
@@ -185,6 +172,19 @@
     return plan<JobFault>(size, drawJobFault);
 }
 
+std::string describe(const ProcessName& process)
+{
+    switch (process.role) {
+    case Role::Entry:
+        return "entry " + std::to_string(process.index);
+    case Role::Agent:
+        return "agent " + std::to_string(process.index);
+    case Role::Upstream:
+        break;
+    }
+    return "upstream " + std::to_string(process.index);
+}
+
 std::string describe(const RequestFault& fault)
 {
     return std::visit(Description {}, fault);
--- a/standins/soak/Victims.cpp
+++ b/standins/soak/Victims.cpp
@@ -88,7 +88,7 @@
     const int result = state.victim.process().wait();
     const bool asked = state.startAt && (state.killed ? result == -SIGKILL || result == 0 : result == 0);
     if (!asked)
-        this->unasked.push_back(describe(RequestFault(Kill { name, Duration::zero() })) + ": ended by itself or badly, result " + std::to_string(result));
+        this->unasked.push_back(describe(name) + " ended by itself or badly, result " + std::to_string(result));
     state.victim.start();
     state.startAt.reset();
     state.killed = false;
