--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -273,6 +273,7 @@
                 throw Error(ErrorKind::BadSetting, line.operands[operand] + ": the file cannot be read");
         }
         std::vector<std::istream*> logs;
+        logs.reserve(files.size() + 1);
         for (std::ifstream& file : files)
             logs.push_back(&file);
         if (logs.empty())
