--- a/libs/runtime/include/cowslipdoor/runtime/HttpClient.h
+++ b/libs/runtime/include/cowslipdoor/runtime/HttpClient.h
@@ -38,12 +38,12 @@
     bool operator==(const KeptResponse&) const = default;
 };
 
-/// @brief Calls as part of a task, on a connection that is open.
-/// @param connection the connection; it stays in use until the call has ended
+/// @brief Calls as part of a task, on a connection that is opened first if it is new.
+/// @param connection the connection, new or left open by a call before; it stays in use until the call has ended
 /// @param call the request
 /// @param keepAlive whether the connection is to be kept
 /// @return the response
-/// @throws Error with ErrorKind::UpstreamTruncated or UpstreamTimeout when no whole answer came
+/// @throws Error as fetch() does
 [[nodiscard]] asio::awaitable<KeptResponse> asyncFetchOn(HttpConnection& connection, HttpCall call, bool keepAlive);
 
 /// @brief Calls and waits for the whole answer, on a connection of its own.
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -8,10 +8,6 @@
 asio::awaitable<Response> asyncFetch(HttpCall call)
 {
     HttpConnection connection(co_await asio::this_coro::executor);
-    connection.stream.expires_after(call.timeout);
-    const error_code error = co_await connect(connection, call.address);
-    if (error)
-        throw Error(ErrorKind::UpstreamUnreachable, call.address + ": " + error.message());
     const KeptResponse answer = co_await asyncFetchOn(connection, call, false);
     co_return answer.response;
 }
@@ -19,6 +15,11 @@
 asio::awaitable<KeptResponse> asyncFetchOn(HttpConnection& connection, HttpCall call, bool keepAlive)
 {
     connection.stream.expires_after(call.timeout);
+    if (!connection.stream.socket().is_open()) {
+        const error_code unreachable = co_await connect(connection, call.address);
+        if (unreachable)
+            throw Error(ErrorKind::UpstreamUnreachable, call.address + ": " + unreachable.message());
+    }
     const http::request<http::string_body> request = makeRequest(call.address, call.method, call.target, call.headers, call.body, keepAlive);
     http::response_parser<http::string_body> parser;
     const std::tuple<error_code, std::size_t> written = co_await http::async_write(connection.stream, request, asTuple);
--- a/standins/CallerLoad.cpp
+++ b/standins/CallerLoad.cpp
@@ -154,13 +154,8 @@
 
 asio::awaitable<Response> CallerLoad::callOnKept(Kept& kept, HttpCall call)
 {
-    if (!kept.connection) {
-        kept.connection = std::make_unique<HttpConnection>(co_await asio::this_coro::executor);
-        kept.connection->stream.expires_after(call.timeout);
-        const error_code error = co_await connect(*kept.connection, call.address);
-        if (error)
-            throw Error(ErrorKind::UpstreamUnreachable, call.address + ": " + error.message());
-    }
+    if (!kept.connection)
+        kept.connection = std::make_unique<HttpConnection>(this->context.get_executor());
     const KeptResponse answer = co_await asyncFetchOn(*kept.connection, call, true);
     if (!answer.keptOpen)
         kept.connection.reset();
