Read command lines and print tables by one function each

Nine commands read settings, printed help and counted operands by the same lines; now readOrHelp(). 'jobs list' had a table printer and a number format beside those of 'report burn'; now TextTable, by which the columns of 'jobs list' are as wide as their cells. An entry works out latency, subject and miss of an answer once, not once for each caller.

--- a/apps/entry/BurnReport.cpp
+++ b/apps/entry/BurnReport.cpp
@@ -1,8 +1,8 @@
 #include "BurnReport.h"
+#include "TextTable.h"
 #include <algorithm>
 #include <array>
 #include <cowslipdoor/core/RulesText.h>
-#include <iomanip>
 #include <map>
 #include <sstream>
 
@@ -18,19 +18,10 @@
 
     constexpr std::array<Window, 3> windows { Window { "5 min", 5 }, Window { "1 h", 60 }, Window { "6 h", burnMinutes } };
 
-    using Row = std::vector<std::string>;
-
-    std::string fixed(double value, int digits)
-    {
-        std::ostringstream text;
-        text << std::fixed << std::setprecision(digits) << value;
-        return text.str();
-    }
-
     std::string percentText(double share)
     {
         constexpr double perCent = 100;
-        return fixed(share * perCent, 2) + "%";
+        return fixedText(share * perCent, 2) + "%";
     }
 
     std::string orDash(const std::string& text)
@@ -38,9 +29,9 @@
         return text.empty() ? "-" : text;
     }
 
-    Row headOfRules()
+    TableRow headOfRules()
     {
-        Row row { "rule or queue", "asked by", "objective" };
+        TableRow row { "rule or queue", "asked by", "objective" };
         for (const Window& window : windows) {
             row.push_back(std::string(window.name) + " ended");
             row.emplace_back("missed");
@@ -49,29 +40,29 @@
         return row;
     }
 
-    Row rowOf(const BurnLine& line)
+    TableRow rowOf(const BurnLine& line)
     {
-        Row row { line.subject.name, orDash(line.subject.requester), line.subject.objective ? printObjective(*line.subject.objective) : "-" };
+        TableRow row { line.subject.name, orDash(line.subject.requester), line.subject.objective ? printObjective(*line.subject.objective) : "-" };
         for (const Window& window : windows) {
             const BurnCounts counts = line.within(window.minutes);
             const std::optional<double> rate = line.burnRate(window.minutes);
             row.push_back(std::to_string(counts.ended));
             row.push_back(std::to_string(counts.missed));
-            row.push_back(rate ? fixed(*rate, 1) : "-");
+            row.push_back(rate ? fixedText(*rate, 1) : "-");
         }
         return row;
     }
 
-    std::vector<Row> tableOfRules(const std::vector<BurnLine>& lines)
+    std::vector<TableRow> tableOfRules(const std::vector<BurnLine>& lines)
     {
-        std::vector<Row> rows { headOfRules() };
+        std::vector<TableRow> rows { headOfRules() };
         for (const BurnLine& line : lines)
             rows.push_back(rowOf(line));
         return rows;
     }
 
     /// Whoever's objectives are missed most comes first.
-    std::vector<Row> tableOfRequesters(const std::vector<BurnLine>& lines)
+    std::vector<TableRow> tableOfRequesters(const std::vector<BurnLine>& lines)
     {
         std::map<std::string, BurnCounts> byRequester;
         for (const BurnLine& line : lines) {
@@ -80,28 +71,12 @@
         }
         std::vector<std::pair<std::string, BurnCounts>> sorted(byRequester.begin(), byRequester.end());
         std::stable_sort(sorted.begin(), sorted.end(), [](const std::pair<std::string, BurnCounts>& left, const std::pair<std::string, BurnCounts>& right) { return left.second.missed > right.second.missed; });
-        std::vector<Row> rows { { "asked by", std::string(windows.back().name) + " ended", "missed", "share" } };
+        std::vector<TableRow> rows { { "asked by", std::string(windows.back().name) + " ended", "missed", "share" } };
         for (const std::pair<std::string, BurnCounts>& item : sorted)
             rows.push_back({ item.first, std::to_string(item.second.ended), std::to_string(item.second.missed), percentText(item.second.missedShare()) });
         return rows;
     }
 
-    std::string printText(const std::vector<Row>& rows)
-    {
-        std::vector<std::size_t> widths(rows.front().size(), 0);
-        for (const Row& row : rows) {
-            for (std::size_t cell = 0; cell < row.size(); ++cell)
-                widths[cell] = std::max(widths[cell], row[cell].size());
-        }
-        std::ostringstream text;
-        for (const Row& row : rows) {
-            for (std::size_t cell = 0; cell < row.size(); ++cell)
-                text << (cell == 0 ? "" : "  ") << std::left << std::setw(static_cast<int>(widths[cell])) << row[cell];
-            text << "\n";
-        }
-        return text.str();
-    }
-
     std::string escaped(std::string_view text)
     {
         std::string result;
@@ -118,7 +93,7 @@
         return result;
     }
 
-    std::string printHtml(const std::vector<Row>& rows)
+    std::string printHtml(const std::vector<TableRow>& rows)
     {
         std::string text = "<table>\n";
         for (std::size_t row = 0; row < rows.size(); ++row) {
@@ -138,7 +113,7 @@
         text << "<figure><figcaption>" << escaped(line.subject.name) << ": " << escaped(orDash(line.subject.reason)) << "</figcaption>\n"
              << "<svg viewBox=\"0 0 " << burnMinutes << " " << height << "\" width=\"720\" height=\"120\" preserveAspectRatio=\"none\"><polyline fill=\"none\" stroke=\"#b03020\" points=\"";
         for (std::size_t minute = 0; minute < line.minutes.size(); ++minute)
-            text << burnMinutes - line.minutes.size() + minute << "," << fixed(height * (1 - line.minutes[minute].missedShare()), 1) << " ";
+            text << burnMinutes - line.minutes.size() + minute << "," << fixedText(height * (1 - line.minutes[minute].missedShare()), 1) << " ";
         text << "\"/></svg></figure>\n";
         return text.str();
     }
@@ -147,7 +122,7 @@
 
 std::string printBurnTables(const std::vector<BurnLine>& lines)
 {
-    return printText(tableOfRules(lines)) + "\n" + printText(tableOfRequesters(lines));
+    return printTable(tableOfRules(lines)) + "\n" + printTable(tableOfRequesters(lines));
 }
 
 std::string printBurnPage(const std::vector<BurnLine>& lines)
--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -5,17 +5,16 @@
 #include "Explain.h"
 #include "JobsEntryProcess.h"
 #include "RulesFile.h"
-#include <array>
+#include "TextTable.h"
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/runtime/Address.h>
 #include <cowslipdoor/runtime/HttpClient.h>
 #include <cowslipdoor/runtime/Process.h>
 #include <fstream>
-#include <iomanip>
 #include <iostream>
 #include <iterator>
 #include <nlohmann/json.hpp>
-#include <sstream>
+#include <optional>
 #include <string_view>
 
 namespace cowslipdoor::entry {
@@ -57,21 +56,32 @@
         };
     }
 
-    /// Prints help when it is asked for; tells whether it did.
-    bool helped(const CommandLine& line, const std::string& synopsis, const std::vector<SettingSpec>& specs)
-    {
-        if (line.helpWanted)
-            std::cout << "usage: cowslipdoor " << synopsis << "\n\nsettings (a flag wins over its variable):\n"
-                      << describeSettings(specs);
-        return line.helpWanted;
-    }
-
     void expectOperands(const CommandLine& line, std::size_t count, const std::string& synopsis)
     {
         if (line.operands.size() != count)
             throw SettingsError({ "usage: cowslipdoor " + synopsis });
     }
 
+    /// Reads a command's settings; nothing when help was asked for, which is printed then.
+    std::optional<CommandLine> readOrHelp(const Words& words, const std::string& synopsis, const std::vector<SettingSpec>& specs)
+    {
+        CommandLine line = readCommandLine(specs, words, processEnvironment);
+        if (!line.helpWanted)
+            return line;
+        std::cout << "usage: cowslipdoor " << synopsis << "\n\nsettings (a flag wins over its variable):\n"
+                  << describeSettings(specs);
+        return std::nullopt;
+    }
+
+    /// Reads a command's settings and as many operands as it takes.
+    std::optional<CommandLine> readOrHelp(const Words& words, const std::string& synopsis, const std::vector<SettingSpec>& specs, std::size_t operands)
+    {
+        std::optional<CommandLine> line = readOrHelp(words, synopsis, specs);
+        if (line)
+            expectOperands(*line, operands, synopsis);
+        return line;
+    }
+
     std::string fetchPage(const std::string& address, const std::string& target)
     {
         const Response response = fetch({ .address = address, .target = target });
@@ -82,12 +92,11 @@
 
     int runEntry(const Words& words)
     {
-        const std::vector<SettingSpec> specs = entrySettings();
-        const CommandLine line = readCommandLine(specs, words, processEnvironment);
-        if (helped(line, "entry --name NAME --failure-domain DOMAIN --listen IP:PORT --link-listen IP:PORT --admin-listen IP:PORT --rules FILE", specs))
+        const std::optional<CommandLine> line = readOrHelp(words, "entry --name NAME --failure-domain DOMAIN --listen IP:PORT --link-listen IP:PORT --admin-listen IP:PORT --rules FILE", entrySettings());
+        if (!line)
             return 0;
-        expectOperands(line, 0, "entry [SETTINGS]");
-        return EntryProcess(line.settings).run();
+        expectOperands(*line, 0, "entry [SETTINGS]");
+        return EntryProcess(line->settings).run();
     }
 
     std::vector<SettingSpec> jobClientSettings()
@@ -112,19 +121,17 @@
 
     int actOnJob(const Words& words, const std::string& method, const std::string& synopsis, std::size_t operands)
     {
-        const std::vector<SettingSpec> specs = jobClientSettings();
-        const CommandLine line = readCommandLine(specs, words, processEnvironment);
-        if (helped(line, synopsis, specs))
+        const std::optional<CommandLine> line = readOrHelp(words, synopsis, jobClientSettings(), operands);
+        if (!line)
             return 0;
-        expectOperands(line, operands, synopsis);
         std::string body;
         if (operands == 2) {
-            std::ifstream file(line.operands[1]);
+            std::ifstream file(line->operands[1]);
             if (!file)
-                throw Error(ErrorKind::BadSetting, line.operands[1] + ": the file cannot be read");
+                throw Error(ErrorKind::BadSetting, line->operands[1] + ": the file cannot be read");
             body.assign(std::istreambuf_iterator<char>(file), {});
         }
-        return callAboutJob(line, method, operands == 0 ? "" : line.operands[0], std::move(body));
+        return callAboutJob(*line, method, operands == 0 ? "" : line->operands[0], std::move(body));
     }
 
     int submitJob(const Words& words)
@@ -150,42 +157,31 @@
     std::string secondsText(const nlohmann::json& milliseconds)
     {
         constexpr double perSecond = 1000;
-        if (milliseconds.is_null())
-            return "-";
-        std::ostringstream text;
-        text << std::fixed << std::setprecision(1) << milliseconds.get<double>() / perSecond;
-        return text.str();
+        return milliseconds.is_null() ? "-" : fixedText(milliseconds.get<double>() / perSecond, 1);
     }
 
     void printJobTable(const nlohmann::json& jobs)
     {
-        const auto row = [](const std::vector<std::string>& cells) {
-            constexpr std::array<int, 9> widths { 18, 20, 10, 11, 9, 9, 7, 8, 6 };
-            for (std::size_t cell = 0; cell < cells.size(); ++cell)
-                std::cout << std::left << std::setw(widths[cell]) << cells[cell] << ' ';
-            std::cout << "\n";
-        };
-        row({ "job", "queue", "priority", "state", "age s", "due s", "tasks", "placed", "done" });
+        std::vector<TableRow> rows { { "job", "queue", "priority", "state", "age s", "due s", "tasks", "placed", "done" } };
         for (const nlohmann::json& job : jobs) {
-            row({ job.at("job"), job.at("queue"), job.at("priority").dump(), job.at("state"), secondsText(job.at("age_ms")), secondsText(job.at("due_in_ms")),
+            rows.push_back({ job.at("job"), job.at("queue"), job.at("priority").dump(), job.at("state"), secondsText(job.at("age_ms")), secondsText(job.at("due_in_ms")),
                 job.at("tasks").dump(), job.at("placed").dump(), job.at("done").dump() });
         }
+        std::cout << printTable(rows);
     }
 
     int listJobs(const Words& words)
     {
-        const std::vector<SettingSpec> specs = clientSettings();
-        const CommandLine line = readCommandLine(specs, words, processEnvironment);
-        if (helped(line, "jobs list --admin IP:PORT", specs))
+        const std::optional<CommandLine> line = readOrHelp(words, "jobs list --admin IP:PORT", clientSettings(), 0);
+        if (!line)
             return 0;
-        expectOperands(line, 0, "jobs list --admin IP:PORT");
-        const std::string page = fetchPage(line.settings.text("admin"), "/jobs");
+        const std::string page = fetchPage(line->settings.text("admin"), "/jobs");
         const nlohmann::json json = nlohmann::json::parse(page);
         if (!json.at("leading").get<bool>()) {
             const std::string leader = json.at("leader");
             throw Error(ErrorKind::Internal, "this entry does not lead the jobs; " + (leader.empty() ? "nor is it known who does" : "ask " + leader));
         }
-        if (line.settings.text("form") == "json")
+        if (line->settings.text("form") == "json")
             std::cout << page;
         else
             printJobTable(json.at("jobs"));
@@ -194,34 +190,30 @@
 
     int runJobsEntry(const Words& words)
     {
-        const std::vector<SettingSpec> specs = jobsEntrySettings();
-        const CommandLine line = readCommandLine(specs, words, processEnvironment);
-        if (helped(line, "jobs entry --name NAME --failure-domain DOMAIN --listen IP:PORT --ready-listen IP:PORT --admin-listen IP:PORT --store IP:PORT", specs))
+        const std::optional<CommandLine> line = readOrHelp(words, "jobs entry --name NAME --failure-domain DOMAIN --listen IP:PORT --ready-listen IP:PORT --admin-listen IP:PORT --store IP:PORT", jobsEntrySettings());
+        if (!line)
             return 0;
-        expectOperands(line, 0, "jobs entry [SETTINGS]");
-        return JobsEntryProcess(line.settings).run();
+        expectOperands(*line, 0, "jobs entry [SETTINGS]");
+        return JobsEntryProcess(line->settings).run();
     }
 
     int checkRules(const Words& words)
     {
-        const CommandLine line = readCommandLine({}, words, processEnvironment);
-        if (helped(line, "rules check FILE", {}))
+        const std::optional<CommandLine> line = readOrHelp(words, "rules check FILE", {}, 1);
+        if (!line)
             return 0;
-        expectOperands(line, 1, "rules check FILE");
-        const RuleSet rules = readRulesFile(line.operands.front());
-        std::cout << line.operands.front() << ": version " << rules.version() << ", " << rules.rules().size() << " rules, no fault\n";
+        const RuleSet rules = readRulesFile(line->operands.front());
+        std::cout << line->operands.front() << ": version " << rules.version() << ", " << rules.rules().size() << " rules, no fault\n";
         return 0;
     }
 
     int showRules(const Words& words)
     {
-        const std::vector<SettingSpec> specs = clientSettings();
-        const CommandLine line = readCommandLine(specs, words, processEnvironment);
-        if (helped(line, "rules show --admin IP:PORT", specs))
+        const std::optional<CommandLine> line = readOrHelp(words, "rules show --admin IP:PORT", clientSettings(), 0);
+        if (!line)
             return 0;
-        expectOperands(line, 0, "rules show --admin IP:PORT");
-        const std::string page = fetchPage(line.settings.text("admin"), "/rules");
-        if (line.settings.text("form") == "json") {
+        const std::string page = fetchPage(line->settings.text("admin"), "/rules");
+        if (line->settings.text("form") == "json") {
             std::cout << page;
             return 0;
         }
@@ -243,16 +235,14 @@
     int reportBurn(const Words& words)
     {
         const std::string synopsis = "report burn --admins IP:PORT,...";
-        const std::vector<SettingSpec> specs = reportSettings();
-        const CommandLine line = readCommandLine(specs, words, processEnvironment);
-        if (helped(line, synopsis, specs))
+        const std::optional<CommandLine> line = readOrHelp(words, synopsis, reportSettings(), 0);
+        if (!line)
             return 0;
-        expectOperands(line, 0, synopsis);
         std::vector<std::vector<BurnLine>> pages;
-        for (const std::string& admin : parseAddressList(line.settings.text("admins")))
+        for (const std::string& admin : parseAddressList(line->settings.text("admins")))
             pages.push_back(parseBurn(fetchPage(admin, "/burn")));
         const std::vector<BurnLine> merged = mergeBurn(pages);
-        const std::string form = line.settings.text("form");
+        const std::string form = line->settings.text("form");
         std::cout << (form == "json" ? printBurn(merged) : form == "html" ? printBurnPage(merged)
                                                                           : printBurnTables(merged));
         return 0;
@@ -261,16 +251,16 @@
     int explainId(const Words& words)
     {
         const std::string synopsis = "explain ID [LOG...]";
-        const CommandLine line = readCommandLine({}, words, processEnvironment);
-        if (helped(line, synopsis, {}))
+        const std::optional<CommandLine> line = readOrHelp(words, synopsis, {});
+        if (!line)
             return 0;
-        if (line.operands.empty())
+        if (line->operands.empty())
             throw SettingsError({ "usage: cowslipdoor " + synopsis });
         std::vector<std::ifstream> files;
-        for (std::size_t operand = 1; operand < line.operands.size(); ++operand) {
-            files.emplace_back(line.operands[operand]);
+        for (std::size_t operand = 1; operand < line->operands.size(); ++operand) {
+            files.emplace_back(line->operands[operand]);
             if (!files.back())
-                throw Error(ErrorKind::BadSetting, line.operands[operand] + ": the file cannot be read");
+                throw Error(ErrorKind::BadSetting, line->operands[operand] + ": the file cannot be read");
         }
         std::vector<std::istream*> logs;
         logs.reserve(files.size() + 1);
@@ -278,20 +268,18 @@
             logs.push_back(&file);
         if (logs.empty())
             logs.push_back(&std::cin);
-        if (explain(line.operands.front(), logs, std::cout))
+        if (explain(line->operands.front(), logs, std::cout))
             return 0;
-        std::cerr << "cowslipdoor: no line tells of " << line.operands.front() << "\n";
+        std::cerr << "cowslipdoor: no line tells of " << line->operands.front() << "\n";
         return exitFailure;
     }
 
     int showStatus(const Words& words)
     {
-        const std::vector<SettingSpec> specs = clientSettings();
-        const CommandLine line = readCommandLine(specs, words, processEnvironment);
-        if (helped(line, "status --admin IP:PORT", specs))
+        const std::optional<CommandLine> line = readOrHelp(words, "status --admin IP:PORT", clientSettings(), 0);
+        if (!line)
             return 0;
-        expectOperands(line, 0, "status --admin IP:PORT");
-        std::cout << fetchPage(line.settings.text("admin"), "/status");
+        std::cout << fetchPage(line->settings.text("admin"), "/status");
         return 0;
     }
 
--- a/libs/core/src/EntryMachine.cpp
+++ b/libs/core/src/EntryMachine.cpp
@@ -367,11 +367,14 @@
         effects.push_back(RecordEvent { EventId::OutcomeUnknown, toString(id) + " " + std::get<FailureReason>(completion).detail });
     if (outcome == Outcome::NotRun)
         effects.push_back(RecordEvent { EventId::RequestRefused, toString(id) + " " + describe(std::get<FailureReason>(completion)) });
+    const Duration latency = now - request.arrivedAt;
+    const BurnSubject subject = subjectOf(request.rule);
+    const bool missed = missesObjective(request.rule, outcome, latency);
     for (const CallerId caller : request.callers) {
         ++this->counts.answered;
         effects.push_back(ReplyToCaller { caller, id, completion });
-        this->burnBook.record(subjectOf(request.rule), missesObjective(request.rule, outcome, now - request.arrivedAt), now);
-        effects.push_back(ObserveRequest { request.rule.name, request.rule.trafficClass, outcome, now - request.arrivedAt });
+        this->burnBook.record(subject, missed, now);
+        effects.push_back(ObserveRequest { request.rule.name, request.rule.trafficClass, outcome, latency });
     }
     this->forget(id);
 }
