Log tasks that last and do not run, and reports of workers that change nothing

Three hypotheses could not be told apart: an agent that passes over its worker's reports did so silently, and no line said that a task that lasts waits, since when and why.

E627 lasting_task_idle: once a second at most, the first task that lasts and that no worker has listed for 2 s, whether it waits (and the number of workers by the reason for which they take no task) or is assigned (and to whom), and how many such tasks there are; the same number at /status and /metrics. E638 beat_passed_over at agents. No decision is changed: hasPlace() became unfitFor(), which gives the reason that it had already found.

--- a/apps/entry/StatusJson.cpp
+++ b/apps/entry/StatusJson.cpp
@@ -55,7 +55,7 @@
         workers.push_back({ { "agent", line.agent }, { "worker", line.worker }, { "linked", line.linked }, { "usable", line.usable }, { "runs", line.runs },
             { "free_millicores", line.free.milliCores }, { "free_memory_mb", line.free.memoryMb } });
     }
-    const Json json { { "leading", status.leading }, { "epoch", status.epoch }, { "leader", status.leader }, { "jobs", status.jobs }, { "waiting_jobs", status.waitingJobs }, { "workers", workers } };
+    const Json json { { "leading", status.leading }, { "epoch", status.epoch }, { "leader", status.leader }, { "jobs", status.jobs }, { "waiting_jobs", status.waitingJobs }, { "idle_lasting_tasks", status.idleLastingTasks }, { "workers", workers } };
     return json.dump(2) + "\n";
 }
 
--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -69,6 +69,7 @@
     RunRejectedByWorker = 624,
     RunStopOrdered = 625,
     OrderUnanswered = 626,
+    LastingTaskIdle = 627,
     WorkerSeen = 630,
     WorkerSettled = 631,
     WorkerGone = 632,
@@ -77,6 +78,7 @@
     GenerationTaken = 635,
     BeatRefused = 636,
     PaceChanged = 637,
+    BeatPassedOver = 638,
 };
 
 /// @brief Write a numbered log event.
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -57,6 +57,7 @@
         EventDescription { EventId::RunRejectedByWorker, "run_rejected", EventLevel::Warning, "A worker or its agent refused a start." },
         EventDescription { EventId::RunStopOrdered, "run_stop_ordered", EventLevel::Info, "A run is to be stopped." },
         EventDescription { EventId::OrderUnanswered, "order_unanswered", EventLevel::Warning, "An order to a worker has no answer; a higher fencing token voids it." },
+        EventDescription { EventId::LastingTaskIdle, "lasting_task_idle", EventLevel::Warning, "A task that lasts has no run that a worker lists; the detail says since when and why." },
         EventDescription { EventId::WorkerSeen, "worker_seen", EventLevel::Info, "A life of the worker reported itself for the first time." },
         EventDescription { EventId::WorkerSettled, "worker_settled", EventLevel::Info, "The leader knows all that runs on a worker." },
         EventDescription { EventId::WorkerGone, "worker_gone", EventLevel::Warning, "A life of the worker is over; nothing of it runs." },
@@ -65,6 +66,7 @@
         EventDescription { EventId::GenerationTaken, "generation_taken", EventLevel::Info, "This run of the agent has its generation, from which its fencing tokens follow." },
         EventDescription { EventId::BeatRefused, "beat_refused", EventLevel::Warning, "A report of a worker cannot be read or names another service." },
         EventDescription { EventId::PaceChanged, "pace_changed", EventLevel::Info, "The pace of filling runs was changed by the tail of those that serve." },
+        EventDescription { EventId::BeatPassedOver, "beat_passed_over", EventLevel::Warning, "A report or sign-off names another life of the worker than the one in use and changes nothing; the detail says why." },
     };
 
 }
--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -25,6 +25,8 @@
     std::string leader {};
     std::size_t jobs = 0;
     std::size_t waitingJobs = 0;
+    /// Tasks that last and that no worker has listed for a while.
+    std::size_t idleLastingTasks = 0;
     struct WorkerLine {
         std::string agent;
         std::string worker;
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -62,6 +62,7 @@
     status.leader = this->machine.lease().record().holder;
     status.jobs = this->machine.jobs().jobs().size();
     status.waitingJobs = this->machine.jobs().waiting().size();
+    status.idleLastingTasks = this->machine.idleLastingTasks();
     for (const Workers::value_type& item : this->machine.workers()) {
         const WorkerEntry& worker = item.second;
         status.workers.push_back({ item.first, worker.info ? worker.info->identity.id : "", worker.link.has_value(), worker.usable(now), worker.tasks.size(), worker.free() });
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -29,6 +29,8 @@
     /// Not to be placed before.
     TimePoint notBefore {};
     TimePoint startedAt {};
+    /// When a worker last listed its run, or since when the task has been known.
+    TimePoint listedAt {};
     std::uint32_t percent = 0;
     /// When the percent last grew.
     TimePoint progressedAt {};
--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -6,6 +6,7 @@
 #include "InterferenceModel.h"
 #include "JobBook.h"
 #include "Workers.h"
+#include <string>
 #include <vector>
 
 namespace cowslipdoor {
@@ -41,4 +42,11 @@
 /// @return the chosen worker, or nothing when none has room
 [[nodiscard]] const WorkerEntry* chooseWorker(const JobEntry& job, std::uint32_t step, const TaskState& task, const Workers& workers, const InterferenceModel& interference, TimePoint now);
 
+/// @param job the job
+/// @param step number of the step
+/// @param workers all workers
+/// @param now the present
+/// @return how many workers could be given a task of the step, and how many not for which reasons, for logs
+[[nodiscard]] std::string describeUnfit(const JobEntry& job, std::uint32_t step, const Workers& workers, TimePoint now);
+
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -39,6 +39,10 @@
     Duration rejectionPause = std::chrono::milliseconds(100);
     /// How long an ended job can still be asked for: 120 s by contract, and time for late copies of its request.
     Duration retention = std::chrono::seconds(180);
+    /// How long a task that lasts may be listed by no worker before that is logged: a third of the 6 s by contract.
+    Duration idleLimit = std::chrono::seconds(2);
+    /// How often that is looked for; one line each.
+    Duration idleCheckInterval = std::chrono::seconds(1);
     /// How often ended jobs are looked through.
     Duration sweepInterval = std::chrono::seconds(5);
     /// Jobs removed at once: three rows each, in a transaction over several parts.
@@ -198,6 +202,9 @@
     /// @return ends of jobs against their objectives, since this process has led
     [[nodiscard]] const BurnBook& burn() const noexcept { return this->burnBook; }
 
+    /// @return tasks that last and that no worker has listed for a while, as of the last check
+    [[nodiscard]] std::size_t idleLastingTasks() const noexcept { return this->idleTasks; }
+
     /// @return whether this process leads and knows the jobs
     [[nodiscard]] bool serving() const noexcept { return this->tablesRead && this->leaderLease.leading(); }
 
@@ -260,6 +267,9 @@
     void loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects);
     void loseSilentWorkers(TimePoint now, Effects& effects);
     void describeRuns(WorkerEntry& worker, Effects& effects) const;
+    void watchLastingTasks(TimePoint now, Effects& effects);
+    [[nodiscard]] std::vector<TaskId> idleTasksOf(const JobEntry& job, TimePoint now) const;
+    [[nodiscard]] std::string describeIdle(const JobEntry& job, const TaskId& id, TimePoint now) const;
     void learnAgent(const KnownAgent& agent, Effects& effects);
     void send(const WorkerEntry& worker, LeaderMessage message, Effects& effects) const;
     [[nodiscard]] PaceTraits traitsOf(const StepSpec& step, const WorkerEntry& worker) const;
@@ -290,6 +300,8 @@
     std::string modelWritten;
     TimePoint modelWrittenAt {};
     TimePoint sweptAt {};
+    TimePoint idleCheckedAt {};
+    std::size_t idleTasks = 0;
 };
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace cowslipdoor {
 
@@ -28,6 +29,25 @@
 /// storing and sending one takes less than half a second.
 constexpr Duration freshWord = std::chrono::milliseconds(1000);
 
+/// @brief Why a worker may not be given a task.
+enum class Unfit : unsigned char {
+    NotLinked,
+    NoWorker,
+    NotSettled,
+    Draining,
+    Excluded,
+    StandsStill,
+    OldWord,
+    OtherService,
+    LacksLabel,
+    LacksRoom,
+    HoldsEnoughOfStep,
+};
+
+/// @param reason the reason
+/// @return it in words, for logs
+[[nodiscard]] std::string_view toString(Unfit reason) noexcept;
+
 /// @brief Tasks of one image on a worker.
 struct ImageLoad {
     std::uint32_t tasks = 0;
@@ -82,12 +102,13 @@
     /// @return whether all runs here stood still lately
     [[nodiscard]] bool standsStill(TimePoint now) const noexcept { return now < this->standstillUntil; }
 
+    /// @param now the present
+    /// @return why no run may be sent here, or nothing when one may
+    [[nodiscard]] std::optional<Unfit> unfit(TimePoint now) const noexcept;
+
     /// @param now the present
     /// @return whether new runs may be sent here
-    [[nodiscard]] bool usable(TimePoint now) const noexcept
-    {
-        return this->link && this->info && this->settled && !this->info->draining && now >= this->excludedUntil && !this->standsStill(now) && this->inTouch(now);
-    }
+    [[nodiscard]] bool usable(TimePoint now) const noexcept { return !this->unfit(now); }
 
     /// @return what is free, by what has been assigned
     [[nodiscard]] Room free() const noexcept { return this->info ? this->info->capacity.minus(this->used) : Room {}; }
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -8,14 +8,14 @@
     /// Pause after a failed run, so that a worker that fails everything at once does not use up the attempts.
     constexpr Duration failurePause = std::chrono::milliseconds(200);
 
-    JobEntry makeEntry(const JobSpecHandle& spec, TimePoint now)
+    JobEntry makeEntry(const JobSpecHandle& spec, TimePoint now, Duration age)
     {
         JobEntry entry;
         entry.spec = spec;
-        entry.arrived = now;
-        entry.due = now + std::chrono::duration_cast<Duration>(spec->longestChain() * spec->stretch) + spec->slack;
+        entry.arrived = now - age;
+        entry.due = entry.arrived + std::chrono::duration_cast<Duration>(spec->longestChain() * spec->stretch) + spec->slack;
         for (const StepSpec& step : spec->steps) {
-            entry.steps.emplace_back(step.count);
+            entry.steps.emplace_back(step.count, TaskState { .listedAt = now });
             entry.remaining.push_back(step.count);
         }
         return entry;
@@ -60,7 +60,7 @@
 {
     if (this->entries.contains(spec->id))
         return false;
-    JobEntry& added = this->entries.emplace(spec->id, makeEntry(spec, now - age)).first->second;
+    JobEntry& added = this->entries.emplace(spec->id, makeEntry(spec, now, age)).first->second;
     this->refresh(added, now);
     return true;
 }
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -57,15 +57,22 @@
         return sum;
     }
 
-    /// Whether a worker may be given a task as far as its room, its labels and what is there of the step go.
-    bool hasPlace(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, TimePoint now)
+    /// Why a worker may not be given a task as far as its state, its room, its labels and what is there of the step go.
+    std::optional<Unfit> unfitFor(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, TimePoint now)
     {
         const StepSpec& step = job.spec->steps[number];
-        if (!worker.usable(now) || worker.info->service != job.spec->service || !hasLabel(*worker.info, step.requiredLabel))
-            return false;
+        const std::optional<Unfit> unfit = worker.unfit(now);
+        if (unfit)
+            return unfit;
+        if (worker.info->service != job.spec->service)
+            return Unfit::OtherService;
+        if (!hasLabel(*worker.info, step.requiredLabel))
+            return Unfit::LacksLabel;
         if (!worker.free().covers(step.countedDemand()))
-            return false;
-        return step.maximumPerWorker == 0 || worker.countOf(job.spec->id, number) < step.maximumPerWorker;
+            return Unfit::LacksRoom;
+        if (step.maximumPerWorker != 0 && worker.countOf(job.spec->id, number) >= step.maximumPerWorker)
+            return Unfit::HoldsEnoughOfStep;
+        return std::nullopt;
     }
 
     /// Whether a worker can bear one more filling task that would run at a pace.
@@ -83,7 +90,7 @@
     /// Gives nothing for a worker that may not be given the task.
     std::optional<Score> scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task, const InterferenceModel& interference, TimePoint now)
     {
-        if (!hasPlace(worker, job, number, now))
+        if (unfitFor(worker, job, number, now))
             return std::nullopt;
         const StepSpec& step = job.spec->steps[number];
         const bool elsewhere = worker.agent != task.avoidedAgent;
@@ -149,4 +156,21 @@
     return best;
 }
 
+std::string describeUnfit(const JobEntry& job, std::uint32_t step, const Workers& workers, TimePoint now)
+{
+    std::map<Unfit, std::size_t> counts;
+    std::size_t fit = 0;
+    for (const Workers::value_type& item : workers) {
+        const std::optional<Unfit> unfit = unfitFor(item.second, job, step, now);
+        if (unfit)
+            ++counts[*unfit];
+        else
+            ++fit;
+    }
+    std::string text = std::to_string(fit) + " fit";
+    for (const std::map<Unfit, std::size_t>::value_type& item : counts)
+        text += ", " + std::to_string(item.second) + " " + std::string(toString(item.first));
+    return text;
+}
+
 }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -188,6 +188,7 @@
         return;
     this->passAt.reset();
     this->placeTasks(now, effects);
+    this->watchLastingTasks(now, effects);
     if (!this->book.changed() && this->acknowledgeNext.empty() && !countsDue && !this->leaderLease.wantsRenewal(now))
         return;
     // A write that is full of progress leaves removals to a later one.
@@ -205,6 +206,7 @@
     this->ledSince = now;
     this->pendingWritten.clear();
     this->modelWritten.clear();
+    this->idleTasks = 0;
     this->acknowledgeNext.clear();
     this->acknowledgeAfterWrite.clear();
     this->writing.clear();
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -133,6 +133,7 @@
             this->send(worker, StopRun { status.run }, effects);
         if (!open)
             continue;
+        task->listedAt = now;
         if (!status.checkpoint.empty())
             task->record.checkpoint = status.checkpoint;
         if (status.percent > task->percent)
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -70,8 +70,10 @@
 void WorkerMachine::on(const WorkerBeat& event, TimePoint now, Effects& effects)
 {
     // A beat that was held up must not bring an earlier life back.
-    if (event.info.identity.born < this->lastBorn)
+    if (event.info.identity.born < this->lastBorn) {
+        effects.emplace_back(RecordEvent { EventId::BeatPassedOver, event.info.identity.id + ", born " + std::to_string(event.info.identity.born) + ", before the last one at " + std::to_string(this->lastBorn) });
         return;
+    }
     if (!this->life || this->life->info.identity != event.info.identity) {
         this->beginLife(event.info, now, effects);
         return;
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -22,6 +22,54 @@
 
 }
 
+std::string_view toString(Unfit reason) noexcept
+{
+    switch (reason) {
+    case Unfit::NotLinked:
+        return "not linked";
+    case Unfit::NoWorker:
+        return "without worker";
+    case Unfit::NotSettled:
+        return "not settled";
+    case Unfit::Draining:
+        return "draining";
+    case Unfit::Excluded:
+        return "excluded after failures";
+    case Unfit::StandsStill:
+        return "excluded after a standstill";
+    case Unfit::OldWord:
+        return "out of touch";
+    case Unfit::OtherService:
+        return "of another service";
+    case Unfit::LacksLabel:
+        return "without the label";
+    case Unfit::LacksRoom:
+        return "without room";
+    case Unfit::HoldsEnoughOfStep:
+        return "with as many of the step as allowed";
+    }
+    return "";
+}
+
+std::optional<Unfit> WorkerEntry::unfit(TimePoint now) const noexcept
+{
+    if (!this->link)
+        return Unfit::NotLinked;
+    if (!this->info)
+        return Unfit::NoWorker;
+    if (!this->settled)
+        return Unfit::NotSettled;
+    if (this->info->draining)
+        return Unfit::Draining;
+    if (now < this->excludedUntil)
+        return Unfit::Excluded;
+    if (this->standsStill(now))
+        return Unfit::StandsStill;
+    if (!this->inTouch(now))
+        return Unfit::OldWord;
+    return std::nullopt;
+}
+
 std::uint32_t WorkerEntry::fillingMilliCores() const noexcept
 {
     const auto add = [](std::uint32_t sum, const std::map<std::string, ImageLoad>::value_type& item) { return sum + item.second.milliCores; };
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -331,3 +331,18 @@
     CHECK(lines[0].within(1) == BurnCounts { 2, 1 });
     CHECK_FALSE(lines[0].burnRate(1).has_value());
 }
+
+TEST_CASE("scheduler: a task that lasts and does not run is logged with why no worker takes it", "[jobs]")
+{
+    SchedulerUnderTest test;
+    StepSpec step = stepOf(2, 9000);
+    step.longRunning = true;
+    test.lead({ jobOf("a", { step }) });
+    test.now += milliseconds(2100);
+    test.step(TimePassed {});
+    const std::optional<RecordEvent> idle = test.find<RecordEvent>();
+    REQUIRE(idle);
+    CHECK(idle->event == EventId::LastingTaskIdle);
+    CHECK(idle->detail == "a/0/0: no worker has listed a run for 2100 ms; it waits for a place, workers: 0 fit, 1 out of touch; 2 such tasks");
+    CHECK(test.machine.idleLastingTasks() == 2);
+}
