World of jobs: check that tasks that last run again in time; faults beside the agents

Until now the oracle looked at safety at each start and at 'every job has ended' at the end; a task that lasts could stay away for ever. It now breaks when such a task has not run for 6 s, then for 3 s on end, 4 s after the last fault was over, with room for two of it: the users' bounds. The check is on in every world. New worlds draw faults beside the agents: clocks that step, workers that flap, refuse, are cut off or replaced, reports of other writers, late sign-offs, loss of power of agent and worker together.

--- a/libs/scheduling/tests/JobWorld.cpp
+++ b/libs/scheduling/tests/JobWorld.cpp
@@ -20,6 +20,15 @@
     /// Time in which a stored cancellation must stop new starts: 3 s by contract.
     constexpr Duration cancelBound = milliseconds(3000);
     constexpr Duration longestLease = milliseconds(6000);
+    /// A task that lasts must run again this long after its last run, ...
+    constexpr Duration restartTime = milliseconds(6000);
+    /// ... in any stretch of this length ...
+    constexpr Duration restartWindow = milliseconds(3000);
+    /// ... that begins this long after the last fault was over, by contract.
+    constexpr Duration calmBefore = milliseconds(4000);
+    constexpr Duration lastingCheckInterval = milliseconds(100);
+    /// How long jobs that stay outlive the faults: several times what the contract allows a restart.
+    constexpr Duration lastingStay = seconds(25);
 
     std::string describeTime(TimePoint time)
     {
@@ -51,6 +60,7 @@
 
 void JobWorld::play()
 {
+    this->watchLasting();
     this->runUntil(this->now + seconds(4));
     const TimePoint end = this->now + this->config.faultsFor;
     for (std::size_t number = 0; number < this->config.jobs; ++number)
@@ -59,7 +69,7 @@
         this->at(time, [this]() { this->injectFault(); });
     this->runUntil(end);
     this->heal();
-    this->runUntil(this->now + seconds(60));
+    this->runUntil(this->now + seconds(this->config.workerFaults.empty() ? 60 : 90));
     this->checkEnd();
 }
 
@@ -137,9 +147,19 @@
 {
     WorkerNode& worker = this->workers[index];
     const std::string id = worker.id;
-    const std::int64_t born = std::max<std::int64_t>(worker.born + 1, this->now.time_since_epoch().count() / 1000);
+    const Duration step = worker.clockStep;
+    const TimePoint refusesUntil = worker.refusesUntil;
+    const TimePoint cutUntil = worker.cutUntil;
+    std::int64_t born = toMilliseconds(this->now.time_since_epoch() + step);
+    if (this->config.workerFaults.empty())
+        born = std::max(worker.born + 1, born);
+    else
+        born += born == worker.born ? 1 : 0;
     worker = WorkerNode();
     worker.id = id;
+    worker.clockStep = step;
+    worker.refusesUntil = refusesUntil;
+    worker.cutUntil = cutUntil;
     worker.born = born;
     worker.up = true;
     worker.bornAt = this->now;
@@ -155,7 +175,8 @@
         return;
     const WorkerInfo info { { worker.id, born }, "service", workerRoom, {}, false, {} };
     const Duration delay = this->chance(0.02) ? milliseconds(3000) : workerDelay;
-    this->after(delay, [this, index, info]() { this->toAgent(index, this->agents[index].life, WorkerBeat { info }); });
+    if (this->now >= worker.cutUntil)
+        this->after(delay, [this, index, info]() { this->toAgent(index, this->agents[index].life, WorkerBeat { info }); });
     this->after(beatInterval, [this, index, born]() { this->beat(index, born); });
 }
 
@@ -507,14 +528,15 @@
     // What a life has read and not carried out yet ends with it.
     const std::int64_t born = this->workers[agent].born;
     const Duration delay = late ? milliseconds(2000) + this->jitter(seconds(10)) : workerDelay;
-    this->after(delay, [this, agent, life, born, late, execute]() {
-        if (!this->workers[agent].up || this->workers[agent].born != born)
+    const bool cutOff = this->now < this->workers[agent].cutUntil;
+    this->after(delay, [this, agent, life, born, late, cutOff, execute]() {
+        if (!this->workers[agent].up || this->workers[agent].born != born || cutOff)
             return;
         const std::optional<WorkerEvent> answer = execute();
         if (answer && !late)
             this->after(workerDelay, [this, agent, life, answer]() { this->toAgent(agent, life, *answer); });
     });
-    if (late || !this->workers[agent].up)
+    if (late || cutOff || !this->workers[agent].up)
         this->after(milliseconds(400), [this, agent, life, call]() { this->toAgent(agent, life, CallUnanswered { call }); });
 }
 
@@ -522,10 +544,14 @@
 {
     WorkerNode& worker = this->workers[agent];
     if (mayWait) {
-        if (!worker.up || this->chance(this->lateOrders)) {
+        if (!worker.up || this->now < worker.cutUntil || this->chance(this->lateOrders)) {
             this->after(call.wait + milliseconds(400), [this, agent, life, call]() { this->toAgent(agent, life, CallUnanswered { call.call }); });
             return;
         }
+        if (call.worker != worker.id) {
+            this->after(workerDelay * 2, [this, agent, life, call]() { this->toAgent(agent, life, CallMisdirected { call.call }); });
+            return;
+        }
         if (call.token < worker.token) {
             this->after(workerDelay * 2, [this, agent, life, call]() { this->toAgent(agent, life, CallFenced { call.call }); });
             return;
@@ -558,6 +584,8 @@
 {
     WorkerNode& worker = this->workers[index];
     const std::int64_t born = worker.born;
+    if (call.worker != worker.id)
+        return CallMisdirected { call.call };
     if (call.token < worker.token)
         return CallFenced { call.call };
     worker.token = call.token;
@@ -568,6 +596,8 @@
         return OrderAnswered { call.call, false, "old" };
     if (call.leaseUntilMs <= this->clockMs(worker))
         return OrderAnswered { call.call, false, "late" };
+    if (this->now < worker.refusesUntil)
+        return OrderAnswered { call.call, false, "503" };
     this->extendLease(index, call.leaseUntilMs);
     this->checkStart(index, call.run, call.payload);
     worker.running[call.run] = { call.payload, this->now, false };
@@ -588,6 +618,8 @@
 std::optional<WorkerEvent> JobWorld::execute(std::size_t index, const CallStop& call)
 {
     WorkerNode& worker = this->workers[index];
+    if (call.worker != worker.id)
+        return CallMisdirected { call.call };
     if (call.token < worker.token)
         return CallFenced { call.call };
     worker.token = call.token;
@@ -640,6 +672,8 @@
     worker.ended.push_back({ ++worker.lastEnd, run, kind, "" });
     this->note(worker.id + " ends " + describe(run) + " " + std::string(toString(kind)));
     Truth& truth = this->jobs.at(run.task.job);
+    if (truth.lasting.contains(run.task))
+        truth.lasting.at(run.task).lastRun = this->now;
     if (kind == RunEndKind::Done)
         truth.done.insert(run.task);
     if (kind == RunEndKind::Failed)
@@ -729,8 +763,13 @@
     const Transaction transaction { { { jobRowKey(spec.id), 0 } }, { { jobRowKey(spec.id), print(spec) } }, {} };
     if (this->now < this->storeDownUntil || !std::holds_alternative<Applied>(this->apply(transaction)))
         return;
-    this->jobs[spec.id].spec = handle;
+    Truth& truth = this->jobs[spec.id];
+    truth.spec = handle;
+    for (std::uint32_t index = 0; lasts && index < spec.steps.front().count; ++index)
+        truth.lasting.emplace(TaskId { spec.id, 0, index }, LastingTask { .lastRun = this->now });
     this->note("job " + spec.id.text + (lasts ? " lasts" : ""));
+    if (lasts && !this->config.workerFaults.empty() && this->chance(0.5))
+        return;
     if (lasts || this->chance(0.15))
         this->after(milliseconds(200) + this->jitter(seconds(10)), [this, job = spec.id]() { this->cancel(job); });
 }
@@ -749,7 +788,12 @@
 
 void JobWorld::injectFault()
 {
+    if (!this->config.workerFaults.empty() && this->chance(0.5)) {
+        this->injectWorkerFault(this->config.workerFaults[this->pick(this->config.workerFaults.size())]);
+        return;
+    }
     const Duration length = milliseconds(200) + this->jitter(milliseconds(6000));
+    this->disturb(length);
     const std::size_t entry = this->pick(this->entries.size());
     const std::size_t agent = this->pick(this->agents.size());
     switch (this->pick(11)) {
@@ -798,12 +842,7 @@
         break;
     case 8:
         this->note("fault: worker dies " + std::to_string(agent));
-        this->workers[agent].up = false;
-        this->workers[agent].running.clear();
-        this->after(length / 2, [this, agent]() {
-            if (!this->workers[agent].up)
-                this->startWorker(agent);
-        });
+        this->killWorker(agent, length / 2);
         break;
     case 9:
         this->note("fault: orders late");
@@ -820,8 +859,103 @@
     }
 }
 
+void JobWorld::injectWorkerFault(WorkerFault fault)
+{
+    const Duration length = milliseconds(200) + this->jitter(milliseconds(6000));
+    const std::size_t index = this->pick(this->workers.size());
+    WorkerNode& worker = this->workers[index];
+    this->disturb(length);
+    switch (fault) {
+    case WorkerFault::ClockStep:
+        this->stepClock(index, length);
+        break;
+    case WorkerFault::Flapping:
+        this->note("fault: " + worker.id + " goes down and up");
+        this->flapWorker(index, this->now + length);
+        break;
+    case WorkerFault::Refusal:
+        this->note("fault: " + worker.id + " refuses starts");
+        worker.refusesUntil = this->now + length;
+        break;
+    case WorkerFault::Cut:
+        this->note("fault: " + worker.id + " is cut off from its agent");
+        worker.cutUntil = this->now + length;
+        break;
+    case WorkerFault::Replacement:
+        this->replaceWorker(index, length / 2);
+        break;
+    case WorkerFault::ForeignBeat:
+        this->sendForeignBeat(index);
+        break;
+    case WorkerFault::LateSignOff:
+        this->note("fault: a sign-off comes late beside " + worker.id);
+        this->toAgent(index, this->agents[index].life, WorkerSignedOff { worker.id });
+        break;
+    case WorkerFault::PowerLoss:
+        this->note("fault: agent and worker lose power " + std::to_string(index));
+        this->killAgent(index, length);
+        this->killWorker(index, length);
+        break;
+    }
+}
+
+void JobWorld::stepClock(std::size_t index, Duration length)
+{
+    WorkerNode& worker = this->workers[index];
+    worker.clockStep = milliseconds(this->chance(0.5) ? 2000 : -2000);
+    this->note("fault: clock of " + worker.id + " steps by " + std::to_string(toMilliseconds(worker.clockStep)) + " ms");
+    this->after(length, [this, index]() { this->workers[index].clockStep = Duration {}; });
+    if (this->chance(0.5))
+        this->killWorker(index, milliseconds(300));
+}
+
+void JobWorld::replaceWorker(std::size_t index, Duration away)
+{
+    WorkerNode& worker = this->workers[index];
+    this->note("fault: " + worker.id + " is replaced");
+    this->killWorker(index, away);
+    worker.id = "worker-" + std::to_string(index) + "-" + std::to_string(this->version);
+}
+
+void JobWorld::sendForeignBeat(std::size_t index)
+{
+    const WorkerNode& worker = this->workers[index];
+    const std::int64_t born = worker.born + (this->chance(0.5) ? 1 : 1'000'000'000);
+    const WorkerIdentity identity { this->chance(0.5) ? worker.id : "other-writer", born };
+    const WorkerInfo info { identity, this->chance(0.5) ? "service" : "other-service", workerRoom, {}, false, {} };
+    this->note("fault: a report of another writer beside " + worker.id + ": " + identity.id + ", born " + std::to_string(born) + ", " + info.service);
+    this->toAgent(index, this->agents[index].life, WorkerBeat { info });
+}
+
+void JobWorld::killWorker(std::size_t index, Duration away)
+{
+    this->disturb(away);
+    WorkerNode& worker = this->workers[index];
+    for (const std::map<RunId, Run>::value_type& item : worker.running) {
+        Truth& truth = this->jobs.at(item.first.task.job);
+        if (truth.lasting.contains(item.first.task))
+            truth.lasting.at(item.first.task).lastRun = this->now;
+    }
+    worker.up = false;
+    worker.running.clear();
+    this->after(away, [this, index]() {
+        if (!this->workers[index].up)
+            this->startWorker(index);
+    });
+}
+
+void JobWorld::flapWorker(std::size_t index, TimePoint end)
+{
+    constexpr Duration gap = milliseconds(700);
+    if (this->now >= end)
+        return;
+    this->killWorker(index, gap);
+    this->after(gap * 2, [this, index, end]() { this->flapWorker(index, end); });
+}
+
 void JobWorld::killEntry(std::size_t index, Duration away)
 {
+    this->disturb(away);
     this->entries[index].up = false;
     this->closeLinks([index](const Link& link) { return link.entry == index; });
     this->after(away, [this, index]() {
@@ -832,6 +966,7 @@
 
 void JobWorld::killAgent(std::size_t index, Duration away)
 {
+    this->disturb(away);
     this->agents[index].up = false;
     this->closeLinks([index](const Link& link) { return link.agent == index; });
     this->after(away, [this, index]() {
@@ -843,11 +978,69 @@
 void JobWorld::heal()
 {
     this->note("healed");
+    this->disturb(Duration {});
+    for (const std::map<JobId, Truth>::value_type& item : this->jobs) {
+        if (!item.second.lasting.empty() && !item.second.cancelledAt)
+            this->after(lastingStay, [this, job = item.first]() { this->cancel(job); });
+    }
     this->answerLoss = 0;
     this->lateOrders = 0;
     this->storeDownUntil = this->now;
 }
 
+void JobWorld::disturb(Duration length)
+{
+    // Processes that were killed or cut off for a while are back within half a second of the fault's end.
+    this->calmSince = std::max(this->calmSince, this->now + length);
+}
+
+void JobWorld::watchLasting()
+{
+    for (std::map<JobId, Truth>::value_type& item : this->jobs) {
+        if (item.second.cancelledAt)
+            continue;
+        for (std::map<TaskId, LastingTask>::value_type& task : item.second.lasting)
+            this->checkLasting(task.first, item.second.spec->steps[task.first.step], task.second);
+    }
+    this->after(lastingCheckInterval, [this]() { this->watchLasting(); });
+}
+
+void JobWorld::checkLasting(const TaskId& id, const StepSpec& step, LastingTask& task)
+{
+    const bool excused = this->running(id) || this->now < task.lastRun + restartTime || this->now < this->calmSince + calmBefore || this->places(step) < 2;
+    if (excused) {
+        task.missingSince.reset();
+        return;
+    }
+    if (!task.missingSince)
+        task.missingSince = this->now;
+    if (task.reported || this->now < *task.missingSince + restartWindow)
+        return;
+    task.reported = true;
+    this->violate(describe(id) + " is to last and does not run, with room for it");
+}
+
+bool JobWorld::running(const TaskId& id) const
+{
+    return std::any_of(this->workers.begin(), this->workers.end(), [&id](const WorkerNode& worker) {
+        const std::map<RunId, Run>::const_iterator first = worker.running.lower_bound({ id, 0 });
+        return worker.up && first != worker.running.end() && first->first.task == id;
+    });
+}
+
+std::uint32_t JobWorld::places(const StepSpec& step) const
+{
+    std::uint32_t count = 0;
+    for (const WorkerNode& worker : this->workers) {
+        Room free = workerRoom;
+        for (const std::map<RunId, Run>::value_type& item : worker.running)
+            free = free.minus(this->jobs.at(item.first.task.job).spec->steps[item.first.task.step].countedDemand());
+        for (; worker.up && free.covers(step.countedDemand()); free = free.minus(step.countedDemand()))
+            ++count;
+    }
+    return count;
+}
+
 void JobWorld::checkEnd()
 {
     for (const std::map<JobId, Truth>::value_type& item : this->jobs) {
--- a/libs/scheduling/tests/JobWorld.h
+++ b/libs/scheduling/tests/JobWorld.h
@@ -17,6 +17,26 @@
 
 namespace cowslipdoor::tests {
 
+/// @brief Faults beside the agents, which a world draws on request.
+enum class WorkerFault : unsigned char {
+    /// The time of day of a VM is off for a while, and with it the start that its worker states.
+    ClockStep,
+    /// A worker goes down and up by turns.
+    Flapping,
+    /// A worker refuses all starts.
+    Refusal,
+    /// Nothing passes between a worker and its agent.
+    Cut,
+    /// A worker is replaced by one with another identifier.
+    Replacement,
+    /// A report of another writer comes to an agent.
+    ForeignBeat,
+    /// A sign-off of an earlier life comes late, or one of another writer.
+    LateSignOff,
+    /// Agent and worker are gone together.
+    PowerLoss,
+};
+
 /// @brief Sizes of a world, and which guards the machines work with.
 struct JobWorldConfig {
     std::uint64_t seed = 1;
@@ -26,6 +46,8 @@
     /// Mean time between two faults; zero means none.
     Duration faultEvery = std::chrono::milliseconds(700);
     Duration faultsFor = std::chrono::seconds(25);
+    /// Faults beside the agents that are drawn for every second fault; some jobs that last stay until the faults are over then.
+    std::vector<WorkerFault> workerFaults {};
     SchedulerConfig scheduler {};
     WorkerMachineConfig agent {};
 };
@@ -82,6 +104,15 @@
         std::uint64_t timer = 0;
     };
 
+    /// What the oracle knows of one task that lasts.
+    struct LastingTask {
+        /// When a run of it was last seen, or its job was taken in.
+        TimePoint lastRun {};
+        /// Since when it could run, has not been running, and nothing excuses that.
+        std::optional<TimePoint> missingSince {};
+        bool reported = false;
+    };
+
     struct Run {
         std::string payload {};
         TimePoint began {};
@@ -94,6 +125,12 @@
         std::int64_t born = 0;
         bool up = false;
         double clockRate = 1;
+        /// How far the time of day of its VM is off.
+        Duration clockStep {};
+        /// Until when it refuses every start.
+        TimePoint refusesUntil {};
+        /// Until when nothing passes between it and its agent.
+        TimePoint cutUntil {};
         TimePoint bornAt {};
         std::uint64_t token = 0;
         std::int64_t leaseMs = 0;
@@ -124,6 +161,7 @@
         std::set<TaskId> done {};
         std::map<TaskId, std::uint32_t> failuresNoted {};
         std::map<TaskId, std::uint32_t> failures {};
+        std::map<TaskId, LastingTask> lasting {};
     };
 
     using Action = std::function<void()>;
@@ -178,12 +216,23 @@
     void endRun(std::size_t worker, const RunId& run, RunEndKind kind);
     void acknowledge(WorkerNode& worker, std::uint64_t upTo);
     void checkStart(std::size_t worker, const RunId& run, const std::string& payload);
+    void disturb(Duration length);
+    void watchLasting();
+    void checkLasting(const TaskId& id, const StepSpec& step, LastingTask& task);
+    [[nodiscard]] bool running(const TaskId& id) const;
+    [[nodiscard]] std::uint32_t places(const StepSpec& step) const;
 
     void handIn(std::size_t number);
     void cancel(const JobId& job);
     void killEntry(std::size_t index, Duration away);
     void killAgent(std::size_t index, Duration away);
     void injectFault();
+    void injectWorkerFault(WorkerFault fault);
+    void sendForeignBeat(std::size_t index);
+    void replaceWorker(std::size_t index, Duration away);
+    void stepClock(std::size_t index, Duration length);
+    void killWorker(std::size_t index, Duration away);
+    void flapWorker(std::size_t index, TimePoint end);
     void heal();
     void checkEnd();
 
@@ -195,6 +244,8 @@
     std::vector<Row> changes;
     RowVersion version = 0;
     TimePoint storeDownUntil {};
+    /// When the last of the faults so far is over.
+    TimePoint calmSince {};
     double answerLoss = 0;
     double lateOrders = 0;
     std::vector<EntryNode> entries;
--- a/libs/scheduling/tests/JobWorldTests.cpp
+++ b/libs/scheduling/tests/JobWorldTests.cpp
@@ -23,6 +23,16 @@
     return config;
 }
 
+/// Faults beside the agents and all others, with pauses long enough for tasks that last to be back.
+JobWorldConfig besideAgents(std::vector<WorkerFault> faults)
+{
+    JobWorldConfig config;
+    config.workerFaults = std::move(faults);
+    config.agents = 4;
+    config.faultEvery = std::chrono::milliseconds(1500);
+    return config;
+}
+
 void playSeeds(JobWorldConfig config, std::uint64_t count)
 {
     const std::uint64_t first = fromEnvironment("COWSLIPDOOR_WORLD_SEED", 1);
@@ -79,3 +89,29 @@
 {
     playSeeds(closeFaults(), 100);
 }
+
+TEST_CASE("world: tasks that last run again in time after faults beside the agents", "[jobs][world][fuzz]")
+{
+    playSeeds(besideAgents({ WorkerFault::Refusal, WorkerFault::Cut, WorkerFault::Replacement, WorkerFault::PowerLoss }), 100);
+}
+
+TEST_CASE("world: a worker whose clock was ahead before it went down is used again", "[jobs][world][fuzz]")
+{
+    const std::vector<WorkerFault> faults { WorkerFault::ClockStep, WorkerFault::Flapping };
+    JobWorldConfig config = besideAgents(faults);
+    config.seed = 5111;
+    JobWorld world(config);
+    world.play();
+    CHECK(world.violations() == std::vector<std::string> {});
+    playSeeds(besideAgents(faults), 100);
+}
+
+TEST_CASE("world: reports of other writers hide no worker", "[jobs][world][fuzz]")
+{
+    playSeeds(besideAgents({ WorkerFault::ForeignBeat, WorkerFault::Flapping, WorkerFault::PowerLoss }), 100);
+}
+
+TEST_CASE("world: a late sign-off ends no worker that answers", "[jobs][world][fuzz]")
+{
+    playSeeds(besideAgents({ WorkerFault::LateSignOff, WorkerFault::Flapping }), 100);
+}
