Keep the tables that a new leader has read when another one could not be read

Callers saw nothing by this alone: it lengthened takeovers. A new leader reads four tables in eleven calls or more; when one failed, all were read again, so with a store that answers slowly or refuses now and then the reading might never end. Sound, as only a leader writes progress and models, and no other leader's write can apply any more; changes of jobs and agents come by the feeds, which begin at the versions of these readings.

--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -110,6 +110,7 @@
     asio::awaitable<void> readLeaderRow();
     asio::awaitable<void> submit(Transaction transaction);
     asio::awaitable<void> readTables(std::shared_ptr<Following> following);
+    asio::awaitable<RowPage> readTableUntilDone(std::shared_ptr<Following> following, std::string table);
     void followTable(const std::shared_ptr<Following>& following, const std::string& table, RowVersion after);
     asio::awaitable<void> post(SchedulerEvent event);
     asio::awaitable<void> postRow(Row row);
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -155,35 +155,38 @@
 
 asio::awaitable<void> SchedulerTask::readTables(std::shared_ptr<Following> following)
 {
-    while (!following->stopped) {
-        const ReadResult jobs = co_await readTable(this->store, jobTable);
-        const ReadResult progress = co_await readTable(this->store, progressTable);
-        const ReadResult agents = co_await readTable(this->store, agentTable);
-        const ReadResult models = co_await readTable(this->store, modelTable);
-        const RowPage* const jobRows = std::get_if<RowPage>(&jobs);
-        const RowPage* const progressRows = std::get_if<RowPage>(&progress);
-        const RowPage* const agentRows = std::get_if<RowPage>(&agents);
-        const RowPage* const modelRows = std::get_if<RowPage>(&models);
-        if (!jobRows || !progressRows || !agentRows || !modelRows) {
-            this->log.record(EventId::StoreLost, "the tables of jobs could not be read; trying again");
-            co_await pauseFor(tableRetryDelay);
-            continue;
-        }
-        std::vector<Row> rows = jobRows->rows;
-        rows.insert(rows.end(), progressRows->rows.begin(), progressRows->rows.end());
-        rows.insert(rows.end(), agentRows->rows.begin(), agentRows->rows.end());
-        rows.insert(rows.end(), modelRows->rows.begin(), modelRows->rows.end());
-        const DecodedTables tables = decodeTables(following->epoch, rows, timeOfDayMs());
-        for (const RowKey& key : tables.ignored)
-            this->recordIgnored(key);
-        const SchedulerEvent read = tables.read;
-        co_await this->post(read);
-        if (following->stopped)
-            co_return;
-        this->followTable(following, jobTable, jobRows->version);
-        this->followTable(following, agentTable, agentRows->version);
+    const RowPage jobs = co_await this->readTableUntilDone(following, jobTable);
+    const RowPage progress = co_await this->readTableUntilDone(following, progressTable);
+    const RowPage agents = co_await this->readTableUntilDone(following, agentTable);
+    const RowPage models = co_await this->readTableUntilDone(following, modelTable);
+    if (following->stopped)
+        co_return;
+    std::vector<Row> rows = jobs.rows;
+    rows.insert(rows.end(), progress.rows.begin(), progress.rows.end());
+    rows.insert(rows.end(), agents.rows.begin(), agents.rows.end());
+    rows.insert(rows.end(), models.rows.begin(), models.rows.end());
+    const DecodedTables tables = decodeTables(following->epoch, rows, timeOfDayMs());
+    for (const RowKey& key : tables.ignored)
+        this->recordIgnored(key);
+    const SchedulerEvent read = tables.read;
+    co_await this->post(read);
+    if (following->stopped)
         co_return;
+    this->followTable(following, jobTable, jobs.version);
+    this->followTable(following, agentTable, agents.version);
+}
+
+asio::awaitable<RowPage> SchedulerTask::readTableUntilDone(std::shared_ptr<Following> following, std::string table)
+{
+    while (!following->stopped) {
+        const ReadResult result = co_await readTable(this->store, table);
+        const RowPage* const page = std::get_if<RowPage>(&result);
+        if (page)
+            co_return *page;
+        this->log.record(EventId::StoreLost, table + " could not be read: " + std::get<StoreRefused>(result).reason + "; trying again");
+        co_await pauseFor(tableRetryDelay);
     }
+    co_return RowPage {};
 }
 
 void SchedulerTask::followTable(const std::shared_ptr<Following>& following, const std::string& table, RowVersion after)
