Give silent agents up at their deadline, by words alone

Causes: silence was looked for only when a timer event came, but any other event does what is due and moves the timer on, and the time was not among the wakeups, nor any while a write was in flight. And an open link protected the runs of an agent that says nothing, such as one whose process is frozen while its kernel still accepts. Class: a deadline that nobody keeps; a weaker sign (a link) taken where the stronger one (a word) decides.

Why it works: the earliest deadline is kept, is a wakeup, and is looked at after every event; renewals depend on words alone, so the deadline does too. An agent that is given up behind an open link is greeted anew, so that it tells all that runs there before it gets anything.

Evidence: 'scheduler: silent agents are given up in time ...' (no wakeup while a write is in flight, never given up) and 'scheduler: an agent that links and says nothing ...' (still assigned) failed before and pass now; the case of standing still sends the pings that every agent sends.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -30,6 +30,8 @@
     /// How long a leader may take to read the tables before it leaves the lease to others. The smallest entry took 2.9 s for
     /// 1,336 jobs.
     Duration tablesLimit = std::chrono::seconds(8);
+    /// How often silent agents are looked for at least; the deadlines that are known are kept to the moment.
+    Duration silenceCheckInterval = std::chrono::seconds(1);
     /// How long changes are gathered for one write. A write takes about 4 ms, so gathering as long halves their number.
     Duration gatherTime = std::chrono::milliseconds(5);
     /// How often the counts of waiting jobs are written while they change. A quarter of their allowed age of 2 s.
@@ -269,6 +271,7 @@
     void dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
     void loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects);
     void loseSilentWorkers(TimePoint now, Effects& effects);
+    void greet(WorkerEntry& worker, Effects& effects);
     void describeRuns(WorkerEntry& worker, Effects& effects) const;
     void watchLastingTasks(TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<TaskId> idleTasksOf(const JobEntry& job, TimePoint now) const;
@@ -304,6 +307,8 @@
     TimePoint modelWrittenAt {};
     TimePoint sweptAt {};
     TimePoint idleCheckedAt {};
+    /// When the next agent may have been silent for too long.
+    TimePoint silenceCheckAt {};
     std::size_t idleTasks = 0;
 };
 
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -36,13 +36,13 @@
     const auto consider = [&next](TimePoint time) { next = next ? std::min(*next, time) : time; };
     if (this->passAt && this->leaderLease.idle())
         consider(*this->passAt);
+    if (this->serving())
+        consider(this->silenceCheckAt);
     return next;
 }
 
-void Scheduler::on(const TimePassed&, TimePoint now, Effects& effects)
+void Scheduler::on(const TimePassed&, TimePoint, Effects&)
 {
-    if (this->serving())
-        this->loseSilentWorkers(now, effects);
 }
 
 void Scheduler::on(const LeaderRowRead& event, TimePoint now, Effects&)
@@ -128,10 +128,7 @@
     WorkerEntry& worker = this->knownWorkers[event.agent];
     worker.agent = event.agent;
     worker.link = event.link;
-    worker.ordersBeforeLink = this->orders;
-    worker.settled = false;
-    this->send(worker, LeaderHello { this->leaderLease.epoch(), this->config.lease.holder, worker.generation }, effects);
-    this->describeRuns(worker, effects);
+    this->greet(worker, effects);
     effects.emplace_back(RecordEvent { EventId::LinkOpened, "agent " + event.agent });
 }
 
@@ -161,6 +158,8 @@
 void Scheduler::advance(TimePoint now, Effects& effects)
 {
     this->advanceLease(now, effects);
+    if (this->serving())
+        this->loseSilentWorkers(now, effects);
     if (!this->leaderLease.idle())
         return;
     if (this->serving())
@@ -213,6 +212,7 @@
     this->pendingWritten.clear();
     this->modelWritten.clear();
     this->idleTasks = 0;
+    this->silenceCheckAt = now;
     this->acknowledgeNext.clear();
     this->acknowledgeAfterWrite.clear();
     this->writing.clear();
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -249,16 +249,34 @@
     this->wantPass(now);
 }
 
+void Scheduler::greet(WorkerEntry& worker, Effects& effects)
+{
+    worker.ordersBeforeLink = this->orders;
+    worker.settled = false;
+    this->send(worker, LeaderHello { this->leaderLease.epoch(), this->config.lease.holder, worker.generation }, effects);
+    this->describeRuns(worker, effects);
+}
+
 void Scheduler::loseSilentWorkers(TimePoint now, Effects& effects)
 {
+    if (now < this->silenceCheckAt)
+        return;
+    this->silenceCheckAt = now + this->config.silenceCheckInterval;
     for (Workers::value_type& item : this->knownWorkers) {
         WorkerEntry& worker = item.second;
-        if (worker.link || worker.tasks.empty() || now < std::max(worker.lastWord, this->ledSince) + this->config.silenceLimit)
+        if (worker.tasks.empty())
+            continue;
+        // Words alone allow renewals; a link that is open proves nothing.
+        const TimePoint deadline = std::max(worker.lastWord, this->ledSince) + this->config.silenceLimit;
+        if (now < deadline) {
+            this->silenceCheckAt = std::min(this->silenceCheckAt, deadline);
             continue;
+        }
         worker.info.reset();
         const std::map<TaskId, WorkerIdentity> tasks = worker.tasks;
         for (const std::map<TaskId, WorkerIdentity>::value_type& task : tasks)
             this->loseRun(worker, task.first, "the agent is silent and its leases have expired", now, effects);
+        this->greet(worker, effects);
     }
 }
 
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -196,6 +196,7 @@
     // A run of an expected second may show nothing for 1.4 s; the tail is at 600 times its target.
     const auto report = [&](std::uint32_t moving) {
         test.now += milliseconds(500);
+        test.step(AgentSaid { "agent", LinkId { 1 }, Ping { test.now.time_since_epoch().count() } });
         test.step(AgentSaid { "agent", LinkId { 1 }, RunProgress { firstLife, { { first, "", 30, 500 }, { second, "", moving, 500 }, { serving, "", 100, 30000 } } } });
         if (!test.machine.lease().idle())
             test.commit();
@@ -397,3 +398,43 @@
     test.step(LeaderRowRead { written, test.version });
     CHECK(test.find<SubmitCommit>());
 }
+
+TEST_CASE("scheduler: silent agents are given up in time however busy the leader is", "[jobs]")
+{
+    // Replays tebu-rota-grown silent1, seed 21: 285 runs were given up 1.2 s late, in one step.
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 100) }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    const TimePoint lastWord = test.now;
+    test.step(AgentSaid { "agent", LinkId { 1 }, Ping { 2 } });
+    test.step(AgentUnlinked { "agent", LinkId { 1 } });
+    // Events keep coming, so that no timer ever fires, and a write is always in flight.
+    while (test.machine.jobs().find({ "a" })->assigned == 1) {
+        REQUIRE(test.now < lastWord + test.config.silenceLimit + milliseconds(50));
+        test.now += milliseconds(10);
+        test.step(JobCancelStored { { "unknown" } });
+        const bool waits = test.machine.jobs().find({ "a" })->assigned == 1;
+        CHECK((!waits || test.machine.nextWakeup().value_or(TimePoint::max()) <= lastWord + test.config.silenceLimit));
+    }
+    CHECK(test.now >= lastWord + test.config.silenceLimit);
+}
+
+TEST_CASE("scheduler: an agent that links and says nothing keeps no runs", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 100) }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    const TimePoint lastWord = test.now;
+    test.step(AgentSaid { "agent", LinkId { 1 }, Ping { 2 } });
+    test.step(AgentUnlinked { "agent", LinkId { 1 } });
+    test.now += test.config.silenceLimit - milliseconds(100);
+    test.step(AgentLinked { "agent", LinkId { 2 } });
+    test.now = lastWord + test.config.silenceLimit;
+    test.step(TimePassed {});
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 0);
+    // It is greeted anew, so that it tells all that runs should it go on.
+    CHECK(test.sent<LeaderHello>());
+    CHECK_FALSE(test.machine.workers().at("agent").usable(test.now));
+}
