Remember refusals and failed lasting runs at the worker, not at the task alone

Cause: a refusal left one avoided agent at the task, and nothing at the worker. The fullest worker comes first, so two workers that refuse every start hand a task to and fro for ever, with room at a third. Lasting runs that fail at once had no pause either, and exclusion needs failures of three jobs.

Now a worker that refuses gets no start for 0.25 s, doubled up to 1 s, and comes after all others for 10 s, until it takes a start; the only one with room is asked again at the end of each pause. Passed over: refusals of starts that were stopped or meant for another life; one of an order assigned over 0.5 s ago counts only if another follows. A worker on which a lasting task failed comes last for lasting tasks for 10 s; a lasting task that fails within 2 s waits 0.2 s, doubled up to 1 s.

Tests on the code before: scheduler: a task goes past all workers that refuse starts, to one that takes it: FAILED: { "bad-1", "bad-2", "bad-1", "bad-2", "bad-1", "bad-2" } == { "bad-1", "bad-2", "worker" } scheduler: a lasting task goes past all workers on which such tasks fail at once: FAILED: { "bad-1", "bad-2", "bad-1", "bad-2", "bad-1", "bad-2" } == { "bad-1", "bad-2", "worker" } scheduler: the only worker with room is asked again after refusals, ever less often: FAILED: 91 <= 12 (starts in 9 s) job book: a lasting task whose runs fail at once pauses ever longer, up to a bound: FAILED, no pause set "scheduler: a refusal of an order that came late ..." passed before; it guards against the fix.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobBook.h
@@ -29,6 +29,8 @@
     /// Not to be placed before.
     TimePoint notBefore {};
     TimePoint startedAt {};
+    /// Runs in a row, as a task that lasts, that failed soon after their start.
+    std::uint32_t quickFailures = 0;
     /// When a worker last listed its run, or since when the task has been known.
     TimePoint listedAt {};
     std::uint32_t percent = 0;
@@ -192,6 +194,7 @@
     void finishJob(JobEntry& job, JobState state, TimePoint now);
     RunVerdict finishTask(JobEntry& job, TaskState& task, std::size_t step, TimePoint now);
     RunVerdict requeueTask(JobEntry& job, TaskState& task, bool countsAsAttempt, TimePoint now);
+    static void pauseLasting(TaskState& task, TimePoint now);
     void unassign(JobEntry& job, TaskState& task);
     void refresh(JobEntry& job, TimePoint now);
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -261,7 +261,7 @@
     [[nodiscard]] bool mayStop(const JobEntry& job, std::uint32_t step) const;
     void moveOneStarving(const WorkerEntry& worker, TimePoint now, Effects& effects);
     void orderStop(const WorkerEntry& worker, const TaskId& id, const std::string& reason, Effects& effects);
-    void takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
+    void takeStatus(WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
     void adoptRuns(WorkerEntry& worker, const WorkerSnapshot& snapshot);
     void dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
     void loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -21,6 +21,17 @@
     std::uint32_t failuresToExclude = 3;
     /// How long an excluded worker gets no start; then one failure excludes it again.
     Duration exclusion = std::chrono::milliseconds(2500);
+    /// How long a worker gets no start after a refusal, doubling with each in a row. A task that was refused is placed
+    /// again after 100 ms and a write, so this lets it ask one or two others.
+    Duration refusalPause = std::chrono::milliseconds(250);
+    /// Bound of that pause: a third of the 3 s for which a lasting task may not run with room for it.
+    Duration longestRefusalPause = std::chrono::milliseconds(1000);
+    /// How old the assignment of a refused order is when it may have come late: an agent heeds an order for 1.5 s after its
+    /// word, and the word is at most 1 s old at the assignment.
+    Duration lateOrder = std::chrono::milliseconds(500);
+    /// How long a worker comes after all others for a refusal, or for a lasting task that failed there: the 6 s and 3 s in
+    /// which a lasting task must run again, and a little.
+    Duration setbackMemory = std::chrono::seconds(10);
 
     bool operator==(const WorkerHealthConfig&) const = default;
 };
@@ -36,6 +47,7 @@
     NotSettled,
     Draining,
     Excluded,
+    RefusesStarts,
     StandsStill,
     OldWord,
     OtherService,
@@ -91,6 +103,15 @@
     /// Jobs that failed here since the last success.
     std::set<JobId> failedJobs {};
     TimePoint excludedUntil {};
+    /// Rounds of refusals in a row; orders that left before a refusal belong to its round.
+    std::uint32_t refusals = 0;
+    TimePoint refusedAt {};
+    /// Until when it gets no start, as it refused some.
+    TimePoint refusingUntil {};
+    /// Until when it comes after all others, as it refused starts.
+    TimePoint lastChoiceUntil {};
+    /// Until when it comes after all others for lasting tasks, as such a task failed here.
+    TimePoint lastChoiceForLastingUntil {};
     /// Until when it gets no start, as runs there stand still.
     TimePoint standstillUntil {};
 
@@ -137,6 +158,24 @@
     /// @param now the present
     /// @return whether the worker is excluded from now on
     bool judge(const JobId& job, bool failed, const WorkerHealthConfig& config, TimePoint now);
+
+    /// @brief Takes in a refused start for the judgement of the worker.
+    /// @param assignedAt when the run was assigned
+    /// @param config settings
+    /// @param now the present
+    void noteRefusal(TimePoint assignedAt, const WorkerHealthConfig& config, TimePoint now);
+
+    /// @brief Takes in that a start was accepted, which clears earlier refusals.
+    /// @param assignedAt when the run was assigned
+    void noteAcceptance(TimePoint assignedAt) noexcept;
+
+    /// @brief Forgets what speaks against the worker, as it begins a new life.
+    void clearJudgement();
+
+    /// @param lasting whether the task lasts
+    /// @param now the present
+    /// @return whether others come before it for such a task
+    [[nodiscard]] bool lastChoice(bool lasting, TimePoint now) const noexcept { return now < this->lastChoiceUntil || (lasting && now < this->lastChoiceForLastingUntil); }
 };
 
 /// @brief All workers by the name of their agents.
--- a/libs/scheduling/src/JobBook.cpp
+++ b/libs/scheduling/src/JobBook.cpp
@@ -8,6 +8,13 @@
     /// Pause after a failed run, so that a worker that fails everything at once does not use up the attempts.
     constexpr Duration failurePause = std::chrono::milliseconds(200);
 
+    /// Bound of that pause for tasks that last: a third of the 3 s for which one may not run with room for it.
+    constexpr Duration longestFailurePause = std::chrono::milliseconds(1000);
+
+    /// How short a failed run of a task that lasts is for the next pause to double: within it a worker that fails all it
+    /// starts shows itself, as runs are listed each 0.5 s.
+    constexpr Duration quickFailure = std::chrono::seconds(2);
+
     JobEntry makeEntry(const JobSpecHandle& spec, TimePoint now, Duration age)
     {
         JobEntry entry;
@@ -140,6 +147,8 @@
         if (kind == RunEndKind::Failed)
             state->avoidedAgent = state->record.assignment->agent;
         this->unassign(job, *state);
+        if (kind == RunEndKind::Failed && step.longRunning)
+            this->pauseLasting(*state, now);
     }
     this->changedJobs.insert(run.task.job);
     if (!checkpoint.empty())
@@ -174,6 +183,12 @@
     return RunVerdict::JobEnded;
 }
 
+void JobBook::pauseLasting(TaskState& task, TimePoint now)
+{
+    task.quickFailures = now < task.startedAt + quickFailure ? task.quickFailures + 1 : 0;
+    task.notBefore = now + doubled(failurePause, std::max(1U, task.quickFailures) - 1, longestFailurePause);
+}
+
 bool JobBook::release(const RunId& run, TimePoint notBefore, TimePoint now)
 {
     TaskState* const state = this->openRun(run);
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -85,7 +85,7 @@
     }
 
     /// Greater is better; parts are compared one after another.
-    using Score = std::tuple<bool, bool, double, double>;
+    using Score = std::tuple<bool, bool, bool, double, double>;
 
     /// Gives nothing for a worker that may not be given the task.
     std::optional<Score> scoreOf(const WorkerEntry& worker, const JobEntry& job, std::uint32_t number, const TaskState& task, const InterferenceModel& interference, TimePoint now)
@@ -93,6 +93,7 @@
         if (unfitFor(worker, job, number, now))
             return std::nullopt;
         const StepSpec& step = job.spec->steps[number];
+        const bool trusted = !worker.lastChoice(step.longRunning, now);
         const bool elsewhere = worker.agent != task.avoidedAgent;
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
         const double pace = step.fills ? expectedPace(worker, step, interference) : 1;
@@ -100,10 +101,10 @@
         if (step.fills && !overdue && !bearsFilling(worker, step, pace))
             return std::nullopt;
         if (step.longRunning)
-            return Score { elsewhere, nearData, -mismatch(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
+            return Score { trusted, elsewhere, nearData, -mismatch(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
         if (step.fills)
-            return Score { elsewhere, nearData, pace, unusedCores(worker) };
-        return Score { elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
+            return Score { trusted, elsewhere, nearData, pace, unusedCores(worker) };
+        return Score { trusted, elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
     }
 
 }
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -36,11 +36,8 @@
 {
     worker.generation = std::max(worker.generation, report.generation);
     const bool sameLife = worker.info && report.worker && worker.info->identity == report.worker->identity;
-    if (!sameLife) {
-        worker.failedJobs.clear();
-        worker.excludedUntil = {};
-        worker.standstillUntil = {};
-    }
+    if (!sameLife)
+        worker.clearJudgement();
     if (!worker.settled && report.settled)
         effects.emplace_back(RecordEvent { EventId::WorkerSettled, worker.agent + ": " + (report.worker ? report.worker->identity.id : "no worker") + ", " + std::to_string(report.running.size()) + " runs" });
     worker.info = report.worker;
@@ -67,6 +64,9 @@
     if (!state || state->record.assignment->agent != worker.agent)
         return;
     state->avoidedAgent = worker.agent;
+    // A start that was stopped, or that was meant for another life, was voided by the agent.
+    if (!state->stopping && worker.info && worker.info->identity == state->record.assignment->worker)
+        worker.noteRefusal(state->startedAt, this->config.health, now);
     effects.emplace_back(RecordEvent { EventId::RunRejectedByWorker, describe(report.run) + " at " + worker.agent + ": " + report.reason });
     this->loseRun(worker, report.run.task, "rejected", now, effects);
 }
@@ -104,6 +104,8 @@
 {
     const TaskState* const open = this->book.openRun(end.run);
     const bool ofThisWorker = open && open->record.assignment->agent == worker.agent;
+    if (ofThisWorker)
+        worker.noteAcceptance(open->startedAt);
     const RunVerdict verdict = this->book.end(end.run, end.kind, end.checkpoint, now);
     const JobEntry* const job = this->book.find(end.run.task.job);
     if (verdict == RunVerdict::Unknown || !job)
@@ -112,6 +114,8 @@
         worker.giveBack(end.run.task, job->spec->steps[end.run.task.step]);
     effects.emplace_back(RecordEvent { EventId::RunEndTaken, describe(end.run) + " at " + worker.agent + ": " + std::string(toString(end.kind)) + (end.checkpoint.empty() ? "" : ", checkpoint kept") });
     const bool failed = end.kind == RunEndKind::Failed;
+    if (failed && ofThisWorker && job->spec->steps[end.run.task.step].longRunning)
+        worker.lastChoiceForLastingUntil = now + this->config.health.setbackMemory;
     if ((failed || end.kind == RunEndKind::Done) && worker.judge(end.run.task.job, failed, this->config.health, now))
         effects.emplace_back(RecordEvent { EventId::WorkerExcluded, worker.agent + ": runs of " + std::to_string(worker.failedJobs.size()) + " jobs failed in a row" });
     if (verdict == RunVerdict::JobEnded) {
@@ -124,7 +128,7 @@
         this->orderStop(this->knownWorkers[successor.record.assignment->agent], end.run.task, "an earlier run of the task is done", effects);
 }
 
-void Scheduler::takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects)
+void Scheduler::takeStatus(WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects)
 {
     for (const RunStatus& status : running) {
         TaskState* const task = this->book.openRun(status.run);
@@ -134,6 +138,7 @@
         if (!open)
             continue;
         task->listedAt = now;
+        worker.noteAcceptance(task->startedAt);
         if (!status.checkpoint.empty())
             task->record.checkpoint = status.checkpoint;
         if (status.percent > task->percent)
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -1,4 +1,5 @@
 #include "cowslipdoor/scheduling/Workers.h"
+#include <algorithm>
 #include <numeric>
 
 namespace cowslipdoor {
@@ -35,6 +36,8 @@
         return "draining";
     case Unfit::Excluded:
         return "excluded after failures";
+    case Unfit::RefusesStarts:
+        return "pausing after refused starts";
     case Unfit::StandsStill:
         return "excluded after a standstill";
     case Unfit::OldWord:
@@ -63,6 +66,8 @@
         return Unfit::Draining;
     if (now < this->excludedUntil)
         return Unfit::Excluded;
+    if (now < this->refusingUntil)
+        return Unfit::RefusesStarts;
     if (this->standsStill(now))
         return Unfit::StandsStill;
     if (!this->inTouch(now))
@@ -120,4 +125,37 @@
     return true;
 }
 
+void WorkerEntry::noteRefusal(TimePoint assignedAt, const WorkerHealthConfig& config, TimePoint now)
+{
+    if (this->refusals > 0 && assignedAt <= this->refusedAt)
+        return;
+    this->refusals = now < this->refusedAt + config.setbackMemory ? this->refusals + 1 : 1;
+    this->refusedAt = now;
+    // An agent voids an order that came late; that says nothing of the worker unless it goes on.
+    if (this->refusals == 1 && now > assignedAt + config.lateOrder)
+        return;
+    this->refusingUntil = now + doubled(config.refusalPause, this->refusals - 1, config.longestRefusalPause);
+    this->lastChoiceUntil = now + config.setbackMemory;
+}
+
+void WorkerEntry::noteAcceptance(TimePoint assignedAt) noexcept
+{
+    if (assignedAt <= this->refusedAt)
+        return;
+    this->refusals = 0;
+    this->refusingUntil = {};
+    this->lastChoiceUntil = {};
+}
+
+void WorkerEntry::clearJudgement()
+{
+    this->failedJobs.clear();
+    this->excludedUntil = {};
+    this->refusals = 0;
+    this->refusingUntil = {};
+    this->lastChoiceUntil = {};
+    this->lastChoiceForLastingUntil = {};
+    this->standstillUntil = {};
+}
+
 }
--- a/libs/scheduling/tests/JobBookTests.cpp
+++ b/libs/scheduling/tests/JobBookTests.cpp
@@ -82,6 +82,25 @@
     CHECK(book.waiting().empty());
 }
 
+TEST_CASE("job book: a lasting task whose runs fail at once pauses ever longer, up to a bound", "[jobs]")
+{
+    StepSpec step = stepOf(1, 100);
+    step.longRunning = true;
+    JobBook book;
+    book.add(jobOf("a", { step }), start);
+    const TaskId task = taskOf("a", 0, 0);
+    const auto pauseAfter = [&book, &task](Duration length) {
+        const RunId run = book.assign(task, place, start);
+        book.end(run, RunEndKind::Failed, "", start + length);
+        return book.task(task)->notBefore - (start + length);
+    };
+    using std::chrono::milliseconds;
+    for (const int pause : { 200, 400, 800, 1000, 1000 })
+        CHECK(pauseAfter(milliseconds(100)) == milliseconds(pause));
+    CHECK(pauseAfter(std::chrono::seconds(5)) == milliseconds(200));
+    CHECK(pauseAfter(milliseconds(100)) == milliseconds(200));
+}
+
 TEST_CASE("job book: what is stored brings a job back as it was", "[jobs]")
 {
     const JobSpecHandle spec = jobOf("a", { stepOf(3, 100) });
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -66,8 +66,42 @@
         if (!this->machine.lease().idle())
             this->commit();
     }
+
+    /// Adds an agent whose worker is settled.
+    void addWorker(const std::string& agent, LinkId link, std::uint32_t milliCores)
+    {
+        this->step(AgentStored { { agent, { agent, 1 } } });
+        this->step(AgentLinked { agent, link });
+        const WorkerInfo worker { { agent, 1 }, "service", { milliCores, 8000, 0 }, {}, false, {} };
+        this->step(AgentSaid { agent, link, WorkerSnapshot { agent, 1, worker, true, {}, {}, {}, 0 } });
+        this->step(AgentSaid { agent, link, Ping { 1 } });
+    }
+
+    /// Lets time pass while all agents stay in touch; gives the start that is ordered, if any.
+    std::optional<StartRun> awaitStart(Duration limit)
+    {
+        const TimePoint until = this->now + limit;
+        while (this->now < until) {
+            this->now += milliseconds(10);
+            for (const Workers::value_type& worker : Workers(this->machine.workers()))
+                this->step(AgentSaid { worker.first, *worker.second.link, Ping { 1 } });
+            if (!this->machine.lease().idle())
+                this->commit();
+            const std::optional<StartRun> order = this->sent<StartRun>();
+            if (order)
+                return order;
+        }
+        return std::nullopt;
+    }
 };
 
+JobSpecHandle lastingJob(const std::string& id)
+{
+    StepSpec lasting = stepOf(1, 500);
+    lasting.longRunning = true;
+    return jobOf(id, { lasting });
+}
+
 }
 
 TEST_CASE("scheduler: an order leaves only once its assignment is stored", "[jobs]")
@@ -346,3 +380,81 @@
     CHECK(idle->detail == "a/0/0: no worker has listed a run for 2100 ms; it waits for a place, workers: 0 fit, 1 out of touch; 2 such tasks");
     CHECK(test.machine.idleLastingTasks() == 2);
 }
+
+TEST_CASE("scheduler: a task goes past all workers that refuse starts, to one that takes it", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({});
+    // Fuller workers come first.
+    test.addWorker("bad-1", LinkId { 2 }, 1000);
+    test.addWorker("bad-2", LinkId { 3 }, 2000);
+    test.step(JobStored { lastingJob("a") });
+    std::vector<std::string> asked;
+    for (int start = 0; start < 6 && (asked.empty() || asked.back() != firstLife.id); ++start) {
+        const std::optional<StartRun> order = test.awaitStart(std::chrono::seconds(2));
+        REQUIRE(order);
+        asked.push_back(order->worker.id);
+        if (order->worker == firstLife)
+            continue;
+        const LinkId link = *test.machine.workers().at(order->worker.id).link;
+        test.step(AgentSaid { order->worker.id, link, RunRejected { order->run, "503" } });
+    }
+    CHECK(asked == std::vector<std::string> { "bad-1", "bad-2", firstLife.id });
+}
+
+TEST_CASE("scheduler: a lasting task goes past all workers on which such tasks fail at once", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({});
+    test.addWorker("bad-1", LinkId { 2 }, 1000);
+    test.addWorker("bad-2", LinkId { 3 }, 2000);
+    test.step(JobStored { lastingJob("a") });
+    std::vector<std::string> asked;
+    for (std::uint64_t start = 1; start < 7 && (asked.empty() || asked.back() != firstLife.id); ++start) {
+        const std::optional<StartRun> order = test.awaitStart(std::chrono::seconds(2));
+        REQUIRE(order);
+        asked.push_back(order->worker.id);
+        if (order->worker == firstLife)
+            continue;
+        const LinkId link = *test.machine.workers().at(order->worker.id).link;
+        test.step(AgentSaid { order->worker.id, link, RunProgress { order->worker, { { order->run, "", 1, 500 } } } });
+        if (!test.machine.lease().idle())
+            test.commit();
+        test.step(AgentSaid { order->worker.id, link, RunsEnded { order->worker, { { start, order->run, RunEndKind::Failed, "" } } } });
+    }
+    CHECK(asked == std::vector<std::string> { "bad-1", "bad-2", firstLife.id });
+}
+
+TEST_CASE("scheduler: the only worker with room is asked again after refusals, ever less often", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ lastingJob("a") });
+    std::size_t starts = 0;
+    TimePoint last = test.now;
+    Duration longest {};
+    const TimePoint until = test.now + std::chrono::seconds(9);
+    while (test.now < until) {
+        const std::optional<StartRun> order = test.awaitStart(std::chrono::seconds(3));
+        REQUIRE(order);
+        ++starts;
+        longest = std::max(longest, test.now - last);
+        last = test.now;
+        test.step(AgentSaid { "agent", LinkId { 1 }, RunRejected { order->run, "503" } });
+    }
+    CHECK(starts <= 12);
+    CHECK(longest < std::chrono::seconds(2));
+}
+
+TEST_CASE("scheduler: a refusal of an order that came late or was stopped does not count against the worker", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 500) }), jobOf("b", { stepOf(1, 500) }) });
+    const std::optional<StartRun> first = test.awaitStart(std::chrono::seconds(1));
+    REQUIRE(first);
+    const std::optional<StartRun> late = test.awaitStart(milliseconds(600));
+    CHECK_FALSE(late);
+    test.step(JobCancelStored { { "a" } });
+    test.step(AgentSaid { "agent", LinkId { 1 }, RunRejected { { { { "a" }, 0, 0 }, 1 }, "stopped before its start" } });
+    test.step(AgentSaid { "agent", LinkId { 1 }, RunRejected { { { { "b" }, 0, 0 }, 1 }, "the order is out of date" } });
+    CHECK(test.machine.workers().at("agent").usable(test.now));
+}
