Take an agent by its name, not by its address; give room back where it is held

Cause: rows of agents stay, and the leader's hello named no agent.

LeaderHello now says which agent is meant; an agent of another name closes that link and keeps its own. An empty name, from a leader of before, is taken as until now. An end gives back at the worker that holds the run, whoever tells it, and a run is released only at its holder.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobMessages.h
@@ -16,6 +16,8 @@
     std::string leader;
     /// Greatest generation of the agent that the leader knows.
     std::uint64_t knownGeneration = 0;
+    /// Agent that the leader means, as an address may have gone to another; empty from a leader that does not say.
+    std::string agent {};
 
     bool operator==(const LeaderHello&) const = default;
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -264,6 +264,7 @@
     void takeStatus(WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
     void adoptRuns(WorkerEntry& worker, const WorkerSnapshot& snapshot);
     void dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
+    [[nodiscard]] WorkerEntry* holderOf(const RunId& run);
     void loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects);
     void loseSilentWorkers(TimePoint now, Effects& effects);
     void describeRuns(WorkerEntry& worker, Effects& effects) const;
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -130,7 +130,7 @@
     worker.link = event.link;
     worker.ordersBeforeLink = this->orders;
     worker.settled = false;
-    this->send(worker, LeaderHello { this->leaderLease.epoch(), this->config.lease.holder, worker.generation }, effects);
+    this->send(worker, LeaderHello { this->leaderLease.epoch(), this->config.lease.holder, worker.generation, worker.agent }, effects);
     this->describeRuns(worker, effects);
     effects.emplace_back(RecordEvent { EventId::LinkOpened, "agent " + event.agent });
 }
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -34,6 +34,12 @@
 
 void Scheduler::heard(WorkerEntry& worker, const WorkerSnapshot& report, TimePoint now, Effects& effects)
 {
+    if (report.agent != worker.agent) {
+        // The address has gone to another agent; nothing that it says is about this one.
+        effects.emplace_back(RecordEvent { EventId::LinkRefused, "agent " + report.agent + " answers at the address of " + worker.agent });
+        worker.link.reset();
+        return;
+    }
     worker.generation = std::max(worker.generation, report.generation);
     const bool sameLife = worker.info && report.worker && worker.info->identity == report.worker->identity;
     if (!sameLife)
@@ -103,18 +109,18 @@
 void Scheduler::takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects)
 {
     const TaskState* const open = this->book.openRun(end.run);
-    const bool ofThisWorker = open && open->record.assignment->agent == worker.agent;
-    if (ofThisWorker)
-        worker.noteAcceptance(open->startedAt);
+    WorkerEntry* const holder = this->holderOf(end.run);
+    if (holder)
+        holder->noteAcceptance(open->startedAt);
     const RunVerdict verdict = this->book.end(end.run, end.kind, end.checkpoint, now);
     const JobEntry* const job = this->book.find(end.run.task.job);
     if (verdict == RunVerdict::Unknown || !job)
         return;
-    if (ofThisWorker)
-        worker.giveBack(end.run.task, job->spec->steps[end.run.task.step]);
+    if (holder)
+        holder->giveBack(end.run.task, job->spec->steps[end.run.task.step]);
     effects.emplace_back(RecordEvent { EventId::RunEndTaken, describe(end.run) + " at " + worker.agent + ": " + std::string(toString(end.kind)) + (end.checkpoint.empty() ? "" : ", checkpoint kept") });
     const bool failed = end.kind == RunEndKind::Failed;
-    if (failed && ofThisWorker && job->spec->steps[end.run.task.step].longRunning)
+    if (failed && holder == &worker && job->spec->steps[end.run.task.step].longRunning)
         worker.lastChoiceForLastingUntil = now + this->config.health.setbackMemory;
     if ((failed || end.kind == RunEndKind::Done) && worker.judge(end.run.task.job, failed, this->config.health, now))
         effects.emplace_back(RecordEvent { EventId::WorkerExcluded, worker.agent + ": runs of " + std::to_string(worker.failedJobs.size()) + " jobs failed in a row" });
@@ -243,12 +249,18 @@
     }
 }
 
+WorkerEntry* Scheduler::holderOf(const RunId& run)
+{
+    const TaskState* const state = this->book.openRun(run);
+    return state ? &this->knownWorkers[state->record.assignment->agent] : nullptr;
+}
+
 void Scheduler::loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects)
 {
     const TaskState* const state = this->book.task(task);
     const RunId run { task, state->record.run };
     worker.giveBack(task, this->book.find(task.job)->spec->steps[task.step]);
-    if (!this->book.release(run, now + this->config.rejectionPause, now))
+    if (this->holderOf(run) != &worker || !this->book.release(run, now + this->config.rejectionPause, now))
         return;
     effects.emplace_back(RecordEvent { EventId::RunLost, describe(run) + " at " + worker.agent + ": " + reason });
     this->wantPass(now);
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -223,6 +223,11 @@
         effects.emplace_back(CloseLeaderLink { link });
         return;
     }
+    if (!message.agent.empty() && message.agent != this->config.agent) {
+        effects.emplace_back(RecordEvent { EventId::LinkRefused, message.leader + " means agent " + message.agent + ", which had this address" });
+        effects.emplace_back(CloseLeaderLink { link });
+        return;
+    }
     if (this->leader && this->leader != link)
         effects.emplace_back(CloseLeaderLink { *this->leader });
     this->epoch = message.epoch;
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -458,3 +458,36 @@
     test.step(AgentSaid { "agent", LinkId { 1 }, RunRejected { { { { "b" }, 0, 0 }, 1 }, "the order is out of date" } });
     CHECK(test.machine.workers().at("agent").usable(test.now));
 }
+
+TEST_CASE("scheduler: an address is no identity: reports of another agent there are passed over", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({});
+    // A machine was removed, and a new one with another name has its address.
+    test.step(AgentStored { { "gone", { "address", 1 } } });
+    test.step(AgentLinked { "gone", LinkId { 2 } });
+    CHECK(test.sent<LeaderHello>() == LeaderHello { 1, "me", 1, "gone" });
+    const WorkerInfo worker { firstLife, "service", { 8000, 8000, 0 }, {}, false, {} };
+    test.step(AgentSaid { "gone", LinkId { 2 }, WorkerSnapshot { "agent", 3, worker, true, {}, {}, {}, 0 } });
+    test.step(AgentSaid { "gone", LinkId { 2 }, Ping { 1 } });
+    CHECK_FALSE(test.sent<Pong>());
+    CHECK_FALSE(test.machine.workers().at("gone").info);
+    CHECK_FALSE(test.machine.workers().at("gone").usable(test.now));
+    test.step(JobStored { jobOf("a", { stepOf(16, 1000) }) });
+    test.now += milliseconds(10);
+    test.step(TimePassed {});
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 8);
+}
+
+TEST_CASE("scheduler: the worker that holds a run gets its room back, whoever tells the end", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 1000) }) });
+    REQUIRE(test.awaitStart(std::chrono::seconds(1)));
+    test.addWorker("other", LinkId { 2 }, 500);
+    CHECK(test.machine.workers().at("agent").tasks.size() == 1);
+    test.step(AgentSaid { "other", LinkId { 2 }, RunsEnded { { "other", 1 }, { { 1, { { { "a" }, 0, 0 }, 1 }, RunEndKind::Stopped, "" } } } });
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 0);
+    CHECK(test.machine.workers().at("agent").tasks.empty());
+    CHECK(test.machine.workers().at("agent").used == Room {});
+}
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -181,6 +181,22 @@
     CHECK_FALSE(agent.find<CallStart>());
 }
 
+TEST_CASE("agent: a leader that means another agent is turned away and replaces no link", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(LeaderSaid { LinkId { 2 }, LeaderHello { 1, "entry", 0, "other" } });
+    REQUIRE(agent.find<CloseLeaderLink>());
+    CHECK(agent.find<CloseLeaderLink>()->link == LinkId { 2 });
+    CHECK_FALSE(agent.reported<WorkerSnapshot>());
+    agent.step(LeaderSaid { leaderLink, agent.order() });
+    CHECK(agent.find<CallStart>());
+    agent.step(LeaderSaid { LinkId { 3 }, LeaderHello { 2, "new", 0, "agent" } });
+    REQUIRE(agent.find<CloseLeaderLink>());
+    CHECK(agent.find<CloseLeaderLink>()->link == leaderLink);
+    CHECK(agent.reported<WorkerSnapshot>());
+}
+
 TEST_CASE("agent: ends are told once and acknowledged only at the leader's word", "[jobs]")
 {
     AgentUnderTest agent;
--- a/libs/wire/src/JobCodec.cpp
+++ b/libs/wire/src/JobCodec.cpp
@@ -163,6 +163,7 @@
             table.epoch = message.epoch;
             table.leader = message.leader;
             table.known_generation = message.knownGeneration;
+            table.agent = message.agent;
             this->body.Set(std::move(table));
         }
 
@@ -268,7 +269,7 @@
     {
         switch (body.type) {
         case jobs::Body::LeaderHello:
-            return LeaderHello { body.AsLeaderHello()->epoch, body.AsLeaderHello()->leader, body.AsLeaderHello()->known_generation };
+            return LeaderHello { body.AsLeaderHello()->epoch, body.AsLeaderHello()->leader, body.AsLeaderHello()->known_generation, body.AsLeaderHello()->agent };
         case jobs::Body::DescribeRun:
             return DescribeRun { unpack(required(body.AsDescribeRun()->run)), unpack(required(body.AsDescribeRun()->traits)) };
         case jobs::Body::StartRun: {
--- a/libs/wire/tests/JobCodecTests.cpp
+++ b/libs/wire/tests/JobCodecTests.cpp
@@ -15,6 +15,7 @@
     const RunEnd end { 9, run, RunEndKind::GangIncomplete, "saved" };
     const WorkerInfo worker { life, "service", { 1, 2, 3 }, { "a", "r1" }, true, std::chrono::seconds(2) };
     return {
+        LeaderHello { 4, "entry", 7, "agent" },
         LeaderHello { 4, "entry", 7 },
         DescribeRun { run, traits },
         StartRun { run, life, "text", "saved", traits, 11, 12 },
