--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -34,13 +34,16 @@
 
 void Scheduler::heard(WorkerEntry& worker, const WorkerSnapshot& report, TimePoint now, Effects& effects)
 {
+    if (report.agent != worker.agent) {
+        // The address has gone to another agent; nothing that it says is about this one.
+        effects.emplace_back(RecordEvent { EventId::LinkRefused, "agent " + report.agent + " answers at the address of " + worker.agent });
+        worker.link.reset();
+        return;
+    }
     worker.generation = std::max(worker.generation, report.generation);
     const bool sameLife = worker.info && report.worker && worker.info->identity == report.worker->identity;
-    if (!sameLife) {
-        worker.failedJobs.clear();
-        worker.excludedUntil = {};
-        worker.standstillUntil = {};
-    }
+    if (!sameLife)
+        worker.clearJudgement();
     if (!worker.settled && report.settled)
         effects.emplace_back(RecordEvent { EventId::WorkerSettled, worker.agent + ": " + (report.worker ? report.worker->identity.id : "no worker") + ", " + std::to_string(report.running.size()) + " runs" });
     worker.info = report.worker;
@@ -67,6 +70,9 @@
     if (!state || state->record.assignment->agent != worker.agent)
         return;
     state->avoidedAgent = worker.agent;
+    // A start that was stopped, or that was meant for another life, was voided by the agent.
+    if (!state->stopping && worker.info && worker.info->identity == state->record.assignment->worker)
+        worker.noteRefusal(state->startedAt, this->config.health, now);
     effects.emplace_back(RecordEvent { EventId::RunRejectedByWorker, describe(report.run) + " at " + worker.agent + ": " + report.reason });
     this->loseRun(worker, report.run.task, "rejected", now, effects);
 }
@@ -103,15 +109,19 @@
 void Scheduler::takeEnd(WorkerEntry& worker, const RunEnd& end, TimePoint now, Effects& effects)
 {
     const TaskState* const open = this->book.openRun(end.run);
-    const bool ofThisWorker = open && open->record.assignment->agent == worker.agent;
+    WorkerEntry* const holder = this->holderOf(end.run);
+    if (holder)
+        holder->noteAcceptance(open->startedAt);
     const RunVerdict verdict = this->book.end(end.run, end.kind, end.checkpoint, now);
     const JobEntry* const job = this->book.find(end.run.task.job);
     if (verdict == RunVerdict::Unknown || !job)
         return;
-    if (ofThisWorker)
-        worker.giveBack(end.run.task, job->spec->steps[end.run.task.step]);
+    if (holder)
+        holder->giveBack(end.run.task, job->spec->steps[end.run.task.step]);
     effects.emplace_back(RecordEvent { EventId::RunEndTaken, describe(end.run) + " at " + worker.agent + ": " + std::string(toString(end.kind)) + (end.checkpoint.empty() ? "" : ", checkpoint kept") });
     const bool failed = end.kind == RunEndKind::Failed;
+    if (failed && holder == &worker && job->spec->steps[end.run.task.step].longRunning)
+        worker.lastChoiceForLastingUntil = now + this->config.health.setbackMemory;
     if ((failed || end.kind == RunEndKind::Done) && worker.judge(end.run.task.job, failed, this->config.health, now))
         effects.emplace_back(RecordEvent { EventId::WorkerExcluded, worker.agent + ": runs of " + std::to_string(worker.failedJobs.size()) + " jobs failed in a row" });
     if (verdict == RunVerdict::JobEnded) {
@@ -124,7 +134,7 @@
         this->orderStop(this->knownWorkers[successor.record.assignment->agent], end.run.task, "an earlier run of the task is done", effects);
 }
 
-void Scheduler::takeStatus(const WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects)
+void Scheduler::takeStatus(WorkerEntry& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects)
 {
     for (const RunStatus& status : running) {
         TaskState* const task = this->book.openRun(status.run);
@@ -134,6 +144,7 @@
         if (!open)
             continue;
         task->listedAt = now;
+        worker.noteAcceptance(task->startedAt);
         if (!status.checkpoint.empty())
             task->record.checkpoint = status.checkpoint;
         if (status.percent > task->percent)
@@ -238,12 +249,18 @@
     }
 }
 
+WorkerEntry* Scheduler::holderOf(const RunId& run)
+{
+    const TaskState* const state = this->book.openRun(run);
+    return state ? &this->knownWorkers[state->record.assignment->agent] : nullptr;
+}
+
 void Scheduler::loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects)
 {
     const TaskState* const state = this->book.task(task);
     const RunId run { task, state->record.run };
     worker.giveBack(task, this->book.find(task.job)->spec->steps[task.step]);
-    if (!this->book.release(run, now + this->config.rejectionPause, now))
+    if (this->holderOf(run) != &worker || !this->book.release(run, now + this->config.rejectionPause, now))
         return;
     effects.emplace_back(RecordEvent { EventId::RunLost, describe(run) + " at " + worker.agent + ": " + reason });
     this->wantPass(now);
@@ -253,7 +270,7 @@
 {
     worker.ordersBeforeLink = this->orders;
     worker.settled = false;
-    this->send(worker, LeaderHello { this->leaderLease.epoch(), this->config.lease.holder, worker.generation }, effects);
+    this->send(worker, LeaderHello { this->leaderLease.epoch(), this->config.lease.holder, worker.generation, worker.agent }, effects);
     this->describeRuns(worker, effects);
 }
 
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -66,8 +66,42 @@
         if (!this->machine.lease().idle())
             this->commit();
     }
+
+    /// Adds an agent whose worker is settled.
+    void addWorker(const std::string& agent, LinkId link, std::uint32_t milliCores)
+    {
+        this->step(AgentStored { { agent, { agent, 1 } } });
+        this->step(AgentLinked { agent, link });
+        const WorkerInfo worker { { agent, 1 }, "service", { milliCores, 8000, 0 }, {}, false, {} };
+        this->step(AgentSaid { agent, link, WorkerSnapshot { agent, 1, worker, true, {}, {}, {}, 0 } });
+        this->step(AgentSaid { agent, link, Ping { 1 } });
+    }
+
+    /// Lets time pass while all agents stay in touch; gives the start that is ordered, if any.
+    std::optional<StartRun> awaitStart(Duration limit)
+    {
+        const TimePoint until = this->now + limit;
+        while (this->now < until) {
+            this->now += milliseconds(10);
+            for (const Workers::value_type& worker : Workers(this->machine.workers()))
+                this->step(AgentSaid { worker.first, *worker.second.link, Ping { 1 } });
+            if (!this->machine.lease().idle())
+                this->commit();
+            const std::optional<StartRun> order = this->sent<StartRun>();
+            if (order)
+                return order;
+        }
+        return std::nullopt;
+    }
 };
 
+JobSpecHandle lastingJob(const std::string& id)
+{
+    StepSpec lasting = stepOf(1, 500);
+    lasting.longRunning = true;
+    return jobOf(id, { lasting });
+}
+
 }
 
 TEST_CASE("scheduler: an order leaves only once its assignment is stored", "[jobs]")
@@ -438,3 +472,114 @@
     CHECK(test.sent<LeaderHello>());
     CHECK_FALSE(test.machine.workers().at("agent").usable(test.now));
 }
+
+TEST_CASE("scheduler: a task goes past all workers that refuse starts, to one that takes it", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({});
+    // Fuller workers come first.
+    test.addWorker("bad-1", LinkId { 2 }, 1000);
+    test.addWorker("bad-2", LinkId { 3 }, 2000);
+    test.step(JobStored { lastingJob("a") });
+    std::vector<std::string> asked;
+    for (int start = 0; start < 6 && (asked.empty() || asked.back() != firstLife.id); ++start) {
+        const std::optional<StartRun> order = test.awaitStart(std::chrono::seconds(2));
+        REQUIRE(order);
+        asked.push_back(order->worker.id);
+        if (order->worker == firstLife)
+            continue;
+        const LinkId link = *test.machine.workers().at(order->worker.id).link;
+        test.step(AgentSaid { order->worker.id, link, RunRejected { order->run, "503" } });
+    }
+    CHECK(asked == std::vector<std::string> { "bad-1", "bad-2", firstLife.id });
+}
+
+TEST_CASE("scheduler: a lasting task goes past all workers on which such tasks fail at once", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({});
+    test.addWorker("bad-1", LinkId { 2 }, 1000);
+    test.addWorker("bad-2", LinkId { 3 }, 2000);
+    test.step(JobStored { lastingJob("a") });
+    std::vector<std::string> asked;
+    for (std::uint64_t start = 1; start < 7 && (asked.empty() || asked.back() != firstLife.id); ++start) {
+        const std::optional<StartRun> order = test.awaitStart(std::chrono::seconds(2));
+        REQUIRE(order);
+        asked.push_back(order->worker.id);
+        if (order->worker == firstLife)
+            continue;
+        const LinkId link = *test.machine.workers().at(order->worker.id).link;
+        test.step(AgentSaid { order->worker.id, link, RunProgress { order->worker, { { order->run, "", 1, 500 } } } });
+        if (!test.machine.lease().idle())
+            test.commit();
+        test.step(AgentSaid { order->worker.id, link, RunsEnded { order->worker, { { start, order->run, RunEndKind::Failed, "" } } } });
+    }
+    CHECK(asked == std::vector<std::string> { "bad-1", "bad-2", firstLife.id });
+}
+
+TEST_CASE("scheduler: the only worker with room is asked again after refusals, ever less often", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ lastingJob("a") });
+    std::size_t starts = 0;
+    TimePoint last = test.now;
+    Duration longest {};
+    const TimePoint until = test.now + std::chrono::seconds(9);
+    while (test.now < until) {
+        const std::optional<StartRun> order = test.awaitStart(std::chrono::seconds(3));
+        REQUIRE(order);
+        ++starts;
+        longest = std::max(longest, test.now - last);
+        last = test.now;
+        test.step(AgentSaid { "agent", LinkId { 1 }, RunRejected { order->run, "503" } });
+    }
+    CHECK(starts <= 12);
+    CHECK(longest < std::chrono::seconds(2));
+}
+
+TEST_CASE("scheduler: a refusal of an order that came late or was stopped does not count against the worker", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 500) }), jobOf("b", { stepOf(1, 500) }) });
+    const std::optional<StartRun> first = test.awaitStart(std::chrono::seconds(1));
+    REQUIRE(first);
+    const std::optional<StartRun> late = test.awaitStart(milliseconds(600));
+    CHECK_FALSE(late);
+    test.step(JobCancelStored { { "a" } });
+    test.step(AgentSaid { "agent", LinkId { 1 }, RunRejected { { { { "a" }, 0, 0 }, 1 }, "stopped before its start" } });
+    test.step(AgentSaid { "agent", LinkId { 1 }, RunRejected { { { { "b" }, 0, 0 }, 1 }, "the order is out of date" } });
+    CHECK(test.machine.workers().at("agent").usable(test.now));
+}
+
+TEST_CASE("scheduler: an address is no identity: reports of another agent there are passed over", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({});
+    // A machine was removed, and a new one with another name has its address.
+    test.step(AgentStored { { "gone", { "address", 1 } } });
+    test.step(AgentLinked { "gone", LinkId { 2 } });
+    CHECK(test.sent<LeaderHello>() == LeaderHello { 1, "me", 1, "gone" });
+    const WorkerInfo worker { firstLife, "service", { 8000, 8000, 0 }, {}, false, {} };
+    test.step(AgentSaid { "gone", LinkId { 2 }, WorkerSnapshot { "agent", 3, worker, true, {}, {}, {}, 0 } });
+    test.step(AgentSaid { "gone", LinkId { 2 }, Ping { 1 } });
+    CHECK_FALSE(test.sent<Pong>());
+    CHECK_FALSE(test.machine.workers().at("gone").info);
+    CHECK_FALSE(test.machine.workers().at("gone").usable(test.now));
+    test.step(JobStored { jobOf("a", { stepOf(16, 1000) }) });
+    test.now += milliseconds(10);
+    test.step(TimePassed {});
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 8);
+}
+
+TEST_CASE("scheduler: the worker that holds a run gets its room back, whoever tells the end", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.lead({ jobOf("a", { stepOf(1, 1000) }) });
+    REQUIRE(test.awaitStart(std::chrono::seconds(1)));
+    test.addWorker("other", LinkId { 2 }, 500);
+    CHECK(test.machine.workers().at("agent").tasks.size() == 1);
+    test.step(AgentSaid { "other", LinkId { 2 }, RunsEnded { { "other", 1 }, { { 1, { { { "a" }, 0, 0 }, 1 }, RunEndKind::Stopped, "" } } } });
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 0);
+    CHECK(test.machine.workers().at("agent").tasks.empty());
+    CHECK(test.machine.workers().at("agent").used == Room {});
+}
