Let the worker's answers decide which of its lives is present

Cause: the agent ordered lives by the start that a report states, a time of day that anybody may state, and took reports for truth. A report with an earlier start than the last was passed over for ever; one with any other identity ended the life that answers; each 421 moved the time from which nothing can run by 3.15 s, so reports that come each 0.5 to 1.5 s kept the leader from ever being told that nothing runs. Change: a report of another life is a candidate and causes a look at the present life at once (a look that waits for no end is not given up again, so that reports cannot keep answers away). The same start in the answer voids the candidate (E638), another start begins that life, 421 ends the present one and begins the candidate; a life that never answered and states another start than the answer is dropped with its capacity. Only leases that are sent move leaseEnd; from then on the leader is told that nothing runs until a life answers. Capacity, labels and service count when two reports in a row say the same. Why it works: only the worker at the address can answer, and each of its answers names its start, so a wrong belief lasts until the next look and not for ever. Replaced test: "a beat of an earlier life changes nothing, one of a new life begins anew" took the second report itself for the new life; it now demands a look first and the answer of that life, and that the earlier one's capacity is not taken.

--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -175,6 +175,8 @@
 /// out seconds later, so the agent raises its fencing token and looks: once a look is answered under the new token, no
 /// older order can act, and the lists tell what is true. Orders carry only tokens that the worker has accepted before. So a
 /// new run of the agent, whose token may be one of its predecessor's, raises the first one that is accepted once more.
+///
+/// Reports are hints: one that names another life than the present one causes a look, and the answer decides which lives.
 /// @code
 /// WorkerMachine machine(config);
 /// for (const WorkerEffect& effect : machine.step(WorkerBeat { info }, now))
@@ -227,6 +229,14 @@
     struct LookInFlight {
         CallNumber call;
         std::uint64_t token = 0;
+        Duration wait {};
+    };
+
+    /// Another life than the present one that the newest such report names.
+    struct Candidate {
+        WorkerInfo info;
+        /// First look that was sent after the report.
+        CallNumber proof {};
     };
 
     /// One life of the worker as the agent sees it.
@@ -235,6 +245,12 @@
         std::int64_t clockMs = 0;
         TimePoint clockReadAt {};
         TimePoint lastContact {};
+        /// Whether the worker has answered as this life.
+        bool answered = false;
+        /// Whether no report of this life has stated its capacity, labels and service.
+        bool assumed = false;
+        /// What one report stated otherwise; it counts once the next one says the same.
+        std::optional<WorkerInfo> claimed {};
         /// Whether the worker has accepted a token of this run of the agent.
         bool tokenAccepted = false;
         std::uint64_t settledToken = 0;
@@ -283,9 +299,15 @@
     void advanceLife(TimePoint now, Effects& effects);
     void look(TimePoint now, Duration wait, Effects& effects);
     void sendOrder(TimePoint now, Effects& effects);
+    void considerLife(const WorkerInfo& info, TimePoint now);
+    void refreshLife(const WorkerInfo& info, Effects& effects);
+    void answeredAs(std::int64_t born, TimePoint now, Effects& effects);
+    void dropCandidate(const std::string& reason, Effects& effects);
+    void lookSoon(TimePoint now);
     void beginLife(const WorkerInfo& info, TimePoint now, Effects& effects);
     void endLife(const std::string& reason, Effects& effects);
-    void reportBlind(Effects& effects);
+    void succeedLife(TimePoint now, Effects& effects);
+    [[nodiscard]] bool lifeAnswered() const noexcept { return this->life && this->life->answered; }
     [[nodiscard]] bool raiseAcceptedToken(std::uint64_t token) noexcept;
     void settleDoubts(Effects& effects);
     void repeatStops();
@@ -310,8 +332,8 @@
     std::uint64_t tokenRaises = 0;
     std::uint64_t lastCall = 0;
     std::optional<Life> life;
-    std::int64_t lastBorn = 0;
-    /// Until when runs may hold a lease that this agent or its predecessor gave.
+    std::optional<Candidate> candidate;
+    /// Until when runs may hold a lease that this agent or its predecessor gave; no report moves it.
     TimePoint leaseEnd;
     std::optional<TimePoint> signedOffAt;
     std::optional<LookInFlight> looking;
@@ -324,6 +346,7 @@
     std::optional<TimePoint> lastWord;
     TimePoint pingAt {};
     TimePoint progressAt {};
+    /// Whether no life has answered since all leases expired.
     bool blindReported = false;
 };
 
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -9,6 +9,16 @@
     /// Tokens that one run of the agent may use; the generation counts above them.
     constexpr std::uint64_t tokensPerGeneration = 1ULL << 20;
 
+    bool sameAttributes(const WorkerInfo& left, const WorkerInfo& right)
+    {
+        return left.service == right.service && left.capacity == right.capacity && left.labels == right.labels;
+    }
+
+    std::string describeLife(const WorkerIdentity& identity)
+    {
+        return identity.id + ", born " + std::to_string(identity.born);
+    }
+
 }
 
 WorkerMachine::WorkerMachine(WorkerMachineConfig config, TimePoint now)
@@ -36,7 +46,7 @@
         consider(this->lookAt);
     if (this->life)
         consider(std::max(this->leaseEnd, this->life->lastContact + this->config.contactValidity));
-    else if (!this->blindReported)
+    if (!this->lifeAnswered() && !this->blindReported)
         consider(this->leaseEnd);
     if (this->signedOffAt)
         consider(*this->signedOffAt + this->config.signOffMargin);
@@ -50,7 +60,7 @@
 
 bool WorkerMachine::settled() const noexcept
 {
-    if (!this->life)
+    if (!this->lifeAnswered())
         return this->blindReported;
     return this->generation && this->life->settledToken == this->token();
 }
@@ -69,22 +79,12 @@
 
 void WorkerMachine::on(const WorkerBeat& event, TimePoint now, Effects& effects)
 {
-    // A beat that was held up must not bring an earlier life back.
-    if (event.info.identity.born < this->lastBorn) {
-        effects.emplace_back(RecordEvent { EventId::BeatPassedOver, event.info.identity.id + ", born " + std::to_string(event.info.identity.born) + ", before the last one at " + std::to_string(this->lastBorn) });
-        return;
-    }
-    if (!this->life || this->life->info.identity != event.info.identity) {
+    if (!this->life)
         this->beginLife(event.info, now, effects);
-        return;
-    }
-    const bool changed = this->life->info.draining != event.info.draining || this->life->info.capacity != event.info.capacity || this->life->info.labels != event.info.labels;
-    this->life->info = event.info;
-    if (!changed)
-        return;
-    if (event.info.draining)
-        effects.emplace_back(RecordEvent { EventId::WorkerDraining, event.info.identity.id + " leaves in " + std::to_string(toMilliseconds(event.info.remaining)) + " ms or later" });
-    this->sendSnapshot(effects);
+    else if (this->life->info.identity == event.info.identity)
+        this->refreshLife(event.info, effects);
+    else
+        this->considerLife(event.info, now);
 }
 
 void WorkerMachine::on(const WorkerSignedOff& event, TimePoint now, Effects& effects)
@@ -104,11 +104,13 @@
     if (!this->life || event.call <= this->life->newestLook || underToken == 0)
         return;
     if (event.born != 0 && event.born != this->life->info.identity.born) {
-        WorkerInfo reborn = this->life->info;
-        reborn.identity.born = event.born;
-        this->beginLife(reborn, now, effects);
+        this->answeredAs(event.born, now, effects);
         return;
     }
+    this->life->answered = true;
+    this->blindReported = false;
+    if (this->candidate && event.call >= this->candidate->proof)
+        this->dropCandidate("the worker answers as " + describeLife(this->life->info.identity), effects);
     this->life->newestLook = event.call;
     this->life->clockMs = event.clockMs;
     this->life->clockReadAt = now;
@@ -132,7 +134,7 @@
     this->repeatStops();
     this->regulatePace(now, effects);
     this->reportProgress(now, effects);
-    this->lookAt = raised || this->life->ended.empty() ? now : now + this->config.acknowledgeWait;
+    this->lookAt = raised || this->candidate || this->life->ended.empty() ? now : now + this->config.acknowledgeWait;
 }
 
 void WorkerMachine::on(const OrderAnswered& event, TimePoint now, Effects& effects)
@@ -191,10 +193,10 @@
     const bool ours = (this->looking && this->looking->call == event.call) || (this->ordering && this->ordering->call == event.call);
     if (!ours)
         return;
+    if (this->candidate && this->candidate->info.identity.id == this->life->info.identity.id)
+        this->dropCandidate("the worker denies this identifier", effects);
     this->endLife("another life answers in its place", effects);
-    // That life may have carried out orders; until it has reported itself nothing is known of it.
-    this->leaseEnd = now + this->config.lease + this->config.leaseMargin;
-    this->blindReported = false;
+    this->succeedLife(now, effects);
 }
 
 void WorkerMachine::on(const LeaderAttached&, TimePoint, Effects&)
@@ -299,9 +301,10 @@
     }
     if (this->life)
         this->advanceLife(now, effects);
-    // Nothing has renewed leases since this agent began, so nothing can run any more.
-    if (!this->life && !this->blindReported && now >= this->leaseEnd) {
-        this->reportBlind(effects);
+    // No life that answers can have got a lease since, so nothing can run any more.
+    if (!this->lifeAnswered() && !this->blindReported && now >= this->leaseEnd) {
+        this->blindReported = true;
+        this->sendSnapshot(effects);
     }
 }
 
@@ -310,36 +313,94 @@
     if (this->signedOffAt && now >= *this->signedOffAt + this->config.signOffMargin) {
         this->leaseEnd = std::min(this->leaseEnd, now);
         this->endLife("the worker signed off", effects);
-        this->reportBlind(effects);
+        this->blindReported = true;
+        this->succeedLife(now, effects);
         return;
     }
     if (now >= this->leaseEnd && now >= this->life->lastContact + this->config.contactValidity) {
         this->endLife("the worker is silent and its leases have expired", effects);
-        this->reportBlind(effects);
+        this->blindReported = true;
+        this->succeedLife(now, effects);
         return;
     }
     if (!this->generation)
         return;
     const bool unsettled = this->life->settledToken != this->token();
     if (!this->looking && now >= this->lookAt)
-        this->look(now, unsettled || !this->life->ended.empty() ? Duration {} : this->config.lookWait, effects);
+        this->look(now, unsettled || this->candidate || !this->life->ended.empty() ? Duration {} : this->config.lookWait, effects);
     if (!unsettled && !this->ordering && !this->orders.empty())
         this->sendOrder(now, effects);
 }
 
+void WorkerMachine::considerLife(const WorkerInfo& info, TimePoint now)
+{
+    this->candidate = Candidate { info, CallNumber { this->lastCall + 1 } };
+    this->lookSoon(now);
+}
+
+void WorkerMachine::refreshLife(const WorkerInfo& info, Effects& effects)
+{
+    const WorkerInfo before = this->life->info;
+    WorkerInfo& present = this->life->info;
+    present.draining = info.draining;
+    present.remaining = info.remaining;
+    // One odd report must not overfill a worker.
+    if (std::exchange(this->life->assumed, false) || (this->life->claimed && sameAttributes(*this->life->claimed, info)))
+        present = info;
+    this->life->claimed = sameAttributes(present, info) ? std::nullopt : std::optional<WorkerInfo>(info);
+    if (before.draining == present.draining && sameAttributes(before, present))
+        return;
+    if (present.draining)
+        effects.emplace_back(RecordEvent { EventId::WorkerDraining, present.identity.id + " leaves in " + std::to_string(toMilliseconds(present.remaining)) + " ms or later" });
+    this->sendSnapshot(effects);
+}
+
+void WorkerMachine::answeredAs(std::int64_t born, TimePoint now, Effects& effects)
+{
+    const WorkerIdentity identity { this->life->info.identity.id, born };
+    const bool reported = this->candidate && this->candidate->info.identity == identity;
+    // What a report with a wrong start says of the worker is not to be relied on either.
+    if (!reported && !this->life->answered) {
+        this->endLife("the worker answers as " + describeLife(identity), effects);
+        this->succeedLife(now, effects);
+        return;
+    }
+    WorkerInfo info = reported ? this->candidate->info : this->life->info;
+    info.identity = identity;
+    if (this->candidate && !reported)
+        this->dropCandidate("the worker answers as " + describeLife(identity), effects);
+    this->beginLife(info, now, effects);
+    this->life->answered = true;
+    this->life->assumed = !reported;
+    this->blindReported = false;
+}
+
+void WorkerMachine::dropCandidate(const std::string& reason, Effects& effects)
+{
+    effects.emplace_back(RecordEvent { EventId::BeatPassedOver, describeLife(this->candidate->info.identity) + ": " + reason });
+    this->candidate.reset();
+}
+
+void WorkerMachine::lookSoon(TimePoint now)
+{
+    // A look that waits for no end is answered soon; giving it up at each report could keep all answers away.
+    if (this->looking && this->looking->wait > Duration {})
+        this->looking.reset();
+    if (!this->looking)
+        this->lookAt = now;
+}
+
 void WorkerMachine::beginLife(const WorkerInfo& info, TimePoint now, Effects& effects)
 {
     if (this->life)
         this->endLife("a new life has begun", effects);
     // Orders of an earlier look at this worker may still be under way.
     ++this->tokenRaises;
-    this->lastBorn = info.identity.born;
     this->life = Life { .info = info };
     this->life->lastContact = now;
-    this->signedOffAt.reset();
-    this->looking.reset();
+    this->candidate.reset();
     this->lookAt = now;
-    effects.emplace_back(RecordEvent { EventId::WorkerSeen, info.identity.id + ", born " + std::to_string(info.identity.born) + ", " + std::to_string(info.capacity.milliCores) + " milli-cores, " + std::to_string(info.capacity.memoryMb) + " MB" });
+    effects.emplace_back(RecordEvent { EventId::WorkerSeen, describeLife(info.identity) + ", " + std::to_string(info.capacity.milliCores) + " milli-cores, " + std::to_string(info.capacity.memoryMb) + " MB" });
     this->sendSnapshot(effects);
 }
 
@@ -353,10 +414,14 @@
     this->orders.clear();
 }
 
-void WorkerMachine::reportBlind(Effects& effects)
+void WorkerMachine::succeedLife(TimePoint now, Effects& effects)
 {
-    this->blindReported = true;
-    this->sendSnapshot(effects);
+    if (this->candidate) {
+        const WorkerInfo info = this->candidate->info;
+        this->beginLife(info, now, effects);
+    } else {
+        this->sendSnapshot(effects);
+    }
 }
 
 bool WorkerMachine::raiseAcceptedToken(std::uint64_t token) noexcept
@@ -411,7 +476,8 @@
 {
     if (!this->leader)
         return;
-    WorkerSnapshot snapshot { this->config.agent, this->generation.value_or(0), this->worker(), this->settled(), {}, {}, this->pendingRuns(), this->lastOrder };
+    const bool nothingRuns = !this->lifeAnswered() && this->blindReported;
+    WorkerSnapshot snapshot { this->config.agent, this->generation.value_or(0), nothingRuns ? std::nullopt : this->worker(), this->settled(), {}, {}, this->pendingRuns(), this->lastOrder };
     if (this->life) {
         snapshot.running = this->life->running;
         snapshot.ended = this->life->ended;
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -65,7 +65,7 @@
 void WorkerMachine::look(TimePoint now, Duration wait, Effects& effects)
 {
     const CallNumber call = this->nextCall();
-    this->looking = LookInFlight { call, this->token() };
+    this->looking = LookInFlight { call, this->token(), wait };
     std::optional<std::int64_t> lease;
     if (this->mayRenew(now))
         lease = this->leaseUntil(now);
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -1,4 +1,5 @@
 #include "Values.h"
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cowslipdoor/scheduling/WorkerMachine.h>
 
@@ -52,6 +53,45 @@
         return { look.call, firstLife.born, 5000, std::move(running), std::move(ended) };
     }
 
+    bool recorded(EventId event) const
+    {
+        return std::any_of(this->effects.begin(), this->effects.end(), [event](const WorkerEffect& effect) {
+            const RecordEvent* const record = std::get_if<RecordEvent>(&effect);
+            return record && record->event == event;
+        });
+    }
+
+    static WorkerBeat beatOf(const WorkerIdentity& identity, Room capacity = { 8000, 8000, 0 })
+    {
+        return { WorkerInfo { identity, "service", capacity, {}, false, {} } };
+    }
+
+    /// Lets time pass in short steps.
+    /// @param calls what becomes of each call that is sent
+    /// @param beats what comes after each tenth of a second, or nothing
+    /// @return whether the leader was told that nothing runs
+    template <typename Calls, typename Beats>
+    bool toldThatNothingRuns(Duration length, const Calls& calls, const Beats& beats)
+    {
+        bool told = false;
+        const auto play = [this, &told](const WorkerEvent& event) {
+            this->step(event);
+            const std::optional<WorkerSnapshot> snapshot = this->reported<WorkerSnapshot>();
+            told = told || (snapshot && snapshot->settled && !snapshot->worker);
+        };
+        std::optional<CallNumber> look = this->lastLook;
+        for (const TimePoint end = this->now + length; this->now < end;) {
+            this->now += milliseconds(100);
+            if (look)
+                play(calls(*look));
+            look = look == this->lastLook ? std::nullopt : std::optional<CallNumber>(this->lastLook);
+            const std::optional<WorkerEvent> beat = beats(this->now);
+            play(beat ? *beat : WorkerEvent(TimePassed {}));
+            look = this->find<CallLook>() ? this->lastLook : look;
+        }
+        return told;
+    }
+
     /// Brings the machine to where its worker is known, settled, and a leader's word is fresh.
     void settle()
     {
@@ -238,9 +278,172 @@
 {
     AgentUnderTest agent;
     agent.settle();
-    agent.step(WorkerBeat { WorkerInfo { { "worker", 0 }, "service", { 1, 1, 0 }, {}, false, {} } });
+    agent.step(AgentUnderTest::beatOf({ "worker", firstLife.born - 1 }, { 1, 1, 0 }));
+    CHECK(agent.machine.worker()->identity == firstLife);
+    REQUIRE(agent.find<CallLook>());
+    agent.step(agent.answerTo(*agent.find<CallLook>()));
     CHECK(agent.machine.worker()->identity == firstLife);
-    agent.step(WorkerBeat { WorkerInfo { { "worker", 7 }, "service", { 1, 1, 0 }, {}, false, {} } });
+    CHECK(agent.machine.worker()->capacity == Room { 8000, 8000, 0 });
+    CHECK(agent.machine.settled());
+    agent.step(AgentUnderTest::beatOf({ "worker", 7 }, { 1, 1, 0 }));
+    REQUIRE(agent.find<CallLook>());
+    agent.step(LookAnswered { agent.find<CallLook>()->call, 7, 100, {}, {} });
     CHECK(agent.machine.worker()->identity.born == 7);
+    CHECK(agent.machine.worker()->capacity == Room { 1, 1, 0 });
     CHECK_FALSE(agent.machine.settled());
 }
+
+TEST_CASE("agent: a worker that states an earlier start than its last life is used", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    const WorkerIdentity reborn { "worker", firstLife.born - 1000 };
+    agent.step(AgentUnderTest::beatOf(reborn));
+    const std::optional<CallLook> look = agent.find<CallLook>();
+    REQUIRE(look);
+    CHECK(look->worker == firstLife.id);
+    CHECK(look->wait == Duration {});
+    agent.step(LookAnswered { look->call, reborn.born, 100, {}, {} });
+    CHECK(agent.machine.worker()->identity == reborn);
+    for (int count = 0; count < 2; ++count) {
+        REQUIRE(agent.find<CallLook>());
+        agent.step(LookAnswered { agent.find<CallLook>()->call, reborn.born, 100, {}, {} });
+    }
+    CHECK(agent.machine.settled());
+}
+
+TEST_CASE("agent: a report of another writer ends no worker that answers", "[jobs]")
+{
+    const WorkerIdentity foreign = GENERATE(WorkerIdentity { "other-writer", 5 }, WorkerIdentity { firstLife.id, firstLife.born + 1'000'000'000 });
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(AgentUnderTest::beatOf(foreign));
+    CHECK(agent.machine.worker()->identity == firstLife);
+    CHECK(agent.machine.settled());
+    const std::optional<CallLook> look = agent.find<CallLook>();
+    REQUIRE(look);
+    CHECK(look->worker == firstLife.id);
+    agent.step(agent.answerTo(*look));
+    CHECK(agent.recorded(EventId::BeatPassedOver));
+    CHECK(agent.machine.worker()->identity == firstLife);
+    CHECK(agent.machine.settled());
+    agent.step(LeaderSaid { leaderLink, agent.order() });
+    CHECK(agent.find<CallStart>());
+}
+
+TEST_CASE("agent: a report that comes with each look does not keep the answers away", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(AgentUnderTest::beatOf({ "other-writer", 5 }));
+    const std::optional<CallLook> look = agent.find<CallLook>();
+    REQUIRE(look);
+    agent.step(AgentUnderTest::beatOf({ "other-writer", 6 }));
+    CHECK_FALSE(agent.find<CallLook>());
+    agent.step(agent.answerTo(*look, { { run, "", 10, 0 } }));
+    // The second report came after that look had left.
+    CHECK_FALSE(agent.recorded(EventId::BeatPassedOver));
+    REQUIRE(agent.find<CallLook>());
+    CHECK(agent.find<CallLook>()->wait == Duration {});
+    agent.step(agent.answerTo(*agent.find<CallLook>()));
+    CHECK(agent.recorded(EventId::BeatPassedOver));
+}
+
+TEST_CASE("agent: the life whose report came first takes over at once when the present one is denied", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    const WorkerIdentity successor { "successor", 3 };
+    agent.step(AgentUnderTest::beatOf(successor));
+    CHECK(agent.machine.worker()->identity == firstLife);
+    REQUIRE(agent.find<CallLook>());
+    agent.step(CallMisdirected { agent.find<CallLook>()->call });
+    REQUIRE(agent.machine.worker());
+    CHECK(agent.machine.worker()->identity == successor);
+    CHECK(agent.recorded(EventId::WorkerGone));
+    REQUIRE(agent.find<CallLook>());
+    CHECK(agent.find<CallLook>()->worker == successor.id);
+    CHECK(agent.reported<WorkerSnapshot>());
+}
+
+TEST_CASE("agent: a life that another answers for is reported as ended", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(CallMisdirected { agent.lastLook });
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK_FALSE(agent.reported<WorkerSnapshot>()->worker);
+}
+
+TEST_CASE("agent: odd reports do not keep from the leader that nothing runs", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    const bool denied = GENERATE(true, false);
+    const Duration interval = GENERATE(milliseconds(500), milliseconds(900), milliseconds(1500));
+    TimePoint next = agent.now;
+    const auto calls = [denied](CallNumber call) { return denied ? WorkerEvent(CallMisdirected { call }) : WorkerEvent(CallUnanswered { call }); };
+    const auto beats = [&next, interval](TimePoint now) -> std::optional<WorkerEvent> {
+        if (now < next)
+            return std::nullopt;
+        next = now + interval;
+        const std::int64_t born = now.time_since_epoch().count();
+        return AgentUnderTest::beatOf({ born % 2 == 0 ? "other-writer" : "worker", born });
+    };
+    // A silent worker still gets a renewal one second later, of 3 s and a margin.
+    CHECK(agent.toldThatNothingRuns(milliseconds(4600), calls, beats));
+}
+
+TEST_CASE("agent: a new leader hears that nothing runs though a life was reported that never answers", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.step(GenerationGranted { 2 });
+    agent.now += milliseconds(3200);
+    agent.step(AgentUnderTest::beatOf(firstLife));
+    agent.step(LeaderSaid { leaderLink, LeaderHello { 1, "entry", 2 } });
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK(agent.reported<WorkerSnapshot>()->settled);
+    CHECK_FALSE(agent.reported<WorkerSnapshot>()->worker);
+}
+
+TEST_CASE("agent: one odd report changes no capacity, a repeated one does", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    const Room odd { 64000, 64000, 8 };
+    agent.step(AgentUnderTest::beatOf(firstLife, odd));
+    CHECK(agent.machine.worker()->capacity == Room { 8000, 8000, 0 });
+    agent.step(AgentUnderTest::beatOf(firstLife));
+    agent.step(AgentUnderTest::beatOf(firstLife, odd));
+    CHECK(agent.machine.worker()->capacity == Room { 8000, 8000, 0 });
+    agent.step(AgentUnderTest::beatOf(firstLife, odd));
+    CHECK(agent.machine.worker()->capacity == odd);
+    WorkerBeat leaving { WorkerInfo { firstLife, "service", { 8000, 8000, 0 }, {}, true, {} } };
+    agent.step(leaving);
+    CHECK(agent.machine.worker()->draining);
+    CHECK(agent.machine.worker()->capacity == odd);
+}
+
+TEST_CASE("agent: a life that only a look showed takes the capacity of its first report", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    const WorkerIdentity reborn { firstLife.id, firstLife.born + 5 };
+    agent.step(LookAnswered { agent.lastLook, reborn.born, 100, {}, {} });
+    CHECK(agent.machine.worker()->identity == reborn);
+    agent.step(AgentUnderTest::beatOf(reborn, { 4000, 4000, 0 }));
+    CHECK(agent.machine.worker()->capacity == Room { 4000, 4000, 0 });
+}
+
+TEST_CASE("agent: what a report that was wrong states is not taken over", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.step(GenerationGranted { 2 });
+    agent.step(AgentUnderTest::beatOf({ firstLife.id, firstLife.born + 5 }, { 64000, 64000, 8 }));
+    REQUIRE(agent.find<CallLook>());
+    agent.step(agent.answerTo(*agent.find<CallLook>()));
+    CHECK_FALSE(agent.machine.worker());
+    agent.step(AgentUnderTest::beatOf(firstLife));
+    REQUIRE(agent.machine.worker());
+    CHECK(agent.machine.worker()->capacity == Room { 8000, 8000, 0 });
+}
