Let a later answer void a sign-off instead of ending a worker that answers

Seen by callers: second runs of a task and overfilled workers after a sign-off of an earlier life, or of another writer. Cause: 0.3 s after a sign-off the agent told the leader that nothing runs, whatever the worker answered; and the next report of the worker took the draining back, though the sign-off stood. Ruled out: the leader; it placed the tasks again because its agent said that nothing ran. Change: a sign-off marks the worker as draining, stops renewals and causes looks. An answer to a look that was sent 0.3 s after it or later voids it (E638) and draining is what reports say. A 421 ends the life at once, and nothing of it runs. A look without an answer cannot be told from a slow worker (the worlds have looks that go unanswered while runs go on), so there the runs are given up only when the leases have expired: 3.15 s after the last renewal before the sign-off, against 0.3 s before. A life that a look shows after a sign-off is not draining. Sign-offs of other workers leave E638. Why it works: what is believed without an answer is now only what the leases prove.

--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -66,7 +66,7 @@
         EventDescription { EventId::GenerationTaken, "generation_taken", EventLevel::Info, "This run of the agent has its generation, from which its fencing tokens follow." },
         EventDescription { EventId::BeatRefused, "beat_refused", EventLevel::Warning, "A report of a worker cannot be read or names another service." },
         EventDescription { EventId::PaceChanged, "pace_changed", EventLevel::Info, "The pace of filling runs was changed by the tail of those that serve." },
-        EventDescription { EventId::BeatPassedOver, "beat_passed_over", EventLevel::Warning, "A report or sign-off names another life of the worker than the one in use and changes nothing; the detail says why." },
+        EventDescription { EventId::BeatPassedOver, "beat_passed_over", EventLevel::Warning, "A report or sign-off names another life of the worker than the one in use, or a life that still answers, and changes nothing; the detail says why." },
     };
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -39,7 +39,7 @@
     Duration retryDelay = std::chrono::milliseconds(100);
     /// How often progress is reported: as often as tails are read.
     Duration progressInterval = std::chrono::milliseconds(500);
-    /// How long after its sign-off a worker's runs may still be ending.
+    /// How long after its sign-off a worker that really leaves may still answer.
     Duration signOffMargin = std::chrono::milliseconds(300);
     /// Ends that a worker lists at most in one answer.
     std::size_t mostListedEnds = 500;
@@ -230,6 +230,7 @@
         CallNumber call;
         std::uint64_t token = 0;
         Duration wait {};
+        TimePoint sentAt {};
     };
 
     /// Another life than the present one that the newest such report names.
@@ -249,6 +250,8 @@
         bool answered = false;
         /// Whether no report of this life has stated its capacity, labels and service.
         bool assumed = false;
+        /// Whether its last report said that it is leaving.
+        bool drainingReported = false;
         /// What one report stated otherwise; it counts once the next one says the same.
         std::optional<WorkerInfo> claimed {};
         /// Whether the worker has accepted a token of this run of the agent.
@@ -304,6 +307,8 @@
     void answeredAs(std::int64_t born, TimePoint now, Effects& effects);
     void dropCandidate(const std::string& reason, Effects& effects);
     void lookSoon(TimePoint now);
+    void voidSignOff(Effects& effects);
+    [[nodiscard]] TimePoint nextLook(TimePoint now, bool raised) const;
     void beginLife(const WorkerInfo& info, TimePoint now, Effects& effects);
     void endLife(const std::string& reason, Effects& effects);
     void succeedLife(TimePoint now, Effects& effects);
@@ -335,6 +340,7 @@
     std::optional<Candidate> candidate;
     /// Until when runs may hold a lease that this agent or its predecessor gave; no report moves it.
     TimePoint leaseEnd;
+    /// When a sign-off of the present life came that no later answer has voided.
     std::optional<TimePoint> signedOffAt;
     std::optional<LookInFlight> looking;
     TimePoint lookAt {};
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -48,8 +48,6 @@
         consider(std::max(this->leaseEnd, this->life->lastContact + this->config.contactValidity));
     if (!this->lifeAnswered() && !this->blindReported)
         consider(this->leaseEnd);
-    if (this->signedOffAt)
-        consider(*this->signedOffAt + this->config.signOffMargin);
     return next;
 }
 
@@ -89,19 +87,24 @@
 
 void WorkerMachine::on(const WorkerSignedOff& event, TimePoint now, Effects& effects)
 {
-    if (!this->life || this->life->info.identity.id != event.id || this->signedOffAt)
+    if (!this->life || this->life->info.identity.id != event.id) {
+        effects.emplace_back(RecordEvent { EventId::BeatPassedOver, "sign-off of " + event.id + (this->life ? ", present is " + describeLife(this->life->info.identity) : ", no worker is present") });
+        return;
+    }
+    if (this->signedOffAt)
         return;
     this->life->info.draining = true;
     this->signedOffAt = now;
+    this->lookSoon(now);
     this->sendSnapshot(effects);
 }
 
 void WorkerMachine::on(const LookAnswered& event, TimePoint now, Effects& effects)
 {
-    const std::uint64_t underToken = this->looking && this->looking->call == event.call ? this->looking->token : 0;
-    if (this->looking && this->looking->call == event.call)
-        this->looking.reset();
-    if (!this->life || event.call <= this->life->newestLook || underToken == 0)
+    if (!this->looking || this->looking->call != event.call)
+        return;
+    const LookInFlight answered = *std::exchange(this->looking, std::nullopt);
+    if (!this->life || event.call <= this->life->newestLook)
         return;
     if (event.born != 0 && event.born != this->life->info.identity.born) {
         this->answeredAs(event.born, now, effects);
@@ -121,10 +124,12 @@
         if (end.number > this->life->acknowledged)
             this->life->ended.push_back(end);
     }
-    const bool raised = this->raiseAcceptedToken(underToken);
+    if (this->signedOffAt && answered.sentAt >= *this->signedOffAt + this->config.signOffMargin)
+        this->voidSignOff(effects);
+    const bool raised = this->raiseAcceptedToken(answered.token);
     const bool whole = event.ended.size() < this->config.mostListedEnds;
-    if (underToken == this->token() && this->life->settledToken != underToken && whole) {
-        this->life->settledToken = underToken;
+    if (answered.token == this->token() && this->life->settledToken != answered.token && whole) {
+        this->life->settledToken = answered.token;
         this->settleDoubts(effects);
         this->sendSnapshot(effects);
     } else if (whole) {
@@ -134,7 +139,7 @@
     this->repeatStops();
     this->regulatePace(now, effects);
     this->reportProgress(now, effects);
-    this->lookAt = raised || this->candidate || this->life->ended.empty() ? now : now + this->config.acknowledgeWait;
+    this->lookAt = this->nextLook(now, raised);
 }
 
 void WorkerMachine::on(const OrderAnswered& event, TimePoint now, Effects& effects)
@@ -195,6 +200,11 @@
         return;
     if (this->candidate && this->candidate->info.identity.id == this->life->info.identity.id)
         this->dropCandidate("the worker denies this identifier", effects);
+    // An earlier life that ran anything was gone when this one answered.
+    if (this->signedOffAt && this->life->answered) {
+        this->leaseEnd = std::min(this->leaseEnd, now);
+        this->blindReported = true;
+    }
     this->endLife("another life answers in its place", effects);
     this->succeedLife(now, effects);
 }
@@ -310,15 +320,8 @@
 
 void WorkerMachine::advanceLife(TimePoint now, Effects& effects)
 {
-    if (this->signedOffAt && now >= *this->signedOffAt + this->config.signOffMargin) {
-        this->leaseEnd = std::min(this->leaseEnd, now);
-        this->endLife("the worker signed off", effects);
-        this->blindReported = true;
-        this->succeedLife(now, effects);
-        return;
-    }
     if (now >= this->leaseEnd && now >= this->life->lastContact + this->config.contactValidity) {
-        this->endLife("the worker is silent and its leases have expired", effects);
+        this->endLife(std::string(this->signedOffAt ? "the worker signed off" : "the worker is silent") + " and its leases have expired", effects);
         this->blindReported = true;
         this->succeedLife(now, effects);
         return;
@@ -327,7 +330,7 @@
         return;
     const bool unsettled = this->life->settledToken != this->token();
     if (!this->looking && now >= this->lookAt)
-        this->look(now, unsettled || this->candidate || !this->life->ended.empty() ? Duration {} : this->config.lookWait, effects);
+        this->look(now, unsettled || this->candidate || this->signedOffAt || !this->life->ended.empty() ? Duration {} : this->config.lookWait, effects);
     if (!unsettled && !this->ordering && !this->orders.empty())
         this->sendOrder(now, effects);
 }
@@ -342,11 +345,15 @@
 {
     const WorkerInfo before = this->life->info;
     WorkerInfo& present = this->life->info;
-    present.draining = info.draining;
+    this->life->drainingReported = info.draining;
+    present.draining = info.draining || this->signedOffAt;
     present.remaining = info.remaining;
     // One odd report must not overfill a worker.
-    if (std::exchange(this->life->assumed, false) || (this->life->claimed && sameAttributes(*this->life->claimed, info)))
-        present = info;
+    if (std::exchange(this->life->assumed, false) || (this->life->claimed && sameAttributes(*this->life->claimed, info))) {
+        present.service = info.service;
+        present.capacity = info.capacity;
+        present.labels = info.labels;
+    }
     this->life->claimed = sameAttributes(present, info) ? std::nullopt : std::optional<WorkerInfo>(info);
     if (before.draining == present.draining && sameAttributes(before, present))
         return;
@@ -367,6 +374,7 @@
     }
     WorkerInfo info = reported ? this->candidate->info : this->life->info;
     info.identity = identity;
+    info.draining = reported && info.draining;
     if (this->candidate && !reported)
         this->dropCandidate("the worker answers as " + describeLife(identity), effects);
     this->beginLife(info, now, effects);
@@ -390,6 +398,23 @@
         this->lookAt = now;
 }
 
+void WorkerMachine::voidSignOff(Effects& effects)
+{
+    this->signedOffAt.reset();
+    this->life->info.draining = this->life->drainingReported;
+    effects.emplace_back(RecordEvent { EventId::BeatPassedOver, "sign-off of " + describeLife(this->life->info.identity) + ": the worker still answers" });
+    this->sendSnapshot(effects);
+}
+
+TimePoint WorkerMachine::nextLook(TimePoint now, bool raised) const
+{
+    if (raised || this->candidate)
+        return now;
+    if (this->signedOffAt)
+        return std::max(now, *this->signedOffAt + this->config.signOffMargin);
+    return this->life->ended.empty() ? now : now + this->config.acknowledgeWait;
+}
+
 void WorkerMachine::beginLife(const WorkerInfo& info, TimePoint now, Effects& effects)
 {
     if (this->life)
@@ -398,6 +423,7 @@
     ++this->tokenRaises;
     this->life = Life { .info = info };
     this->life->lastContact = now;
+    this->life->drainingReported = info.draining;
     this->candidate.reset();
     this->lookAt = now;
     effects.emplace_back(RecordEvent { EventId::WorkerSeen, describeLife(info.identity) + ", " + std::to_string(info.capacity.milliCores) + " milli-cores, " + std::to_string(info.capacity.memoryMb) + " MB" });
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -65,7 +65,7 @@
 void WorkerMachine::look(TimePoint now, Duration wait, Effects& effects)
 {
     const CallNumber call = this->nextCall();
-    this->looking = LookInFlight { call, this->token(), wait };
+    this->looking = LookInFlight { call, this->token(), wait, now };
     std::optional<std::int64_t> lease;
     if (this->mayRenew(now))
         lease = this->leaseUntil(now);
@@ -150,7 +150,8 @@
 bool WorkerMachine::mayRenew(TimePoint now) const
 {
     const bool word = this->lastWord && now <= *this->lastWord + this->config.wordValidity;
-    return word && this->life->clockMs != 0 && now <= this->life->lastContact + this->config.contactValidity;
+    // A worker that may be gone gets none, so that its runs are known to be over sooner.
+    return word && !this->signedOffAt && this->life->clockMs != 0 && now <= this->life->lastContact + this->config.contactValidity;
 }
 
 std::int64_t WorkerMachine::leaseUntil(TimePoint now)
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -447,3 +447,104 @@
     REQUIRE(agent.machine.worker());
     CHECK(agent.machine.worker()->capacity == Room { 8000, 8000, 0 });
 }
+
+TEST_CASE("agent: a late sign-off ends no worker that answers", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(WorkerSignedOff { firstLife.id });
+    CHECK(agent.machine.worker()->draining);
+    // An answer that may have left before the end proves nothing.
+    REQUIRE(agent.find<CallLook>());
+    agent.step(agent.answerTo(*agent.find<CallLook>(), { { run, "", 10, 0 } }));
+    CHECK(agent.machine.worker()->draining);
+    CHECK_FALSE(agent.find<CallLook>());
+    agent.now += milliseconds(300);
+    agent.step(TimePassed {});
+    REQUIRE(agent.machine.worker());
+    const std::optional<CallLook> look = agent.find<CallLook>();
+    REQUIRE(look);
+    CHECK(look->wait == Duration {});
+    agent.step(agent.answerTo(*look, { { run, "", 10, 0 } }));
+    CHECK(agent.recorded(EventId::BeatPassedOver));
+    REQUIRE(agent.machine.worker());
+    CHECK(agent.machine.worker()->identity == firstLife);
+    CHECK_FALSE(agent.machine.worker()->draining);
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK(agent.reported<WorkerSnapshot>()->settled);
+    CHECK(agent.reported<WorkerSnapshot>()->running.size() == 1);
+    agent.step(LeaderSaid { leaderLink, agent.order() });
+    CHECK(agent.find<CallStart>());
+}
+
+TEST_CASE("agent: a late sign-off leaves a worker draining that reports so itself", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(WorkerBeat { WorkerInfo { firstLife, "service", { 8000, 8000, 0 }, {}, true, {} } });
+    agent.step(WorkerSignedOff { firstLife.id });
+    agent.now += milliseconds(300);
+    agent.step(agent.answerTo(*agent.find<CallLook>()));
+    REQUIRE(agent.find<CallLook>());
+    agent.step(agent.answerTo(*agent.find<CallLook>()));
+    CHECK(agent.recorded(EventId::BeatPassedOver));
+    CHECK(agent.machine.worker()->draining);
+}
+
+TEST_CASE("agent: a report that was under way at the sign-off does not void it", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(WorkerSignedOff { firstLife.id });
+    agent.step(AgentUnderTest::beatOf(firstLife));
+    CHECK(agent.machine.worker()->draining);
+}
+
+TEST_CASE("agent: a slow worker whose sign-off was wrong keeps its runs until its leases have expired", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    // The look after the word carries a renewal.
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, { { run, "", 10, 0 } }, {} });
+    REQUIRE(agent.find<CallLook>());
+    REQUIRE(agent.find<CallLook>()->leaseUntilMs);
+    agent.step(WorkerSignedOff { firstLife.id });
+    const auto unanswered = [](CallNumber call) { return WorkerEvent(CallUnanswered { call }); };
+    const auto noBeats = [](TimePoint) { return std::optional<WorkerEvent>(); };
+    CHECK_FALSE(agent.toldThatNothingRuns(milliseconds(3000), unanswered, noBeats));
+    // No look renews leases while the sign-off stands, so they end 3.15 s after the last renewal before it.
+    CHECK(agent.toldThatNothingRuns(milliseconds(400), unanswered, noBeats));
+}
+
+TEST_CASE("agent: of a worker that signed off and is denied nothing runs", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(WorkerSignedOff { firstLife.id });
+    REQUIRE(agent.find<CallLook>());
+    agent.step(CallMisdirected { agent.find<CallLook>()->call });
+    CHECK_FALSE(agent.machine.worker());
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK(agent.reported<WorkerSnapshot>()->settled);
+    CHECK_FALSE(agent.reported<WorkerSnapshot>()->worker);
+}
+
+TEST_CASE("agent: a sign-off of another worker is passed over", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(WorkerSignedOff { "other-writer" });
+    CHECK(agent.recorded(EventId::BeatPassedOver));
+    CHECK_FALSE(agent.machine.worker()->draining);
+}
+
+TEST_CASE("agent: a worker that is back under its identifier after its sign-off is not draining", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(WorkerSignedOff { firstLife.id });
+    REQUIRE(agent.find<CallLook>());
+    agent.step(LookAnswered { agent.find<CallLook>()->call, firstLife.born + 700, 100, {}, {} });
+    CHECK(agent.machine.worker()->identity.born == firstLife.born + 700);
+    CHECK_FALSE(agent.machine.worker()->draining);
+}
