Tell the leader all that is known each 2 s, and ends again on a new link

Why it works: every belief of the leader about an agent is compared with the worker's lists 2 s later at most.

--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -39,6 +39,8 @@
     Duration retryDelay = std::chrono::milliseconds(100);
     /// How often progress is reported: as often as tails are read.
     Duration progressInterval = std::chrono::milliseconds(500);
+    /// How often the leader is told everything: a third of the 6 s in which users expect a task that lasts to run again.
+    Duration snapshotInterval = std::chrono::seconds(2);
     /// How long after its sign-off a worker that really leaves may still answer.
     Duration signOffMargin = std::chrono::milliseconds(300);
     /// Ends that a worker lists at most in one answer.
@@ -262,6 +264,8 @@
         std::uint64_t reported = 0;
         std::vector<RunStatus> running {};
         std::vector<RunEnd> ended {};
+        /// Whether the newest look listed all ends.
+        bool whole = false;
         /// Runs whose start was answered, with the first look that must list them.
         std::map<RunId, CallNumber> started {};
         std::set<RunId> doubtful {};
@@ -352,6 +356,7 @@
     std::optional<TimePoint> lastWord;
     TimePoint pingAt {};
     TimePoint progressAt {};
+    TimePoint snapshotAt {};
     /// Whether no life has answered since all leases expired.
     bool blindReported = false;
 };
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -42,6 +42,8 @@
     const auto consider = [&next](TimePoint time) { next = next ? std::min(*next, time) : time; };
     if (this->leader)
         consider(this->pingAt);
+    if (this->leader && this->settled())
+        consider(this->snapshotAt);
     if (this->life && this->generation && !this->looking)
         consider(this->lookAt);
     if (this->life)
@@ -60,7 +62,7 @@
 {
     if (!this->lifeAnswered())
         return this->blindReported;
-    return this->generation && this->life->settledToken == this->token();
+    return this->generation && this->life->whole && this->life->settledToken == this->token();
 }
 
 void WorkerMachine::on(const TimePassed&, TimePoint, Effects&)
@@ -127,12 +129,14 @@
     if (this->signedOffAt && answered.sentAt >= *this->signedOffAt + this->config.signOffMargin)
         this->voidSignOff(effects);
     const bool raised = this->raiseAcceptedToken(answered.token);
-    const bool whole = event.ended.size() < this->config.mostListedEnds;
-    if (answered.token == this->token() && this->life->settledToken != answered.token && whole) {
+    const bool wasWhole = std::exchange(this->life->whole, event.ended.size() < this->config.mostListedEnds);
+    if (!wasWhole && this->settled())
+        this->snapshotAt = now;
+    if (answered.token == this->token() && this->life->settledToken != answered.token && this->life->whole) {
         this->life->settledToken = answered.token;
         this->settleDoubts(effects);
         this->sendSnapshot(effects);
-    } else if (whole) {
+    } else if (this->life->whole) {
         this->reportMissing(event.call, effects);
     }
     this->reportEnds(effects);
@@ -241,6 +245,10 @@
     this->leader = link;
     this->lastOrder = 0;
     this->pingAt = now;
+    this->snapshotAt = now + this->config.snapshotInterval;
+    // What an earlier leader was told may not have reached it, or not been stored.
+    if (this->life)
+        this->life->reported = 0;
     if (!this->generation && message.knownGeneration > 0) {
         this->generation = message.knownGeneration + 1;
         effects.emplace_back(RecordEvent { EventId::GenerationTaken, std::to_string(*this->generation) + ", from the leader" });
@@ -311,6 +319,10 @@
     }
     if (this->life)
         this->advanceLife(now, effects);
+    if (this->leader && this->settled() && now >= this->snapshotAt) {
+        this->snapshotAt = now + this->config.snapshotInterval;
+        this->sendSnapshot(effects);
+    }
     // No life that answers can have got a lease since, so nothing can run any more.
     if (!this->lifeAnswered() && !this->blindReported && now >= this->leaseEnd) {
         this->blindReported = true;
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -548,3 +548,69 @@
     CHECK(agent.machine.worker()->identity.born == firstLife.born + 700);
     CHECK_FALSE(agent.machine.worker()->draining);
 }
+
+TEST_CASE("agent: an end that the leader did not take is told again, on the link and on a new one", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    const RunEnd end { 4, run, RunEndKind::Done, "" };
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, {}, { end } });
+    REQUIRE(agent.reported<RunsEnded>());
+    agent.step(CallUnanswered { agent.lastLook });
+    agent.now += milliseconds(2000);
+    agent.step(TimePassed {});
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK(agent.reported<WorkerSnapshot>()->settled);
+    CHECK(agent.reported<WorkerSnapshot>()->ended == std::vector<RunEnd> { end });
+    // With an order of unknown outcome nothing is settled, so the snapshot for the new leader tells no ends.
+    agent.step(LeaderSaid { leaderLink, Pong { agent.now.time_since_epoch().count() } });
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, {}, { end } });
+    agent.step(LeaderSaid { leaderLink, agent.order() });
+    REQUIRE(agent.find<CallStart>());
+    agent.step(CallUnanswered { agent.find<CallStart>()->call });
+    const std::optional<CallLook> look = agent.find<CallLook>();
+    REQUIRE(look);
+    agent.step(LeaderSaid { LinkId { 2 }, LeaderHello { 2, "new", 2 } });
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK_FALSE(agent.reported<WorkerSnapshot>()->settled);
+    // One more end than is listed in one answer at most keeps the worker unsettled and must be told all the same.
+    std::vector<RunEnd> many;
+    for (std::uint64_t number = 4; number < 504; ++number)
+        many.push_back({ number, { { { "job" }, 0, static_cast<std::uint32_t>(number) }, 1 }, RunEndKind::Done, "" });
+    agent.step(agent.answerTo(*look, {}, many));
+    REQUIRE(agent.reported<RunsEnded>());
+    CHECK(agent.reported<RunsEnded>()->ends.size() == many.size());
+}
+
+TEST_CASE("agent: a run that vanishes without an end is told to the leader, however it was found", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.step(GenerationGranted { 2 });
+    agent.step(AgentUnderTest::beatOf(firstLife));
+    const CallNumber first = agent.lastLook;
+    agent.step(LeaderSaid { leaderLink, LeaderHello { 1, "entry", 2 } });
+    agent.step(LookAnswered { first, firstLife.born, 5000, { { run, "", 10, 0 } }, {} });
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, { { run, "", 10, 0 } }, {} });
+    REQUIRE(agent.machine.settled());
+    agent.step(agent.answerTo(*agent.find<CallLook>()));
+    agent.now += milliseconds(2000);
+    agent.step(TimePassed {});
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK(agent.reported<WorkerSnapshot>()->settled);
+    CHECK(agent.reported<WorkerSnapshot>()->running.empty());
+    CHECK(agent.machine.nextWakeup() <= agent.now + milliseconds(2000));
+}
+
+TEST_CASE("agent: while ends are listed in part, no snapshot claims to be whole", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    std::vector<RunEnd> many;
+    for (std::uint64_t number = 1; number <= 500; ++number)
+        many.push_back({ number, { { { "job" }, 0, static_cast<std::uint32_t>(number) }, 1 }, RunEndKind::Done, "" });
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, {}, many });
+    CHECK(agent.reported<RunsEnded>());
+    agent.step(WorkerBeat { WorkerInfo { firstLife, "service", { 8000, 8000, 0 }, {}, true, {} } });
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK_FALSE(agent.reported<WorkerSnapshot>()->settled);
+}
