Refuse words of the leader that are later than the agent's newest ping

Cause: a word is the time of a ping, by a clock that starts anew when the machine does; the word in a start order, and in the answer to a ping, was taken in unchecked. One from before a restart may lie hours ahead and would allow renewals, and let orders pass that came late, until the clock has caught up. Change: a word that is later than the newest ping of this run of the agent counts for nothing; an order with one is refused.

--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -330,6 +330,7 @@
     void report(AgentReport report, Effects& effects) const;
     [[nodiscard]] std::uint64_t token() const noexcept;
     [[nodiscard]] CallNumber nextCall() noexcept;
+    [[nodiscard]] bool isAnswerToPing(std::int64_t word) const;
     [[nodiscard]] bool mayRenew(TimePoint now) const;
     [[nodiscard]] std::int64_t leaseUntil(TimePoint now);
     [[nodiscard]] std::vector<RunId> pendingRuns() const;
@@ -354,6 +355,7 @@
     std::optional<LinkId> leader;
     std::uint64_t lastOrder = 0;
     std::optional<TimePoint> lastWord;
+    std::optional<TimePoint> lastPing;
     TimePoint pingAt {};
     TimePoint progressAt {};
     TimePoint snapshotAt {};
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -266,6 +266,10 @@
 void WorkerMachine::hear(LinkId link, const StartRun& message, TimePoint now, Effects& effects)
 {
     this->lastOrder = std::max(this->lastOrder, message.order);
+    if (!this->isAnswerToPing(message.word)) {
+        this->reject(message.run, "the order is from a time that is still to come", effects);
+        return;
+    }
     this->hear(link, Pong { message.word }, now, effects);
     if (!this->life || this->life->info.identity != message.worker) {
         this->reject(message.run, "the worker's life has ended", effects);
@@ -307,6 +311,8 @@
 
 void WorkerMachine::hear(LinkId, const Pong& message, TimePoint, Effects&)
 {
+    if (!this->isAnswerToPing(message.sentAt))
+        return;
     const TimePoint sentAt { Duration(message.sentAt) };
     this->lastWord = this->lastWord ? std::max(*this->lastWord, sentAt) : sentAt;
 }
@@ -315,6 +321,7 @@
 {
     if (this->leader && now >= this->pingAt) {
         this->pingAt = now + this->config.pingInterval;
+        this->lastPing = now;
         this->report(Ping { now.time_since_epoch().count() }, effects);
     }
     if (this->life)
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -147,6 +147,12 @@
     return CallNumber { ++this->lastCall };
 }
 
+bool WorkerMachine::isAnswerToPing(std::int64_t word) const
+{
+    // The clock starts anew when the machine does, so a word from before may lie in the future.
+    return this->lastPing && word <= this->lastPing->time_since_epoch().count();
+}
+
 bool WorkerMachine::mayRenew(TimePoint now) const
 {
     const bool word = this->lastWord && now <= *this->lastWord + this->config.wordValidity;
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -19,12 +19,15 @@
     TimePoint now = start;
 
     CallNumber lastLook {};
+    std::int64_t lastPing = 0;
 
     void step(const WorkerEvent& event)
     {
         this->effects = this->machine.step(event, this->now);
         const std::optional<CallLook> look = this->find<CallLook>();
         this->lastLook = look ? look->call : this->lastLook;
+        const std::optional<Ping> ping = this->reported<Ping>();
+        this->lastPing = ping ? ping->sentAt : this->lastPing;
     }
 
     template <typename Effect>
@@ -104,7 +107,7 @@
         this->step(LeaderSaid { leaderLink, Pong { this->now.time_since_epoch().count() } });
     }
 
-    StartRun order() const { return { run, firstLife, "text", "", {}, 1, this->now.time_since_epoch().count() }; }
+    StartRun order() const { return { run, firstLife, "text", "", {}, 1, this->lastPing }; }
 };
 
 }
@@ -614,3 +617,23 @@
     REQUIRE(agent.reported<WorkerSnapshot>());
     CHECK_FALSE(agent.reported<WorkerSnapshot>()->settled);
 }
+
+TEST_CASE("agent: a word from a time that is still to come counts for nothing", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.now += milliseconds(1600);
+    const std::int64_t future = (agent.now + std::chrono::hours(1)).time_since_epoch().count();
+    agent.step(LeaderSaid { leaderLink, Pong { future } });
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, {}, {} });
+    REQUIRE(agent.find<CallLook>());
+    CHECK_FALSE(agent.find<CallLook>()->leaseUntilMs);
+    StartRun order = agent.order();
+    order.word = future;
+    agent.step(LeaderSaid { leaderLink, order });
+    CHECK(agent.reported<RunRejected>());
+    CHECK_FALSE(agent.find<CallStart>());
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, {}, {} });
+    REQUIRE(agent.find<CallLook>());
+    CHECK_FALSE(agent.find<CallLook>()->leaseUntilMs);
+}
