--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -39,7 +39,9 @@
     Duration retryDelay = std::chrono::milliseconds(100);
     /// How often progress is reported: as often as tails are read.
     Duration progressInterval = std::chrono::milliseconds(500);
-    /// How long after its sign-off a worker's runs may still be ending.
+    /// How often the leader is told everything: a third of the 6 s in which users expect a task that lasts to run again.
+    Duration snapshotInterval = std::chrono::seconds(2);
+    /// How long after its sign-off a worker that really leaves may still answer.
     Duration signOffMargin = std::chrono::milliseconds(300);
     /// Ends that a worker lists at most in one answer.
     std::size_t mostListedEnds = 500;
@@ -175,6 +177,8 @@
 /// out seconds later, so the agent raises its fencing token and looks: once a look is answered under the new token, no
 /// older order can act, and the lists tell what is true. Orders carry only tokens that the worker has accepted before. So a
 /// new run of the agent, whose token may be one of its predecessor's, raises the first one that is accepted once more.
+///
+/// Reports are hints: one that names another life than the present one causes a look, and the answer decides which lives.
 /// @code
 /// WorkerMachine machine(config);
 /// for (const WorkerEffect& effect : machine.step(WorkerBeat { info }, now))
@@ -227,6 +231,15 @@
     struct LookInFlight {
         CallNumber call;
         std::uint64_t token = 0;
+        Duration wait {};
+        TimePoint sentAt {};
+    };
+
+    /// Another life than the present one that the newest such report names.
+    struct Candidate {
+        WorkerInfo info;
+        /// First look that was sent after the report.
+        CallNumber proof {};
     };
 
     /// One life of the worker as the agent sees it.
@@ -235,6 +248,14 @@
         std::int64_t clockMs = 0;
         TimePoint clockReadAt {};
         TimePoint lastContact {};
+        /// Whether the worker has answered as this life.
+        bool answered = false;
+        /// Whether no report of this life has stated its capacity, labels and service.
+        bool assumed = false;
+        /// Whether its last report said that it is leaving.
+        bool drainingReported = false;
+        /// What one report stated otherwise; it counts once the next one says the same.
+        std::optional<WorkerInfo> claimed {};
         /// Whether the worker has accepted a token of this run of the agent.
         bool tokenAccepted = false;
         std::uint64_t settledToken = 0;
@@ -243,6 +264,8 @@
         std::uint64_t reported = 0;
         std::vector<RunStatus> running {};
         std::vector<RunEnd> ended {};
+        /// Whether the newest look listed all ends.
+        bool whole = false;
         /// Runs whose start was answered, with the first look that must list them.
         std::map<RunId, CallNumber> started {};
         std::set<RunId> doubtful {};
@@ -283,9 +306,17 @@
     void advanceLife(TimePoint now, Effects& effects);
     void look(TimePoint now, Duration wait, Effects& effects);
     void sendOrder(TimePoint now, Effects& effects);
+    void considerLife(const WorkerInfo& info, TimePoint now);
+    void refreshLife(const WorkerInfo& info, Effects& effects);
+    void answeredAs(std::int64_t born, TimePoint now, Effects& effects);
+    void dropCandidate(const std::string& reason, Effects& effects);
+    void lookSoon(TimePoint now);
+    void voidSignOff(Effects& effects);
+    [[nodiscard]] TimePoint nextLook(TimePoint now, bool raised) const;
     void beginLife(const WorkerInfo& info, TimePoint now, Effects& effects);
     void endLife(const std::string& reason, Effects& effects);
-    void reportBlind(Effects& effects);
+    void succeedLife(TimePoint now, Effects& effects);
+    [[nodiscard]] bool lifeAnswered() const noexcept { return this->life && this->life->answered; }
     [[nodiscard]] bool raiseAcceptedToken(std::uint64_t token) noexcept;
     void settleDoubts(Effects& effects);
     void repeatStops();
@@ -299,6 +330,7 @@
     void report(AgentReport report, Effects& effects) const;
     [[nodiscard]] std::uint64_t token() const noexcept;
     [[nodiscard]] CallNumber nextCall() noexcept;
+    [[nodiscard]] bool isAnswerToPing(std::int64_t word) const;
     [[nodiscard]] bool mayRenew(TimePoint now) const;
     [[nodiscard]] std::int64_t leaseUntil(TimePoint now);
     [[nodiscard]] std::vector<RunId> pendingRuns() const;
@@ -310,9 +342,10 @@
     std::uint64_t tokenRaises = 0;
     std::uint64_t lastCall = 0;
     std::optional<Life> life;
-    std::int64_t lastBorn = 0;
-    /// Until when runs may hold a lease that this agent or its predecessor gave.
+    std::optional<Candidate> candidate;
+    /// Until when runs may hold a lease that this agent or its predecessor gave; no report moves it.
     TimePoint leaseEnd;
+    /// When a sign-off of the present life came that no later answer has voided.
     std::optional<TimePoint> signedOffAt;
     std::optional<LookInFlight> looking;
     TimePoint lookAt {};
@@ -322,8 +355,11 @@
     std::optional<LinkId> leader;
     std::uint64_t lastOrder = 0;
     std::optional<TimePoint> lastWord;
+    std::optional<TimePoint> lastPing;
     TimePoint pingAt {};
     TimePoint progressAt {};
+    TimePoint snapshotAt {};
+    /// Whether no life has answered since all leases expired.
     bool blindReported = false;
 };
 
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -65,7 +65,7 @@
 void WorkerMachine::look(TimePoint now, Duration wait, Effects& effects)
 {
     const CallNumber call = this->nextCall();
-    this->looking = LookInFlight { call, this->token() };
+    this->looking = LookInFlight { call, this->token(), wait, now };
     std::optional<std::int64_t> lease;
     if (this->mayRenew(now))
         lease = this->leaseUntil(now);
@@ -147,10 +147,17 @@
     return CallNumber { ++this->lastCall };
 }
 
+bool WorkerMachine::isAnswerToPing(std::int64_t word) const
+{
+    // The clock starts anew when the machine does, so a word from before may lie in the future.
+    return this->lastPing && word <= this->lastPing->time_since_epoch().count();
+}
+
 bool WorkerMachine::mayRenew(TimePoint now) const
 {
     const bool word = this->lastWord && now <= *this->lastWord + this->config.wordValidity;
-    return word && this->life->clockMs != 0 && now <= this->life->lastContact + this->config.contactValidity;
+    // A worker that may be gone gets none, so that its runs are known to be over sooner.
+    return word && !this->signedOffAt && this->life->clockMs != 0 && now <= this->life->lastContact + this->config.contactValidity;
 }
 
 std::int64_t WorkerMachine::leaseUntil(TimePoint now)
