One checked reader of JSON that others wrote

CheckedJson bounds the depth at parsing, and gives whole numbers only within their type and a named bound, finite decimals, spans of time without their fraction (only some fields of the platform are said to be whole).

No caller yet, so nothing fails before.

--- /dev/null
+++ b/libs/scheduling/src/CheckedJson.cpp
@@ -0,0 +1,214 @@
+#include "cowslipdoor/scheduling/CheckedJson.h"
+#include <algorithm>
+#include <cmath>
+#include <cowslipdoor/core/Error.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace cowslipdoor {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    /// Greatest whole number up to which a double holds each one.
+    constexpr double largestExact = 9'007'199'254'740'992.0;
+
+    /// Deepest nesting of brackets outside of texts.
+    std::size_t nestingOf(std::string_view text)
+    {
+        std::size_t depth = 0;
+        std::size_t deepest = 0;
+        bool quoted = false;
+        for (std::size_t index = 0; index < text.size(); ++index) {
+            const char letter = text[index];
+            if (quoted && letter == '\\')
+                ++index;
+            else if (letter == '"')
+                quoted = !quoted;
+            else if (!quoted && (letter == '[' || letter == '{'))
+                deepest = std::max(deepest, ++depth);
+            else if (!quoted && (letter == ']' || letter == '}') && depth > 0)
+                --depth;
+        }
+        return deepest;
+    }
+
+    bool isExactWhole(const Json& value)
+    {
+        if (!value.is_number_float())
+            return false;
+        const double number = value.get<double>();
+        return std::abs(number) <= largestExact && std::trunc(number) == number;
+    }
+
+    template <typename Number>
+    std::string describeBounds(const Bounds<Number>& bounds)
+    {
+        return "a whole number from " + std::to_string(bounds.least) + " to " + std::to_string(bounds.most);
+    }
+
+}
+
+CheckedJson::CheckedJson(Document document, const Json& value, std::string name)
+    : document(std::move(document))
+    , value(&value)
+    , name(std::move(name))
+{
+}
+
+CheckedJson CheckedJson::parse(std::string_view text)
+{
+    if (nestingOf(text) > deepestNesting)
+        throw Error(ErrorKind::BadRequest, "the text is nested more than " + std::to_string(deepestNesting) + " levels deep");
+    try {
+        const Document document = std::make_shared<const Json>(Json::parse(text));
+        return { document, *document, "body" };
+    } catch (const Json::exception& error) {
+        throw Error(ErrorKind::BadRequest, error.what());
+    }
+}
+
+CheckedJson CheckedJson::at(const char* field) const
+{
+    const std::optional<CheckedJson> found = this->find(field);
+    if (!found)
+        this->refuse(std::string("an object with a field '") + field + "'");
+    return *found;
+}
+
+CheckedJson CheckedJson::item(std::size_t index) const
+{
+    if (index >= this->size())
+        this->refuse("a list of more than " + std::to_string(index) + " values");
+    return { this->document, (*this->value)[index], this->name };
+}
+
+std::optional<CheckedJson> CheckedJson::find(const char* field) const
+{
+    if (!this->isObject())
+        this->refuse("an object");
+    const Json::const_iterator it = this->value->find(field);
+    if (it == this->value->end())
+        return std::nullopt;
+    return CheckedJson(this->document, *it, field);
+}
+
+std::vector<CheckedJson> CheckedJson::items() const
+{
+    std::vector<CheckedJson> items;
+    items.reserve(this->size());
+    for (const Json& item : *this->value)
+        items.push_back(CheckedJson(this->document, item, this->name));
+    return items;
+}
+
+std::vector<std::pair<std::string, CheckedJson>> CheckedJson::fields() const
+{
+    if (!this->isObject())
+        this->refuse("an object");
+    std::vector<std::pair<std::string, CheckedJson>> fields;
+    for (Json::const_iterator it = this->value->begin(); it != this->value->end(); ++it)
+        fields.emplace_back(it.key(), CheckedJson(this->document, it.value(), it.key()));
+    return fields;
+}
+
+std::size_t CheckedJson::size() const
+{
+    if (!this->value->is_array())
+        this->refuse("a list");
+    return this->value->size();
+}
+
+double CheckedJson::decimal(double least, double most) const
+{
+    const double number = this->value->is_number() ? this->value->get<double>() : std::numeric_limits<double>::quiet_NaN();
+    if (!(number >= least && number <= most))
+        this->refuse("a number from " + std::to_string(least) + " to " + std::to_string(most));
+    return number;
+}
+
+std::chrono::milliseconds CheckedJson::milliseconds(std::chrono::milliseconds most) const
+{
+    return std::chrono::milliseconds(static_cast<std::chrono::milliseconds::rep>(this->decimal(0, static_cast<double>(most.count()))));
+}
+
+std::chrono::milliseconds CheckedJson::millisecondsOr(const char* field, std::chrono::milliseconds fallback, std::chrono::milliseconds most) const
+{
+    const std::optional<CheckedJson> found = this->find(field);
+    return found ? found->milliseconds(most) : fallback;
+}
+
+std::string CheckedJson::text() const
+{
+    if (!this->value->is_string())
+        this->refuse("a text");
+    return this->value->get<std::string>();
+}
+
+std::string CheckedJson::textOr(const char* field) const
+{
+    const std::optional<CheckedJson> found = this->find(field);
+    return found ? found->text() : std::string();
+}
+
+bool CheckedJson::flag() const
+{
+    if (!this->value->is_boolean())
+        this->refuse("true or false");
+    return this->value->get<bool>();
+}
+
+bool CheckedJson::flagOr(const char* field) const
+{
+    const std::optional<CheckedJson> found = this->find(field);
+    return found && found->flag();
+}
+
+std::vector<std::string> CheckedJson::texts() const
+{
+    std::vector<std::string> texts;
+    for (const CheckedJson& item : this->items())
+        texts.push_back(item.text());
+    return texts;
+}
+
+bool CheckedJson::isNull() const noexcept
+{
+    return this->value->is_null();
+}
+
+bool CheckedJson::isObject() const noexcept
+{
+    return this->value->is_object();
+}
+
+void CheckedJson::refuse(const std::string& accepted) const
+{
+    throw Error(ErrorKind::BadRequest, "field '" + this->name + "': accepted is " + accepted);
+}
+
+std::uint64_t CheckedJson::unsignedWhole(const Bounds<std::uint64_t>& bounds) const
+{
+    const bool exact = isExactWhole(*this->value) && this->value->get<double>() >= 0;
+    if (!exact && !this->value->is_number_unsigned())
+        this->refuse(describeBounds(bounds));
+    const std::uint64_t number = exact ? static_cast<std::uint64_t>(this->value->get<double>()) : this->value->get<std::uint64_t>();
+    if (number < bounds.least || number > bounds.most)
+        this->refuse(describeBounds(bounds));
+    return number;
+}
+
+std::int64_t CheckedJson::signedWhole(const Bounds<std::int64_t>& bounds) const
+{
+    const bool exact = isExactWhole(*this->value);
+    const bool tooLarge = this->value->is_number_unsigned() && this->value->get<std::uint64_t>() > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    if (tooLarge || (!exact && !this->value->is_number_integer()))
+        this->refuse(describeBounds(bounds));
+    const std::int64_t number = exact ? static_cast<std::int64_t>(this->value->get<double>()) : this->value->get<std::int64_t>();
+    if (number < bounds.least || number > bounds.most)
+        this->refuse(describeBounds(bounds));
+    return number;
+}
+
+}
