Tell of an agent's address that cannot be dialled, and keep the link to its former one

Seen: nothing; that is the fault. A row of another writer with a port out of range threw Error out of the dialling task. Asio drops what leaves a detached coroutine, so the task of that agent ended in silence, and a link at its former address was given up for it. Ruled out: that the process ends (the test's context runs on, the other agents keep their links, and a later address of the agent is dialled before the fix too).

Evidence: "agent dialer: an address that cannot be dialled is told and passed over, and the agent's next one is used". Before: AgentDialerTests.cpp:80 FAILED, no row_ignored on the page of metrics. After: passes.

--- a/libs/runtime/include/cowslipdoor/runtime/AgentDialer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/AgentDialer.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cowslipdoor::runtime {
@@ -48,7 +49,7 @@
     /// @param metrics where counts go
     AgentDialer(asio::any_io_executor executor, AgentDialerConfig config, SchedulerEventSink sink, const Log& log, Metrics& metrics);
 
-    /// @brief Keeps a link to an agent; a new address replaces the old one.
+    /// @brief Keeps a link to an agent; a new address replaces the old one, one that cannot be read is told and passed over.
     /// @param agent name of the agent
     /// @param address where it takes links
     void keepLinked(const std::string& agent, const std::string& address);
@@ -65,9 +66,11 @@
     /// Where an agent is dialled, and by which task: one that was told to end may still be waiting.
     struct Wanted {
         std::string address;
+        tcp::endpoint endpoint {};
         std::uint64_t task = 0;
     };
 
+    [[nodiscard]] std::optional<tcp::endpoint> readAddress(const std::string& agent, const std::string& address);
     asio::awaitable<void> keep(std::string agent, Wanted wanted);
     /// Gives whether a link came about and was refused.
     asio::awaitable<bool> linkOnce(std::string agent, Wanted wanted);
--- a/libs/runtime/src/AgentDialer.cpp
+++ b/libs/runtime/src/AgentDialer.cpp
@@ -3,6 +3,7 @@
 #include "cowslipdoor/runtime/Clock.h"
 #include "cowslipdoor/runtime/Process.h"
 #include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/scheduling/Rows.h>
 #include <utility>
 
 namespace cowslipdoor::runtime {
@@ -21,7 +22,10 @@
     const std::map<std::string, Wanted>::const_iterator known = this->agents.find(agent);
     if (known != this->agents.end() && known->second.address == address)
         return;
-    const Wanted wanted { address, ++this->lastTask };
+    const std::optional<tcp::endpoint> endpoint = this->readAddress(agent, address);
+    if (!endpoint)
+        return;
+    const Wanted wanted { address, *endpoint, ++this->lastTask };
     this->agents.insert_or_assign(agent, wanted);
     asio::co_spawn(
         this->executor, [this, agent, wanted]() { return this->keep(agent, wanted); }, asio::detached);
@@ -43,6 +47,17 @@
         item.second->close();
 }
 
+std::optional<tcp::endpoint> AgentDialer::readAddress(const std::string& agent, const std::string& address)
+{
+    try {
+        return parseAddress(address);
+    } catch (const Error& error) {
+        this->metrics.countEvent(EventId::RowIgnored);
+        this->log.record(EventId::RowIgnored, std::string(agentTable) + "/" + agent + ": " + error.what());
+        return std::nullopt;
+    }
+}
+
 asio::awaitable<void> AgentDialer::keep(std::string agent, Wanted wanted)
 {
     std::uint32_t refusals = 0;
@@ -57,7 +72,7 @@
 {
     beast::tcp_stream dialled(this->executor);
     dialled.expires_after(this->config.connectLimit);
-    const std::tuple<error_code> connected = co_await dialled.async_connect(parseAddress(wanted.address), asTuple);
+    const std::tuple<error_code> connected = co_await dialled.async_connect(wanted.endpoint, asTuple);
     if (std::get<0>(connected) || !this->isCurrent(agent, wanted.task))
         co_return false;
     dialled.expires_never();
--- a/libs/runtime/tests/AgentDialerTests.cpp
+++ b/libs/runtime/tests/AgentDialerTests.cpp
@@ -69,3 +69,17 @@
     test.context.run_for(milliseconds(700));
     CHECK(test.taken.size() == 7);
 }
+
+TEST_CASE("agent dialer: an address that cannot be dialled is told and passed over, and the agent's next one is used", "[jobs]")
+{
+    // Replays a row of another writer among those of the agents.
+    DialerUnderTest test;
+    for (const char* const address : { "127.0.0.1:99999", "127.0.0.1:-1", "somewhere:80", "127.0.0.1", "" })
+        test.dialer.keepLinked("agent", address);
+    test.context.run_for(milliseconds(300));
+    CHECK(test.metrics.expose().find("event=\"row_ignored\"} 5") != std::string::npos);
+    CHECK(test.taken.empty());
+    test.keepLinked();
+    test.context.run_for(milliseconds(300));
+    CHECK(test.taken.size() == 1);
+}
