Print rows also with names that are not UTF-8

What callers would see: no job goes on, entries answer. A report under /v1/instances/ with bytes over 127 in the worker's name was taken (Beast lets them through, nothing checked the name), the agent told the leader, and the first row of progress that named the worker threw from the printing, out of the scheduler's task. Asio drops what leaves a detached coroutine: the process lives on, without a scheduler; the next leader follows. Ruled out: texts from JSON, which the parser checks; job specifications, which were printed with replacement already.

All rows are printed with replacement now.

Evidence: "rows: texts that are not UTF-8 do not stop the leader's writing". Before: 5 checks FAILED, "[json.exception.type_error.316] invalid UTF-8 byte at index 1: 0xFF". After: passes. The path from the report to the row is read from the code, not run.

--- a/libs/scheduling/src/Rows.cpp
+++ b/libs/scheduling/src/Rows.cpp
@@ -28,6 +28,12 @@
             { "per_worker", step.maximumPerWorker }, { "target", step.target.count() }, { "may_miss", step.mayMiss } };
     }
 
+    /// Text of a value. A worker's or agent's name may have bytes that are no text; the leader goes on writing.
+    std::string dump(const Json& json)
+    {
+        return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    }
+
     StepSpec stepFromJson(const Json& json)
     {
         StepSpec step;
@@ -123,12 +129,12 @@
 
 std::string print(const LeaderRecord& record)
 {
-    return Json { { "epoch", record.epoch }, { "holder", record.holder }, { "incarnation", record.incarnation }, { "sequence", record.sequence }, { "most_milli_cores", record.mostMilliCores } }.dump();
+    return dump({ { "epoch", record.epoch }, { "holder", record.holder }, { "incarnation", record.incarnation }, { "sequence", record.sequence }, { "most_milli_cores", record.mostMilliCores } });
 }
 
 std::string print(const AgentRecord& record)
 {
-    return Json { { "address", record.address }, { "generation", record.generation } }.dump();
+    return dump({ { "address", record.address }, { "generation", record.generation } });
 }
 
 std::string print(const ProgressRecord& record)
@@ -144,7 +150,7 @@
     Json places = Json::array();
     for (const Assignment& assignment : known)
         places.push_back({ assignment.agent, assignment.worker.id, assignment.worker.born });
-    return Json { { "state", static_cast<unsigned>(record.state) }, { "places", places }, { "tasks", tasks } }.dump();
+    return dump({ { "state", static_cast<unsigned>(record.state) }, { "places", places }, { "tasks", tasks } });
 }
 
 std::string print(const JobSpec& spec)
@@ -152,14 +158,13 @@
     Json steps = Json::array();
     for (const StepSpec& step : spec.steps)
         steps.push_back(toJson(step));
-    return Json { { "id", spec.id.text }, { "queue", spec.queue }, { "service", spec.service }, { "priority", spec.priority }, { "attempts", spec.attempts },
-        { "stretch", spec.stretch }, { "slack", spec.slack.count() }, { "payload", spec.payload }, { "steps", steps }, { "accepted", spec.acceptedAtMs } }
-        .dump(-1, ' ', false, Json::error_handler_t::replace);
+    return dump({ { "id", spec.id.text }, { "queue", spec.queue }, { "service", spec.service }, { "priority", spec.priority }, { "attempts", spec.attempts },
+        { "stretch", spec.stretch }, { "slack", spec.slack.count() }, { "payload", spec.payload }, { "steps", steps }, { "accepted", spec.acceptedAtMs } });
 }
 
 std::string print(const PendingCounts& counts)
 {
-    return Json(counts).dump();
+    return dump(counts);
 }
 
 std::string print(const std::vector<LearntLoss>& losses)
@@ -167,7 +172,7 @@
     Json rows = Json::array();
     for (const LearntLoss& item : losses)
         rows.push_back({ item.serving, item.filling, rounded(item.loss), rounded(item.variance) });
-    return rows.dump();
+    return dump(rows);
 }
 
 std::optional<LeaderRecord> parseLeaderRecord(const std::string& text)
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -45,6 +45,16 @@
     }
 }
 
+TEST_CASE("rows: texts that are not UTF-8 do not stop the leader's writing", "[jobs]")
+{
+    const std::string bytes = "w\xff";
+    CHECK_NOTHROW(print(ProgressRecord { JobState::Running, { { false, 1, {}, Assignment { bytes, { bytes, 5 } }, bytes } } }));
+    CHECK_NOTHROW(print(PendingCounts { { bytes, 4 } }));
+    CHECK_NOTHROW(print(std::vector<LearntLoss> { { bytes, bytes, 1, 1 } }));
+    CHECK_NOTHROW(print(LeaderRecord { 3, bytes, 17, 4, 500 }));
+    CHECK_NOTHROW(print(AgentRecord { bytes, 9 }));
+}
+
 TEST_CASE("rows: a cancellation lies in the part of its job and names it", "[jobs]")
 {
     const JobId job { "00ff00ff00ff00ff" };
