Leave out rows with numbers out of range, deep nesting, or steps that point nowhere

Seen, with one odd row of another writer among the jobs: every entry that leads ends, one after another, and no job runs any more. Replayed in tests/JobsTests.cpp: entry-1 leads epoch 1 and reads the row, its log ends; entry-0 takes over 1.6 s later as epoch 2, reads it, its log ends.

Cause: parseJobSpec took any number. A step that comes after step 4,000,000,000 is looked up in the list of steps while places are sought (signal 11); a step of 4,294,967,295 tasks is allocated (bad_alloc, which leaves the scheduler's task). Numbers below zero or too large wrapped: generations (tokens of 2^20 each overflow), epochs, states that do not exist.

All readers of rows use CheckedJson with the bounds of Limits.h: such a row is unreadable, named by E606, and the others hold. A job under the key of another one is left out, too, and a model that cannot be read is named instead of passed over in silence.

--- a/libs/scheduling/src/Rows.cpp
+++ b/libs/scheduling/src/Rows.cpp
@@ -1,5 +1,9 @@
 #include "cowslipdoor/scheduling/Rows.h"
+#include "cowslipdoor/scheduling/CheckedJson.h"
+#include "cowslipdoor/scheduling/Limits.h"
+#include <algorithm>
 #include <cmath>
+#include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/core/Rendezvous.h>
 #include <nlohmann/json.hpp>
 
@@ -34,26 +38,77 @@
         return json.dump(-1, ' ', false, Json::error_handler_t::replace);
     }
 
-    StepSpec stepFromJson(const Json& json)
+    /// Longest span of time in a row, in microseconds.
+    constexpr Duration::rep longestRowSpan = Duration(longestSpan).count();
+
+    /// Largest loss of slack, and its variance.
+    constexpr double largestLoss = 1'000'000;
+
+    Duration spanFromJson(const CheckedJson& json)
+    {
+        return Duration(json.whole<Duration::rep>({ 0, longestRowSpan }));
+    }
+
+    std::uint32_t amountFromJson(const CheckedJson& json)
+    {
+        return json.whole<std::uint32_t>({ 0, largestAmount });
+    }
+
+    /// Reads a step; those before it are all that it may come after.
+    StepSpec stepFromJson(const CheckedJson& json, std::uint32_t number)
     {
         StepSpec step;
-        step.count = json.at("count").get<std::uint32_t>();
-        step.demand = { json.at("cores").get<std::uint32_t>(), json.at("memory").get<std::uint32_t>(), json.at("accelerators").get<std::uint32_t>() };
-        step.estimate = Duration(json.at("estimate").get<Duration::rep>());
-        step.after = json.at("after").get<std::vector<std::uint32_t>>();
-        step.checkpointing = json.at("checkpointing").get<bool>();
-        step.speculative = json.at("speculative").get<bool>();
-        step.longRunning = json.at("long_running").get<bool>();
-        step.fills = json.at("fills").get<bool>();
-        step.requiredLabel = json.at("label").get<std::string>();
-        step.dataRack = json.at("rack").get<std::string>();
-        step.image = json.at("image").get<std::string>();
-        step.maximumPerWorker = json.at("per_worker").get<std::uint32_t>();
-        step.target = Duration(json.at("target").get<Duration::rep>());
-        step.mayMiss = json.at("may_miss").get<std::uint32_t>();
+        step.count = json.at("count").whole<std::uint32_t>({ 1, mostTasks });
+        step.demand = { amountFromJson(json.at("cores")), amountFromJson(json.at("memory")), amountFromJson(json.at("accelerators")) };
+        step.estimate = spanFromJson(json.at("estimate"));
+        step.after = json.at("after").wholes<std::uint32_t>();
+        if (std::any_of(step.after.begin(), step.after.end(), [number](std::uint32_t earlier) { return earlier >= number; }))
+            json.at("after").refuse("numbers of earlier steps");
+        step.checkpointing = json.at("checkpointing").flag();
+        step.speculative = json.at("speculative").flag();
+        step.longRunning = json.at("long_running").flag();
+        step.fills = json.at("fills").flag();
+        step.requiredLabel = json.at("label").text();
+        step.dataRack = json.at("rack").text();
+        step.image = json.at("image").text();
+        step.maximumPerWorker = json.at("per_worker").whole<std::uint32_t>();
+        step.target = spanFromJson(json.at("target"));
+        step.mayMiss = json.at("may_miss").whole<std::uint32_t>();
         return step;
     }
 
+    std::vector<StepSpec> stepsFromJson(const CheckedJson& json)
+    {
+        if (json.size() == 0 || json.size() > mostSteps)
+            json.refuse("a list of 1 to " + std::to_string(mostSteps) + " steps");
+        std::vector<StepSpec> steps;
+        for (const CheckedJson& step : json.items())
+            steps.push_back(stepFromJson(step, static_cast<std::uint32_t>(steps.size())));
+        return steps;
+    }
+
+    std::vector<Assignment> placesFromJson(const CheckedJson& json)
+    {
+        std::vector<Assignment> places;
+        for (const CheckedJson& place : json.items())
+            places.push_back({ place.item(0).text(), { place.item(1).text(), place.item(2).whole<std::int64_t>({ 0, static_cast<std::int64_t>(largestCount) }) } });
+        return places;
+    }
+
+    TaskRecord taskFromJson(const CheckedJson& json, const std::vector<Assignment>& places)
+    {
+        TaskRecord task;
+        task.done = json.item(0).whole<int>({ 0, 1 }) == 1;
+        task.run = json.item(1).whole<std::uint32_t>({ 0, largestRun });
+        task.failedRuns = json.item(2).wholes<std::uint32_t>({ 0, largestRun });
+        const std::int64_t place = json.item(3).whole<std::int64_t>({ -1, static_cast<std::int64_t>(places.size()) - 1 });
+        if (place >= 0)
+            task.assignment = places[static_cast<std::size_t>(place)];
+        if (json.size() > 4)
+            task.checkpoint = json.item(4).text();
+        return task;
+    }
+
     /// Two decimals are more than is known of a loss.
     double rounded(double value)
     {
@@ -65,8 +120,8 @@
     std::optional<Record> parseRecord(const std::string& text, const Convert& convert)
     {
         try {
-            return convert(Json::parse(text));
-        } catch (const Json::exception&) {
+            return convert(CheckedJson::parse(text));
+        } catch (const Error&) {
             return std::nullopt;
         }
     }
@@ -177,73 +232,65 @@
 
 std::optional<LeaderRecord> parseLeaderRecord(const std::string& text)
 {
-    return parseRecord<LeaderRecord>(text, [](const Json& json) {
-        return LeaderRecord { json.at("epoch").get<std::uint64_t>(), json.at("holder").get<std::string>(), json.at("incarnation").get<std::uint64_t>(),
-            json.at("sequence").get<std::uint64_t>(), json.value("most_milli_cores", std::uint64_t(0)) };
+    return parseRecord<LeaderRecord>(text, [](const CheckedJson& json) {
+        return LeaderRecord { json.at("epoch").whole<std::uint64_t>({ 0, largestCount }), json.at("holder").text(), json.at("incarnation").whole<std::uint64_t>(),
+            json.at("sequence").whole<std::uint64_t>({ 0, largestCount }), json.wholeOr<std::uint64_t>("most_milli_cores", 0, { 0, largestCount }) };
     });
 }
 
 std::optional<AgentRecord> parseAgentRecord(const std::string& text)
 {
-    return parseRecord<AgentRecord>(text, [](const Json& json) {
-        return AgentRecord { json.at("address").get<std::string>(), json.at("generation").get<std::uint64_t>() };
+    return parseRecord<AgentRecord>(text, [](const CheckedJson& json) {
+        return AgentRecord { json.at("address").text(), json.at("generation").whole<std::uint64_t>({ 0, largestGeneration }) };
     });
 }
 
 std::optional<ProgressRecord> parseProgressRecord(const std::string& text)
 {
-    return parseRecord<ProgressRecord>(text, [](const Json& json) {
-        std::vector<Assignment> places;
-        for (const Json& place : json.at("places"))
-            places.push_back({ place.at(0).get<std::string>(), { place.at(1).get<std::string>(), place.at(2).get<std::int64_t>() } });
+    return parseRecord<ProgressRecord>(text, [](const CheckedJson& json) {
+        const std::vector<Assignment> places = placesFromJson(json.at("places"));
         ProgressRecord record;
-        record.state = static_cast<JobState>(json.at("state").get<unsigned>());
-        for (const Json& row : json.at("tasks")) {
-            TaskRecord task;
-            task.done = row.at(0).get<int>() != 0;
-            task.run = row.at(1).get<std::uint32_t>();
-            task.failedRuns = row.at(2).get<std::vector<std::uint32_t>>();
-            const std::int64_t place = row.at(3).get<std::int64_t>();
-            if (place >= 0 && static_cast<std::size_t>(place) < places.size())
-                task.assignment = places[static_cast<std::size_t>(place)];
-            if (row.size() > 4)
-                task.checkpoint = row.at(4).get<std::string>();
-            record.tasks.push_back(task);
-        }
+        record.state = static_cast<JobState>(json.at("state").whole<unsigned>({ 0, static_cast<unsigned>(JobState::Cancelled) }));
+        for (const CheckedJson& task : json.at("tasks").items())
+            record.tasks.push_back(taskFromJson(task, places));
         return record;
     });
 }
 
 std::optional<JobSpec> parseJobSpec(const std::string& text)
 {
-    return parseRecord<JobSpec>(text, [](const Json& json) {
+    return parseRecord<JobSpec>(text, [](const CheckedJson& json) {
         JobSpec spec;
-        spec.id = { json.at("id").get<std::string>() };
-        spec.queue = json.at("queue").get<std::string>();
-        spec.service = json.at("service").get<std::string>();
-        spec.priority = json.at("priority").get<std::uint32_t>();
-        spec.attempts = json.at("attempts").get<std::uint32_t>();
-        spec.stretch = json.at("stretch").get<double>();
-        spec.slack = Duration(json.at("slack").get<Duration::rep>());
-        spec.payload = json.at("payload").get<std::string>();
-        for (const Json& step : json.at("steps"))
-            spec.steps.push_back(stepFromJson(step));
-        spec.acceptedAtMs = json.value("accepted", std::int64_t { 0 });
+        spec.id = { json.at("id").text() };
+        spec.queue = json.at("queue").text();
+        spec.service = json.at("service").text();
+        spec.priority = json.at("priority").whole<std::uint32_t>();
+        spec.attempts = json.at("attempts").whole<std::uint32_t>();
+        spec.stretch = json.at("stretch").decimal(0, largestStretch);
+        spec.slack = spanFromJson(json.at("slack"));
+        spec.payload = json.at("payload").text();
+        spec.steps = stepsFromJson(json.at("steps"));
+        spec.acceptedAtMs = json.wholeOr<std::int64_t>("accepted", 0, { 0, static_cast<std::int64_t>(largestCount) });
         return spec;
     });
 }
 
 std::optional<PendingCounts> parsePendingCounts(const std::string& text)
 {
-    return parseRecord<PendingCounts>(text, [](const Json& json) { return json.get<PendingCounts>(); });
+    return parseRecord<PendingCounts>(text, [](const CheckedJson& json) {
+        PendingCounts counts;
+        for (const std::pair<std::string, CheckedJson>& field : json.fields())
+            counts.emplace(field.first, field.second.whole<std::uint32_t>());
+        return counts;
+    });
 }
 
 std::optional<std::vector<LearntLoss>> parseLearntLosses(const std::string& text)
 {
-    return parseRecord<std::vector<LearntLoss>>(text, [](const Json& json) {
+    return parseRecord<std::vector<LearntLoss>>(text, [](const CheckedJson& json) {
         std::vector<LearntLoss> losses;
-        for (const Json& row : json)
-            losses.push_back({ row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<double>(), row.at(3).get<double>() });
+        for (const CheckedJson& row : json.items())
+            losses.push_back({ row.item(0).text(), row.item(1).text(), row.item(2).decimal(-largestLoss, largestLoss), row.item(3).decimal(0, largestLoss) });
         return losses;
     });
 }
--- a/libs/scheduling/src/TableEvents.cpp
+++ b/libs/scheduling/src/TableEvents.cpp
@@ -36,7 +36,7 @@
     if (cancelled)
         return JobCancelStored { *cancelled };
     const std::optional<JobSpec> spec = parseJobSpec(row.value);
-    if (spec)
+    if (spec && spec->id.text == row.key.key)
         return JobStored { std::make_shared<const JobSpec>(*spec) };
     return std::nullopt;
 }
@@ -51,7 +51,11 @@
     std::vector<LearntLoss> losses;
     for (const Row& row : rows) {
         if (row.key == interferenceRowKey()) {
-            losses = parseLearntLosses(row.value).value_or(std::vector<LearntLoss> {});
+            const std::optional<std::vector<LearntLoss>> learnt = parseLearntLosses(row.value);
+            if (learnt)
+                losses = *learnt;
+            else
+                ignored.push_back(row.key);
             continue;
         }
         const bool ofProgress = row.key.table == progressTable;
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -45,6 +45,74 @@
     }
 }
 
+namespace {
+
+/// Numbers that none of our writers leaves: below zero, no whole ones, and too large for their type or bound.
+const std::vector<std::string> oddNumbers { "-5", "1.5", "1e300", "18446744073709551615", "99999999999999999999999" };
+
+/// The text of a record with another text in place of one of its own.
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+}
+
+TEST_CASE("rows: a number out of range makes a row unreadable instead of wrapping", "[jobs]")
+{
+    const std::string leader = print(LeaderRecord { 71, "entry", 17, 72, 73 });
+    const std::string agent = print(AgentRecord { "10.0.0.1:7720", 71 });
+    const std::string progress = print(ProgressRecord { JobState::Running, { { false, 71, { 72 }, std::nullopt, "" } } });
+    for (const std::string& odd : oddNumbers) {
+        INFO(odd);
+        for (const char* const field : { "71", "72", "73" })
+            CHECK_FALSE(parseLeaderRecord(replaced(leader, field, odd)));
+        CHECK_FALSE(parseAgentRecord(replaced(agent, "71", odd)));
+        CHECK_FALSE(parseProgressRecord(replaced(progress, "71", odd)));
+        CHECK_FALSE(parseProgressRecord(replaced(progress, "72", odd)));
+        CHECK_FALSE(parseProgressRecord(replaced(progress, "\"state\":1", "\"state\":" + odd)));
+        CHECK_FALSE(parsePendingCounts("{\"q\":" + odd + "}"));
+    }
+    CHECK_FALSE(parseProgressRecord(replaced(progress, "\"state\":1", "\"state\":5")));
+    CHECK_FALSE(parseProgressRecord(replaced(progress, "-1", "0")));
+    CHECK_FALSE(parseLearntLosses(R"([["a","b",1e300,0]])"));
+}
+
+TEST_CASE("rows: a job that would exhaust memory or points at a step that is not earlier is unreadable", "[jobs]")
+{
+    StepSpec second = stepOf(2, 300);
+    second.after = { 0 };
+    const std::string text = print(*jobOf("a", { stepOf(1, 100), second }));
+    REQUIRE(parseJobSpec(text));
+    CHECK_FALSE(parseJobSpec(replaced(text, "\"count\":2", "\"count\":4294967295")));
+    CHECK_FALSE(parseJobSpec(replaced(text, "\"after\":[0]", "\"after\":[1]")));
+    CHECK_FALSE(parseJobSpec(replaced(text, "\"after\":[0]", "\"after\":[4000000000]")));
+    CHECK_FALSE(parseJobSpec(replaced(text, "\"stretch\":2.0", "\"stretch\":1e300")));
+    for (const std::string& odd : oddNumbers) {
+        INFO(odd);
+        for (const char* const field : { "\"count\":2", "\"cores\":300", "\"memory\":1000", "\"estimate\":1000000", "\"attempts\":2", "\"slack\":0", "\"priority\":0" })
+            CHECK_FALSE(parseJobSpec(replaced(text, field, std::string(field).substr(0, std::string(field).find(':') + 1) + odd)));
+    }
+}
+
+TEST_CASE("rows: a row that is nested too deeply is unreadable", "[jobs]")
+{
+    const std::size_t depth = 1000;
+    const std::string deep = "{\"odd\":" + std::string(depth, '[') + std::string(depth, ']') + ",";
+    CHECK_FALSE(parseAgentRecord(deep + print(AgentRecord { "10.0.0.1:7720", 9 }).substr(1)));
+    CHECK_FALSE(parseLeaderRecord(deep + print(LeaderRecord { 3, "entry", 17, 4, 500 }).substr(1)));
+    CHECK_FALSE(parseJobSpec(deep + print(*jobOf("a", { stepOf(1, 100) })).substr(1)));
+}
+
+TEST_CASE("rows: a job under the key of another one, and a model that cannot be read, are named", "[jobs]")
+{
+    const JobSpecHandle spec = jobOf("00ff00ff00ff00ff", { stepOf(1, 100) });
+    const RowKey foreign = jobRowKey(JobId { "11ff00ff00ff00ff" });
+    const DecodedTables tables = decodeTables(4, { { foreign, print(*spec), 1, false }, { interferenceRowKey(), "[1]", 2, false } });
+    CHECK(tables.read.jobs.empty());
+    CHECK(tables.ignored == std::vector<RowKey> { foreign, interferenceRowKey() });
+}
+
 TEST_CASE("rows: texts that are not UTF-8 do not stop the leader's writing", "[jobs]")
 {
     const std::string bytes = "w\xff";
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -1,5 +1,6 @@
 #include "JobsDeployment.h"
 #include <catch2/catch.hpp>
+#include <cowslipdoor/scheduling/Rows.h>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -119,6 +120,25 @@
     expectAllDoneOnce(deployment, 8, 6);
 }
 
+TEST_CASE("jobs: odd rows of another writer among jobs and agents end no leader, neither the first nor the next", "[system][jobs]")
+{
+    JobsDeployment deployment(configFor("odd-rows"));
+    const std::size_t first = *deployment.leader();
+    const std::string step = R"("cores":1,"memory":1,"accelerators":0,"estimate":1000,"checkpointing":false,"speculative":false,"long_running":false,"fills":false,"label":"","rack":"","image":"","per_worker":0,"target":0,"may_miss":0)";
+    const std::string job = R"("queue":"jobs","service":"service","priority":0,"attempts":1,"stretch":2.0,"slack":0,"payload":"text","steps":)";
+    deployment.store().put(agentTable, "odd-port", R"({"address":"127.0.0.1:99999","generation":1})");
+    deployment.store().put(agentTable, "odd-generation", R"({"address":"127.0.0.1:1","generation":99999999999999999999999})");
+    deployment.store().put(jobTable, "fffffffffffffff0", R"({"id":"fffffffffffffff0",)" + job + R"([{"count":1,"after":[4000000000],)" + step + "}]}");
+    deployment.store().put(jobTable, "fffffffffffffff1", std::string(100'000, '['));
+    REQUIRE(deployment.submit(jobId(0), 3));
+    expectAllDoneOnce(deployment, 1, 3);
+    CHECK(deployment.leader() == first);
+    deployment.entry(first).signal(SIGKILL);
+    JobsDeployment::await("the other entry leads", [&deployment, first]() { return deployment.leader() == 1 - first; });
+    REQUIRE(deployment.submit(jobId(1), 3));
+    expectAllDoneOnce(deployment, 2, 3);
+}
+
 TEST_CASE("jobs: every job is done once through an outage of the store and lost answers", "[system][jobs]")
 {
     JobsDeployment deployment(configFor("store"));
