Pass over a row of a page that cannot be read, and keep the others

What callers would see: a table that is followed stands still, or no leader gets beyond reading it, as parseRows threw the whole page away for one row with a field of another type or out of range, and the reader asked for the same page for ever.

--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -112,7 +112,7 @@
     asio::awaitable<void> post(SchedulerEvent event);
     asio::awaitable<void> postRow(Row row);
     asio::awaitable<void> ignoreRow();
-    void recordIgnored(const RowKey& key);
+    void recordAllIgnored(const std::vector<RowKey>& keys);
     void stopFollowing();
     void armTimer();
 
--- a/libs/runtime/include/cowslipdoor/runtime/StorePort.h
+++ b/libs/runtime/include/cowslipdoor/runtime/StorePort.h
@@ -37,6 +37,8 @@
     std::vector<Row> rows;
     /// Newest version of the store at that moment.
     RowVersion version = 0;
+    /// Rows that cannot be read.
+    std::vector<RowKey> unreadable {};
 
     bool operator==(const RowPage&) const = default;
 };
--- a/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
+++ b/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
@@ -19,6 +19,12 @@
 /// @return the rows, with a version no newer than the oldest of the readings; or why they could not be read
 [[nodiscard]] asio::awaitable<ReadResult> readTable(const StorePort& store, std::string table);
 
+/// @brief Tells of a row that cannot be read and is left out.
+/// @param key its place
+/// @param log where the event goes
+/// @param metrics where it is counted
+void recordIgnored(const RowKey& key, const Log& log, Metrics& metrics);
+
 /// @brief Settings of a feed.
 struct TableFeedConfig {
     std::string table {};
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -172,9 +172,10 @@
         rows.insert(rows.end(), progressRows->rows.begin(), progressRows->rows.end());
         rows.insert(rows.end(), agentRows->rows.begin(), agentRows->rows.end());
         rows.insert(rows.end(), modelRows->rows.begin(), modelRows->rows.end());
+        for (const RowPage* const page : { jobRows, progressRows, agentRows, modelRows })
+            this->recordAllIgnored(page->unreadable);
         const DecodedTables tables = decodeTables(following->epoch, rows, timeOfDayMs());
-        for (const RowKey& key : tables.ignored)
-            this->recordIgnored(key);
+        this->recordAllIgnored(tables.ignored);
         const SchedulerEvent read = tables.read;
         co_await this->post(read);
         if (following->stopped)
@@ -206,13 +207,13 @@
     if (event)
         co_await this->post(std::move(*event));
     else if (!row.deleted)
-        this->recordIgnored(row.key);
+        recordIgnored(row.key, this->log, this->metrics);
 }
 
-void SchedulerTask::recordIgnored(const RowKey& key)
+void SchedulerTask::recordAllIgnored(const std::vector<RowKey>& keys)
 {
-    this->metrics.countEvent(EventId::RowIgnored);
-    this->log.record(EventId::RowIgnored, key.table + "/" + key.key);
+    for (const RowKey& key : keys)
+        recordIgnored(key, this->log, this->metrics);
 }
 
 asio::awaitable<void> SchedulerTask::ignoreRow()
--- a/libs/runtime/src/TableFeed.cpp
+++ b/libs/runtime/src/TableFeed.cpp
@@ -25,11 +25,18 @@
             co_return page;
         whole.version = first ? rows->version : std::min(whole.version, rows->version);
         whole.rows.insert(whole.rows.end(), rows->rows.begin(), rows->rows.end());
+        whole.unreadable.insert(whole.unreadable.end(), rows->unreadable.begin(), rows->unreadable.end());
         first = false;
     }
     co_return whole;
 }
 
+void recordIgnored(const RowKey& key, const Log& log, Metrics& metrics)
+{
+    metrics.countEvent(EventId::RowIgnored);
+    log.record(EventId::RowIgnored, key.table + "/" + key.key);
+}
+
 TableFeed::TableFeed(StorePort store, TableFeedConfig config, RowHandler onRow, ContactHandler onContact, const Log& log, Metrics& metrics)
     : store(std::move(store))
     , config(std::move(config))
@@ -86,6 +93,8 @@
 asio::awaitable<void> TableFeed::tellRows(RowPage page)
 {
     this->known = std::max(this->known.value_or(0), page.version);
+    for (const RowKey& key : page.unreadable)
+        recordIgnored(key, this->log, this->metrics);
     for (const Row& row : page.rows) {
         if (this->stopped)
             co_return;
