Refuse an upstream's report that is nested too deeply

What callers would see: the agent of an upstream ends. The reader of announcements copied each list before it looked at it, and copying a deep value overflows the stack. It has checked the range of its numbers all along; it now uses the shared reader instead of its own.

Evidence: "announcement: a body that is nested too deeply is refused and does not end the agent" (400 KB, under the limit of a body). Before, the old reader in a program of its own: signal 11, status 139. After: passes.

--- a/libs/runtime/src/AnnouncementJson.cpp
+++ b/libs/runtime/src/AnnouncementJson.cpp
@@ -1,7 +1,7 @@
 #include "cowslipdoor/runtime/AnnouncementJson.h"
 #include "cowslipdoor/runtime/Address.h"
 #include <cowslipdoor/core/Error.h>
-#include <limits>
+#include <cowslipdoor/scheduling/CheckedJson.h>
 #include <nlohmann/json.hpp>
 
 namespace cowslipdoor::runtime {
@@ -10,110 +10,57 @@
 
     using Json = nlohmann::json;
 
-    [[noreturn]] void refuse(const std::string& field, const std::string& accepted)
-    {
-        throw Error(ErrorKind::BadRequest, "field '" + field + "': accepted is " + accepted);
-    }
-
-    Json parseObject(std::string_view text)
-    {
-        Json json = Json::parse(text, nullptr, false);
-        if (!json.is_object())
-            throw Error(ErrorKind::BadRequest, "the body is not a JSON object");
-        return json;
-    }
-
-    template <typename Number>
-    Number number(const Json& json, const std::string& field, std::optional<Number> fallback = std::nullopt)
-    {
-        const Json::const_iterator it = json.find(field);
-        if (it == json.end() && fallback)
-            return *fallback;
-        const std::uint64_t most = std::numeric_limits<Number>::max();
-        if (it == json.end() || !it->is_number_unsigned() || it->get<std::uint64_t>() > most)
-            refuse(field, "a whole number from 0 to " + std::to_string(most));
-        return static_cast<Number>(it->get<std::uint64_t>());
-    }
-
-    std::string text(const Json& json, const std::string& field)
-    {
-        const Json::const_iterator it = json.find(field);
-        if (it == json.end() || !it->is_string())
-            refuse(field, "a text");
-        return it->get<std::string>();
-    }
-
-    bool flag(const Json& json, const std::string& field)
-    {
-        const Json::const_iterator it = json.find(field);
-        if (it == json.end())
-            return false;
-        if (!it->is_boolean())
-            refuse(field, "true or false");
-        return it->get<bool>();
-    }
-
-    Json list(const Json& json, const std::string& field)
+    template <typename Value, typename Reader>
+    std::vector<Value> readList(const CheckedJson& json, const char* field, const Reader& reader)
     {
-        const Json::const_iterator it = json.find(field);
-        if (it == json.end())
-            return Json::array();
-        if (!it->is_array())
-            refuse(field, "a list");
-        return *it;
+        std::vector<Value> values;
+        const std::optional<CheckedJson> list = json.find(field);
+        if (!list)
+            return values;
+        for (const CheckedJson& item : list->items())
+            values.push_back(reader(item));
+        return values;
     }
 
-    RequestId requestId(const Json& json, const std::string& field)
+    RequestId requestId(const CheckedJson& json)
     {
-        if (!json.is_string())
-            refuse(field, "request identifiers as texts");
-        return requestIdFromString(json.get<std::string>());
+        return requestIdFromString(json.text());
     }
 
-    TrafficClass trafficClass(const Json& json)
+    TrafficClass trafficClass(const CheckedJson& json)
     {
+        const std::string name = json.text();
         for (const TrafficClass known : { TrafficClass::Quick, TrafficClass::Batch, TrafficClass::Watch, TrafficClass::Tally }) {
-            if (json.is_string() && json.get<std::string>() == toString(known))
+            if (name == toString(known))
                 return known;
         }
-        refuse("classes", "a list of quick, batch, watch or tally");
+        json.refuse("a list of quick, batch, watch or tally");
     }
 
-    RunningWork runningWork(const Json& json)
+    RunningWork runningWork(const CheckedJson& json)
     {
-        if (!json.is_object())
-            refuse("running", "a list of objects with an id");
         return {
-            requestId(json.value("id", Json()), "running.id"),
+            requestId(json.at("id")),
             {
-                .slots = number<std::uint32_t>(json, "slots", 1),
-                .connections = number<std::uint32_t>(json, "connections", 1),
-                .milliCores = number<std::uint32_t>(json, "milli_cores", 0),
-                .memoryMb = number<std::uint32_t>(json, "memory_mb", 0),
+                .slots = json.wholeOr("slots", 1U),
+                .connections = json.wholeOr("connections", 1U),
+                .milliCores = json.wholeOr("milli_cores", 0U),
+                .memoryMb = json.wholeOr("memory_mb", 0U),
             },
         };
     }
 
-    std::string checkedAddress(const Json& json)
+    std::string checkedAddress(const CheckedJson& json)
     {
-        std::string address = text(json, "address");
+        std::string address = json.text();
         try {
             (void)parseAddress(address);
         } catch (const Error&) {
-            refuse("address", "an IP number and port such as 192.0.2.1:80");
+            json.refuse("an IP number and port such as 192.0.2.1:80");
         }
         return address;
     }
 
-    template <typename Value, typename Reader>
-    std::vector<Value> readAll(const Json& json, const Reader& reader)
-    {
-        std::vector<Value> values;
-        for (const Json& item : json)
-            values.push_back(reader(item));
-        return values;
-    }
-
     Json printWork(const RunningWork& work)
     {
         return {
@@ -129,24 +76,24 @@
 
 Announcement parseAnnouncement(std::string_view body)
 {
-    const Json json = parseObject(body);
+    const CheckedJson json = CheckedJson::parse(body);
     return {
-        .instance = number<std::uint64_t>(json, "instance"),
-        .sequence = number<std::uint64_t>(json, "sequence"),
-        .echo = { Incarnation { number<std::uint64_t>(json, "echo_agent", 0) }, number<std::uint64_t>(json, "echo_number", 0) },
-        .address = checkedAddress(json),
-        .failureDomain = text(json, "failure_domain"),
+        .instance = json.at("instance").whole<std::uint64_t>(),
+        .sequence = json.at("sequence").whole<std::uint64_t>(),
+        .echo = { Incarnation { json.wholeOr<std::uint64_t>("echo_agent", 0) }, json.wholeOr<std::uint64_t>("echo_number", 0) },
+        .address = checkedAddress(json.at("address")),
+        .failureDomain = json.at("failure_domain").text(),
         .capacity = {
-            .slots = number<std::uint32_t>(json, "slots"),
-            .connections = number<std::uint32_t>(json, "connections"),
-            .milliCores = number<std::uint32_t>(json, "milli_cores"),
-            .memoryMb = number<std::uint32_t>(json, "memory_mb"),
+            .slots = json.at("slots").whole<std::uint32_t>(),
+            .connections = json.at("connections").whole<std::uint32_t>(),
+            .milliCores = json.at("milli_cores").whole<std::uint32_t>(),
+            .memoryMb = json.at("memory_mb").whole<std::uint32_t>(),
         },
-        .classes = readAll<TrafficClass>(list(json, "classes"), [](const Json& item) { return trafficClass(item); }),
-        .running = readAll<RunningWork>(list(json, "running"), [](const Json& item) { return runningWork(item); }),
-        .remembersFinished = flag(json, "remembers_finished"),
-        .finished = readAll<RequestId>(list(json, "finished"), [](const Json& item) { return requestId(item, "finished"); }),
-        .leaving = flag(json, "leaving"),
+        .classes = readList<TrafficClass>(json, "classes", trafficClass),
+        .running = readList<RunningWork>(json, "running", runningWork),
+        .remembersFinished = json.flagOr("remembers_finished"),
+        .finished = readList<RequestId>(json, "finished", requestId),
+        .leaving = json.flagOr("leaving"),
     };
 }
 
@@ -190,10 +137,10 @@
 
 AnnouncementReply parseReply(std::string_view body)
 {
-    const Json json = parseObject(body);
+    const CheckedJson json = CheckedJson::parse(body);
     return {
-        { Incarnation { number<std::uint64_t>(json, "agent") }, number<std::uint64_t>(json, "number") },
-        std::chrono::milliseconds(number<std::uint32_t>(json, "interval_ms")),
+        { Incarnation { json.at("agent").whole<std::uint64_t>() }, json.at("number").whole<std::uint64_t>() },
+        std::chrono::milliseconds(json.at("interval_ms").whole<std::uint32_t>()),
     };
 }
 
--- a/libs/runtime/tests/AnnouncementTests.cpp
+++ b/libs/runtime/tests/AnnouncementTests.cpp
@@ -39,3 +39,10 @@
         R"({"instance":1,"sequence":1,"address":"127.0.0.1:1","failure_domain":"a","slots":1,"connections":1,"milli_cores":1,"memory_mb":1,"classes":["slow"]})");
     CHECK_THROWS_AS(parseAnnouncement(body), Error);
 }
+
+TEST_CASE("announcement: a body that is nested too deeply is refused and does not end the agent", "[announcement]")
+{
+    constexpr std::size_t depth = 200'000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    CHECK_THROWS_AS(parseAnnouncement(R"({"instance":1,"sequence":1,"address":"127.0.0.1:1","failure_domain":"a","slots":1,"connections":1,"milli_cores":1,"memory_mb":1,"finished":)" + deep + "}"), Error);
+}
