--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -41,7 +41,7 @@
         EventDescription { EventId::StoreLost, "store_lost", EventLevel::Warning, "The store no longer answers this process." },
         EventDescription { EventId::StoreRegained, "store_regained", EventLevel::Info, "The store answers this process again." },
         EventDescription { EventId::FeedRestarted, "feed_restarted", EventLevel::Warning, "A feed of the store was broken or had lost its history; the table is read again." },
-        EventDescription { EventId::RowIgnored, "row_ignored", EventLevel::Warning, "A row of the store cannot be read, or names nothing usable; it is left out." },
+        EventDescription { EventId::RowIgnored, "row_ignored", EventLevel::Warning, "A row of the store or an entry of a worker's lists cannot be read, or names nothing usable; it is left out." },
         EventDescription { EventId::ConfigurationInForce, "configuration_in_force", EventLevel::Info, "A newer version of the queues and services is in force." },
         EventDescription { EventId::SettingsReread, "settings_reread", EventLevel::Info, "A signal asked for the settings; they are read at each start." },
         EventDescription { EventId::JobAccepted, "job_accepted", EventLevel::Info, "A job is stored and its caller is told so." },
