--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -1,5 +1,6 @@
 #include "JobsDeployment.h"
 #include <catch2/catch.hpp>
+#include <cowslipdoor/runtime/HttpClient.h>
 #include <cowslipdoor/scheduling/Rows.h>
 #include <csignal>
 #include <filesystem>
@@ -47,6 +48,18 @@
     CHECK(deployment.call(0, "DELETE", jobId(98)).first == 410);
 }
 
+TEST_CASE("jobs: a deadline too large for a clock is no deadline in the past", "[system][jobs]")
+{
+    JobsDeployment deployment(configFor("deadline"));
+    for (unsigned number = 0; number < 3; ++number) {
+        runtime::HttpCall call { .address = deployment.callerAddress(0), .method = "POST", .target = "/jobs/" + jobId(number), .timeout = std::chrono::seconds(4) };
+        call.headers = { { "Host", "jobs.example" }, { "Deadline-Ms", "9223372036854775807" } };
+        call.body = R"({"spec":"text","phases":[{"count":1,"cpu":100,"mem-mb":10,"estimate-ms":100}]})";
+        deployment.store().loseAnswers(1);
+        CHECK(runtime::fetch(call).status == 200);
+    }
+}
+
 TEST_CASE("jobs: the commands hand in, show and cancel a job", "[system][jobs]")
 {
     JobsDeploymentConfig config = configFor("commands");
