--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -165,9 +165,10 @@
     rows.insert(rows.end(), progress.rows.begin(), progress.rows.end());
     rows.insert(rows.end(), agents.rows.begin(), agents.rows.end());
     rows.insert(rows.end(), models.rows.begin(), models.rows.end());
+    for (const RowPage* const page : { &jobs, &progress, &agents, &models })
+        this->recordAllIgnored(page->unreadable);
     const DecodedTables tables = decodeTables(following->epoch, rows, timeOfDayMs());
-    for (const RowKey& key : tables.ignored)
-        this->recordIgnored(key);
+    this->recordAllIgnored(tables.ignored);
     const SchedulerEvent read = tables.read;
     co_await this->post(read);
     if (following->stopped)
@@ -210,13 +211,13 @@
     if (event)
         co_await this->post(std::move(*event));
     else if (!row.deleted)
-        this->recordIgnored(row.key);
+        recordIgnored(row.key, this->log, this->metrics);
 }
 
-void SchedulerTask::recordIgnored(const RowKey& key)
+void SchedulerTask::recordAllIgnored(const std::vector<RowKey>& keys)
 {
-    this->metrics.countEvent(EventId::RowIgnored);
-    this->log.record(EventId::RowIgnored, key.table + "/" + key.key);
+    for (const RowKey& key : keys)
+        recordIgnored(key, this->log, this->metrics);
 }
 
 asio::awaitable<void> SchedulerTask::ignoreRow()
