--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <memory>
 
 using namespace cowslipdoor;
 using namespace cowslipdoor::platform;
@@ -31,6 +32,56 @@
     CHECK(deployment.overfilled() == 0);
 }
 
+/// Bounds of tasks that last, stated by the platform's users (2026-12-05): a calm of 4 s or a restart of 6 s, then a window of 3 s.
+constexpr std::chrono::seconds restart { 6 };
+constexpr std::chrono::seconds calmAndWindow { 7 };
+constexpr std::chrono::seconds restartAndWindow { 9 };
+
+bool runs(JobsDeployment& deployment, std::size_t tasks)
+{
+    return deployment.worker(0).counts().running == tasks;
+}
+
+/// One agent with one worker, whose only task lasts and runs.
+std::unique_ptr<JobsDeployment> startWithLastingTask(const std::string& name)
+{
+    JobsDeploymentConfig config = configFor(name);
+    config.agents = 1;
+    std::unique_ptr<JobsDeployment> deployment = std::make_unique<JobsDeployment>(config);
+    REQUIRE(deployment->submitLasting(jobId(0), 1));
+    JobsDeployment::await("the task at work", [&deployment]() { return runs(*deployment, 1); });
+    return deployment;
+}
+
+/// Waits until the leader uses the only worker, or no longer does.
+void awaitUsable(JobsDeployment& deployment, bool usable)
+{
+    JobsDeployment::await("the leader's view of the worker", [&deployment, usable]() {
+        const nlohmann::json page = deployment.status(deployment.leader().value_or(0));
+        return page.is_object() && page.at("workers").size() == 1 && page.at("workers")[0].at("usable") == usable;
+    });
+}
+
+/// Whether so many tasks run at a moment before a time is over.
+bool runsWithin(JobsDeployment& deployment, std::size_t tasks, std::chrono::milliseconds limit)
+{
+    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        if (runs(deployment, tasks))
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    }
+    return false;
+}
+
+/// Whether the task that runs still does after a disturbance at the present, or does again, and another one is started.
+bool staysInUse(JobsDeployment& deployment)
+{
+    std::this_thread::sleep_for(restart);
+    REQUIRE(deployment.submitLasting(jobId(1), 1));
+    return runsWithin(deployment, 2, restartAndWindow);
+}
+
 }
 
 TEST_CASE("jobs: a job runs to its end, is shown, and a copy of it is the same job", "[system][jobs]")
@@ -157,3 +208,29 @@
     REQUIRE(deployment.submit(jobId(0), 3));
     expectAllDoneOnce(deployment, 1, 3);
 }
+
+TEST_CASE("jobs: a worker that states an earlier start than before is used", "[system][jobs]")
+{
+    const std::unique_ptr<JobsDeployment> deployment = startWithLastingTask("earlier-start");
+    deployment->worker(0).goDown();
+    awaitUsable(*deployment, false);
+    // The agent gives a silent worker up when its leases have expired, after 3.2 s.
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    deployment->worker(0).comeUp({ .timeOfDayStep = std::chrono::minutes(-1) });
+    CHECK(runsWithin(*deployment, 1, calmAndWindow));
+    CHECK(deployment->overfilled() == 0);
+}
+
+TEST_CASE("jobs: a report of another writer does not hide a worker that answers", "[system][jobs]")
+{
+    const auto check = [](const std::string& name, const ForeignReport& report) {
+        const std::unique_ptr<JobsDeployment> deployment = startWithLastingTask("other-writer-" + name);
+        (void)deployment->worker(0).reportOfOther(report).get();
+        CHECK(staysInUse(*deployment));
+        CHECK(deployment->overfilled() == 0);
+    };
+    SECTION("another identifier") { check("id", { .id = "other" }); }
+    SECTION("another identifier, and a start far in the future") { check("future-id", { .id = "other", .bornAhead = std::chrono::hours(24) }); }
+    SECTION("a start far in the future") { check("future", { .bornAhead = std::chrono::hours(24) }); }
+    SECTION("a service that nobody knows") { check("service", { .service = "nobody-knows" }); }
+}
