--- a/standins/soak/Fault.h
+++ b/standins/soak/Fault.h
@@ -129,11 +129,35 @@
     bool operator==(const LoseWorkerAnswers&) const = default;
 };
 
+/// @brief A worker goes down with all that it runs, and comes back; several times in a row, it flaps.
+struct CrashWorker {
+    std::size_t worker = 0;
+    int times = 1;
+    /// Also how long it is up between two times.
+    Duration downFor {};
+    /// By how much the time of day of its VM was set forward meanwhile; if back, it states an earlier start than before.
+    Duration timeOfDayStep {};
+    bool otherId = false;
+
+    bool operator==(const CrashWorker&) const = default;
+};
+
+/// @brief An agent gets a report of another writer about its worker.
+struct ReportOfOther {
+    std::size_t agent = 0;
+    bool otherId = false;
+    bool unknownService = false;
+    /// How far the stated start is ahead of the present.
+    Duration bornAhead {};
+
+    bool operator==(const ReportOfOther&) const = default;
+};
+
 /// @brief Faults of a deployment that serves requests.
 using RequestFault = std::variant<Kill, Replace, Freeze, CutConnections, HoldOneWay, SilenceLinks, SlowConnections, DisturbAnswers, ChangeRules>;
 
 /// @brief Faults of a deployment that runs jobs.
-using JobFault = std::variant<Kill, Replace, Freeze, CutConnections, HoldOneWay, SlowConnections, StoreAway, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers>;
+using JobFault = std::variant<Kill, Replace, Freeze, CutConnections, HoldOneWay, SlowConnections, StoreAway, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers, CrashWorker, ReportOfOther>;
 
 /// @brief A fault, and when it comes.
 template <typename Fault>
--- a/standins/soak/FaultInjector.h
+++ b/standins/soak/FaultInjector.h
@@ -60,6 +60,9 @@
     /// @brief Takes everything back and waits until all processes run.
     void heal();
 
+    /// @return whether no fault lasts
+    [[nodiscard]] bool calm() const { return this->victims.calm() && this->disturbances.calm(); }
+
     /// @return ends of processes that nobody asked for, as lines of text
     [[nodiscard]] const std::vector<std::string>& unaskedEnds() const noexcept { return this->victims.unaskedEnds(); }
 
--- a/standins/soak/JobSoak.cpp
+++ b/standins/soak/JobSoak.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 #include <thread>
+#include <utility>
 
 namespace cowslipdoor::soak {
 
@@ -14,6 +15,15 @@
     constexpr std::chrono::milliseconds pauseBetweenJobs { 150 };
     constexpr std::uint32_t cancelledPercent = 10;
     constexpr unsigned mostTasks = 6;
+    constexpr std::size_t lastingJobs = 3;
+    /// Of three workers with 8 cores two cannot hold them all, so that no worker may stay unused.
+    constexpr unsigned tasksOfLastingJob = 6;
+    /// Apart from the numbers of the other jobs.
+    constexpr std::size_t firstLastingNumber = 900'000;
+    /// Further tasks that a worker must hold for the promise to count, by the users' bounds.
+    constexpr std::size_t roomForTwo = 2;
+    /// A look comes every 20 ms, later on a busy machine.
+    constexpr Duration calmSlack = std::chrono::milliseconds(300);
     /// A planned stop answers what it holds: callers wait for 3 s by the queue's rule, and an entry may be frozen meanwhile.
     constexpr Duration stopLimit = std::chrono::seconds(20);
 
@@ -34,6 +44,7 @@
     , injector([this](const ProcessName& process) -> FaultProxy& {
         return process.role == Role::Entry ? this->deployment.storeProxyOfEntry(process.index) : this->deployment.storeProxyOfAgent(process.index);
     })
+    , crashes(this->deployment)
 {
     this->injector.add(Role::Entry, size.entries, this->deployment, &JobsDeployment::entry, &JobsDeployment::startEntry);
     this->injector.add(Role::Agent, size.agents, this->deployment, &JobsDeployment::agent, &JobsDeployment::startAgent);
@@ -41,18 +52,42 @@
 
 SoakReport JobSoak::run()
 {
+    this->handInLastingJobs();
     std::thread callers([this]() { this->handInJobs(); });
     const std::vector<Planned<JobFault>> plan = planJobFaults(this->size);
     this->report.faults = plan.size();
     this->play(plan);
-    this->deployment.store().setDown(false);
-    this->injector.heal();
+    this->heal();
     this->stopping = true;
     callers.join();
+    this->watchCalm();
+    this->cancelLastingJobs();
     this->checkAtEnd();
     return this->report;
 }
 
+void JobSoak::heal()
+{
+    this->deployment.store().setDown(false);
+    this->storeBackAt.reset();
+    this->deployment.store().loseAnswers(0);
+    for (std::size_t worker = 0; worker < this->size.agents; ++worker)
+        this->deployment.worker(worker).loseAnswers(0);
+    this->crashes.heal();
+    this->injector.heal();
+}
+
+void JobSoak::handInLastingJobs()
+{
+    for (std::size_t number = 0; number < lastingJobs; ++number) {
+        const Submitted submitted { platform::jobId(firstLastingNumber + number), tasksOfLastingJob, true };
+        JobsDeployment::await("a job that lasts to be accepted", [this, &submitted]() { return this->deployment.submitLasting(submitted.job, submitted.tasks); });
+        this->lasting.push_back(submitted);
+        for (unsigned task = 0; task < submitted.tasks; ++task)
+            this->watch.expect(submitted.job + ".0.0." + std::to_string(task), runtime::monotonicNow());
+    }
+}
+
 void JobSoak::handInJobs()
 {
     std::mt19937_64 random(this->size.seed);
@@ -73,22 +108,64 @@
 
 void JobSoak::play(const std::vector<Planned<JobFault>>& plan)
 {
-    const auto inject = [this](TimePoint now, const auto& alternative) { this->inject(alternative, now); };
-    const auto tick = [this](TimePoint now) {
-        this->injector.tick(now);
-        if (this->storeBackAt && now >= *this->storeBackAt) {
-            this->deployment.store().setDown(false);
-            this->storeBackAt.reset();
-        }
-        this->checkWhileRunning();
+    const auto inject = [this](TimePoint now, const auto& alternative) {
+        this->faultCame = true;
+        this->inject(alternative, now);
     };
+    const auto tick = [this](TimePoint now) { this->tick(now); };
     playPlan(plan, this->size.length, this->folder + "/story.txt", inject, tick);
 }
 
-void JobSoak::checkWhileRunning()
+void JobSoak::tick(TimePoint now)
+{
+    this->injector.tick(now);
+    this->crashes.tick(now);
+    if (this->storeBackAt && now >= *this->storeBackAt) {
+        this->deployment.store().setDown(false);
+        this->storeBackAt.reset();
+    }
+    this->checkWhileRunning(now);
+}
+
+void JobSoak::checkWhileRunning(TimePoint now)
 {
     if (this->deployment.overfilled() > 0)
         this->report.add("a worker got more than it holds");
+    LastingView view { .disturbed = this->disturbed() };
+    for (const platform::WorkerStandinState& state : this->deployment.workerStates()) {
+        view.running.insert(state.running.begin(), state.running.end());
+        view.room = view.room || state.room >= roomForTwo;
+    }
+    this->watch.see(view, now);
+}
+
+bool JobSoak::disturbed()
+{
+    std::size_t lost = this->deployment.store().lostAnswers();
+    for (std::size_t worker = 0; worker < this->size.agents; ++worker)
+        lost += this->deployment.worker(worker).counts().lostAnswers;
+    const bool answersWereLost = std::exchange(this->answersLost, lost) != lost;
+    return std::exchange(this->faultCame, false) || answersWereLost || this->storeBackAt || !this->crashes.calm() || !this->injector.calm();
+}
+
+void JobSoak::watchCalm()
+{
+    this->faultCame = true;
+    const TimePoint begin = runtime::monotonicNow();
+    for (TimePoint now = begin; now - begin < lastingRestart + lastingWindow + calmSlack; now = runtime::monotonicNow()) {
+        this->tick(now);
+        std::this_thread::sleep_for(timelineInterval);
+    }
+    for (const std::string& line : this->watch.broken())
+        this->report.add(line);
+}
+
+void JobSoak::cancelLastingJobs()
+{
+    for (const Submitted& submitted : this->lasting) {
+        JobsDeployment::await("a job that lasts to be cancelled", [this, &submitted]() { return this->deployment.call(0, "DELETE", submitted.job).first == 200; });
+        this->accepted.push_back(submitted);
+    }
 }
 
 void JobSoak::checkAtEnd()
@@ -106,11 +183,9 @@
     const std::map<std::string, std::size_t> done = this->deployment.done();
     for (const Submitted& submitted : this->accepted)
         this->checkJob(submitted, done);
-    for (const std::map<std::string, std::size_t>::value_type& item : done) {
-        if (item.second > 1)
-            this->report.add("task " + item.first + " ran to its end " + std::to_string(item.second) + " times");
-    }
-    this->checkWhileRunning();
+    for (const std::string& task : this->deployment.doneAgain())
+        this->report.add("task " + task + " ran to its end " + std::to_string(done.at(task)) + " times");
+    this->checkWhileRunning(runtime::monotonicNow());
     for (const std::string& line : this->injector.unaskedEnds())
         this->report.add(line);
     this->report.checked = this->accepted.size();
@@ -148,4 +223,15 @@
     this->deployment.worker(fault.worker).loseAnswers(fault.count);
 }
 
+void JobSoak::inject(const CrashWorker& fault, TimePoint now)
+{
+    this->crashes.inject(fault, now);
+}
+
+void JobSoak::inject(const ReportOfOther& fault, TimePoint)
+{
+    const platform::ForeignReport report { fault.otherId ? "other-writer" : "", fault.unknownService ? "nobody-knows" : "", fault.bornAhead };
+    (void)this->deployment.worker(fault.agent).reportOfOther(report);
+}
+
 }
--- a/standins/soak/JobSoak.h
+++ b/standins/soak/JobSoak.h
@@ -5,8 +5,10 @@
 
 #include "FaultInjector.h"
 #include "JobsDeployment.h"
+#include "LastingWatch.h"
 #include "SoakPlan.h"
 #include "SoakReport.h"
+#include "WorkerCrashes.h"
 #include <atomic>
 
 namespace cowslipdoor::soak {
@@ -33,9 +35,15 @@
         bool cancelled = false;
     };
 
+    void handInLastingJobs();
     void handInJobs();
     void play(const std::vector<Planned<JobFault>>& plan);
-    void checkWhileRunning();
+    void heal();
+    void tick(TimePoint now);
+    void checkWhileRunning(TimePoint now);
+    [[nodiscard]] bool disturbed();
+    void watchCalm();
+    void cancelLastingJobs();
     void checkAtEnd();
     void checkJob(const Submitted& submitted, const std::map<std::string, std::size_t>& done);
 
@@ -50,11 +58,19 @@
     void inject(const LoseStoreAnswers& fault, TimePoint now);
     void inject(const DropStoreHistory& fault, TimePoint now);
     void inject(const LoseWorkerAnswers& fault, TimePoint now);
+    void inject(const CrashWorker& fault, TimePoint now);
+    void inject(const ReportOfOther& fault, TimePoint now);
 
     SoakSize size;
     std::string folder;
     platform::JobsDeployment deployment;
     FaultInjector injector;
+    WorkerCrashes crashes;
+    LastingWatch watch;
+    /// Those that last; the thread of the callers does not know them.
+    std::vector<Submitted> lasting;
+    std::size_t answersLost = 0;
+    bool faultCame = false;
     std::optional<TimePoint> storeBackAt;
     std::atomic<bool> stopping = false;
     /// Written by the thread of the callers until it has ended.
--- a/standins/soak/ProxyDisturbances.cpp
+++ b/standins/soak/ProxyDisturbances.cpp
@@ -1,4 +1,5 @@
 #include "ProxyDisturbances.h"
+#include <algorithm>
 #include <utility>
 
 namespace cowslipdoor::soak {
@@ -26,6 +27,11 @@
     }
 }
 
+bool ProxyDisturbances::calm() const
+{
+    return std::all_of(this->present.begin(), this->present.end(), [](const std::map<standins::FaultProxy*, std::vector<Disturbance>>::value_type& item) { return item.second.empty(); });
+}
+
 void ProxyDisturbances::tell(standins::FaultProxy& proxy, const std::vector<Disturbance>& disturbances)
 {
     standins::ProxyFaults faults;
--- a/standins/soak/ProxyDisturbances.h
+++ b/standins/soak/ProxyDisturbances.h
@@ -27,6 +27,9 @@
     /// @brief Takes everything back.
     void heal();
 
+    /// @return whether no fault lasts
+    [[nodiscard]] bool calm() const;
+
 private:
     struct Disturbance {
         TimePoint until;
--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -21,6 +21,12 @@
     constexpr Duration longestDisturbance = milliseconds(5500);
     constexpr Duration longestDelay = milliseconds(150);
     constexpr int mostLostAnswers = 4;
+    /// An agent gives a silent worker up when its leases have expired, after 3.2 s.
+    constexpr Duration longestWorkerDown = milliseconds(4500);
+    constexpr Duration longestFlap = milliseconds(900);
+    constexpr int mostFlaps = 4;
+    /// Steps of the time of day of a VM, and starts that other writers state: beyond the length of a soak.
+    constexpr Duration clockStep = std::chrono::hours(24);
 
     /// Draws faults and their times; one stream of numbers, so that equal seeds give equal plans.
     class Dice {
@@ -71,6 +77,22 @@
 
         int lostAnswers() { return 1 + static_cast<int>(this->below(mostLostAnswers)); }
 
+        CrashWorker crash()
+        {
+            const std::size_t worker = this->agent();
+            const bool flaps = this->below(2) == 0;
+            const int times = flaps ? 2 + static_cast<int>(this->below(mostFlaps - 1)) : 1;
+            const Duration downFor = this->upTo(flaps ? longestFlap : longestWorkerDown);
+            return { worker, times, downFor, this->below(2) == 0 ? Duration {} : -clockStep, this->below(3) == 0 };
+        }
+
+        ReportOfOther reportOfOther()
+        {
+            const std::size_t agent = this->agent();
+            const bool otherId = this->below(2) == 0;
+            return { agent, otherId, this->below(3) == 0, this->below(2) == 0 ? Duration {} : clockStep };
+        }
+
     private:
         SoakSize size;
         std::mt19937_64 random;
@@ -121,8 +143,12 @@
             return LoseStoreAnswers { dice.lostAnswers() };
         case 8:
             return DropStoreHistory {};
-        default:
+        case 9:
             return LoseWorkerAnswers { dice.agent(), dice.lostAnswers() };
+        case 10:
+            return dice.crash();
+        default:
+            return dice.reportOfOther();
         }
     }
 
@@ -158,6 +184,16 @@
         std::string operator()(const LoseStoreAnswers& fault) const { return "the store loses " + std::to_string(fault.count) + " answers"; }
         std::string operator()(const DropStoreHistory&) const { return "the store drops its history"; }
         std::string operator()(const LoseWorkerAnswers& fault) const { return "worker " + std::to_string(fault.worker) + " loses " + std::to_string(fault.count) + " answers"; }
+        std::string operator()(const CrashWorker& fault) const
+        {
+            return "worker " + std::to_string(fault.worker) + " is down " + std::to_string(fault.times) + " times" + lengthOf(fault.downFor)
+                + (fault.otherId ? ", under another id" : "") + (fault.timeOfDayStep < Duration {} ? ", with an earlier start" : "");
+        }
+        std::string operator()(const ReportOfOther& fault) const
+        {
+            return "another writer reports to agent " + std::to_string(fault.agent) + (fault.otherId ? ", another id" : "")
+                + (fault.unknownService ? ", an unknown service" : "") + (fault.bornAhead > Duration {} ? ", a start in the future" : "");
+        }
     };
 
 }
--- a/standins/soak/Victims.cpp
+++ b/standins/soak/Victims.cpp
@@ -76,6 +76,11 @@
     }
 }
 
+bool Victims::calm() const
+{
+    return std::none_of(this->states.begin(), this->states.end(), [](const std::map<ProcessName, State>::value_type& item) { return item.second.thawAt || item.second.startAt; });
+}
+
 void Victims::thaw(State& state) const
 {
     if (state.thawAt)
--- a/standins/soak/Victims.h
+++ b/standins/soak/Victims.h
@@ -52,6 +52,9 @@
     /// @brief Lets all processes go on, and waits until each one runs that is not asked to end.
     void heal();
 
+    /// @return whether no process is down, frozen or ending because it was told to
+    [[nodiscard]] bool calm() const;
+
     /// @return ends that nobody asked for, as lines of text
     [[nodiscard]] const std::vector<std::string>& unaskedEnds() const noexcept { return this->unasked; }
 
