Limit silence of the store, not the whole of an answer

Cause: each call to the store had one limit for the whole exchange, 0.8 s for a page of up to 1 MB and 1.2 s for a feed of which 0.8 s may be its wait. A configuration of 340 KB takes 1.4 s over 2 Mbit/s: the connection was dropped while bytes were coming, the same was asked for again at once, and these tries kept the link full for good. Class: a limit on a whole call where silence is meant. Ruled out: the store (it answered), lost rows (E603 "socket was closed due to a timeout" each time). Writes and calls to workers keep their limits.

--- a/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
+++ b/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
@@ -7,6 +7,7 @@
 #include <cowslipdoor/core/Request.h>
 #include <cowslipdoor/core/Time.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -19,7 +20,10 @@
     std::string target = "/";
     std::vector<Header> headers {};
     std::string body {};
+    /// How long the peer may say nothing, from the sending of the request on.
     Duration timeout = std::chrono::seconds(1);
+    /// How long an answer may take in all while more of it keeps coming; nothing means no longer than the timeout.
+    std::optional<Duration> longest {};
 
     bool operator==(const PeerCall&) const = default;
 };
@@ -64,6 +68,7 @@
 private:
     using ConnectionHandle = std::shared_ptr<HttpConnection>;
 
+    asio::awaitable<error_code> readAnswer(ConnectionHandle connection, http::response_parser<http::string_body>& parser, Duration timeout, TimePoint end);
     asio::awaitable<PeerResult> exchange(ConnectionHandle connection, PeerCall call, bool fresh);
 
     asio::any_io_executor executor;
--- a/libs/runtime/src/KeepAliveClient.cpp
+++ b/libs/runtime/src/KeepAliveClient.cpp
@@ -1,4 +1,6 @@
 #include "cowslipdoor/runtime/KeepAliveClient.h"
+#include "cowslipdoor/runtime/Clock.h"
+#include <algorithm>
 #include <utility>
 
 namespace cowslipdoor::runtime {
@@ -35,6 +37,17 @@
     co_return co_await this->exchange(std::move(connection), std::move(call), fresh);
 }
 
+asio::awaitable<error_code> KeepAliveClient::readAnswer(ConnectionHandle connection, http::response_parser<http::string_body>& parser, Duration timeout, TimePoint end)
+{
+    while (!parser.is_done()) {
+        connection->stream.expires_after(std::clamp(end - monotonicNow(), Duration {}, timeout));
+        const std::tuple<error_code, std::size_t> read = co_await http::async_read_some(connection->stream, connection->buffer, parser, asTuple);
+        if (std::get<0>(read))
+            co_return std::get<0>(read);
+    }
+    co_return error_code {};
+}
+
 asio::awaitable<PeerResult> KeepAliveClient::exchange(ConnectionHandle connection, PeerCall call, bool fresh)
 {
     const http::request<http::string_body> request = makeRequest(this->address, call.method, call.target, call.headers, std::move(call.body), true);
@@ -43,9 +56,11 @@
     const std::tuple<error_code, std::size_t> written = co_await http::async_write(connection->stream, request, asTuple);
     if (std::get<0>(written))
         co_return PeerFailure { true, std::string(fresh ? "writing" : "writing on a kept connection") + ": " + std::get<0>(written).message() };
-    const std::tuple<error_code, std::size_t> read = co_await http::async_read(connection->stream, connection->buffer, parser, asTuple);
-    if (std::get<0>(read))
-        co_return PeerFailure { true, std::string(fresh ? "reading" : "reading on a kept connection") + ": " + std::get<0>(read).message() };
+    parser.eager(true);
+    const TimePoint end = monotonicNow() + call.longest.value_or(call.timeout);
+    const error_code read = co_await this->readAnswer(connection, parser, call.timeout, end);
+    if (read)
+        co_return PeerFailure { true, std::string(fresh ? "reading" : "reading on a kept connection") + ": " + read.message() };
     connection->stream.expires_never();
     if (parser.get().keep_alive())
         this->idle.push_back(connection);
