Give no lease by the clock of a life while another one is reported

Cause: lease time is counted by the worker's clock, which starts anew with each life. A look at a worker that had come back under its identifier carried a lease by the clock of the life before: the new life shortens it to max-hold-ms, 6 s, and never less. Change: while a candidate stands no lease goes out and no start; its look is answered within a round trip. Where the look that shows a new life did carry a lease, leaseEnd is 6.12 s later: the longest lease, and 2% for the slow clock. Left: the leader's own limit for a silent agent (4.9 s) does not know of such a lease, nor does leaseEnd of one in a start order that a new life took before a look showed it.

--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -23,6 +23,8 @@
     PaceConfig pace {};
     /// Lease that each renewal gives the runs. Outlives a restart of the agent, which takes about a second.
     Duration lease = std::chrono::milliseconds(3000);
+    /// Longest lease that a worker gives, whatever it is asked for: max-hold-ms of the users' settings, 2% for its slow clock.
+    Duration longestLease = std::chrono::milliseconds(6120);
     /// How much longer the worker's slow clock may make a lease last: 2% by contract, and the time a call takes.
     Duration leaseMargin = std::chrono::milliseconds(150);
     /// How long a word of the leader allows renewals. Outlives the loss of three words.
@@ -233,6 +235,7 @@
         std::uint64_t token = 0;
         Duration wait {};
         TimePoint sentAt {};
+        bool renews = false;
     };
 
     /// Another life than the present one that the newest such report names.
@@ -308,7 +311,7 @@
     void sendOrder(TimePoint now, Effects& effects);
     void considerLife(const WorkerInfo& info, TimePoint now);
     void refreshLife(const WorkerInfo& info, Effects& effects);
-    void answeredAs(std::int64_t born, TimePoint now, Effects& effects);
+    void answeredAs(std::int64_t born, bool renewed, TimePoint now, Effects& effects);
     void dropCandidate(const std::string& reason, Effects& effects);
     void lookSoon(TimePoint now);
     void voidSignOff(Effects& effects);
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -109,7 +109,7 @@
     if (!this->life || event.call <= this->life->newestLook)
         return;
     if (event.born != 0 && event.born != this->life->info.identity.born) {
-        this->answeredAs(event.born, now, effects);
+        this->answeredAs(event.born, answered.renews, now, effects);
         return;
     }
     this->life->answered = true;
@@ -381,8 +381,11 @@
     this->sendSnapshot(effects);
 }
 
-void WorkerMachine::answeredAs(std::int64_t born, TimePoint now, Effects& effects)
+void WorkerMachine::answeredAs(std::int64_t born, bool renewed, TimePoint now, Effects& effects)
 {
+    // The lease was reckoned by the clock of the life before, which may be far ahead of this one's.
+    if (renewed)
+        this->leaseEnd = std::max(this->leaseEnd, now + this->config.longestLease);
     const WorkerIdentity identity { this->life->info.identity.id, born };
     const bool reported = this->candidate && this->candidate->info.identity == identity;
     // What a report with a wrong start says of the worker is not to be relied on either.
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -65,10 +65,10 @@
 void WorkerMachine::look(TimePoint now, Duration wait, Effects& effects)
 {
     const CallNumber call = this->nextCall();
-    this->looking = LookInFlight { call, this->token(), wait, now };
     std::optional<std::int64_t> lease;
     if (this->mayRenew(now))
         lease = this->leaseUntil(now);
+    this->looking = LookInFlight { call, this->token(), wait, now, lease.has_value() };
     effects.emplace_back(CallLook { call, this->life->info.identity.id, this->token(), this->life->acknowledged, lease, wait });
 }
 
@@ -156,8 +156,8 @@
 bool WorkerMachine::mayRenew(TimePoint now) const
 {
     const bool word = this->lastWord && now <= *this->lastWord + this->config.wordValidity;
-    // A worker that may be gone gets none, so that its runs are known to be over sooner.
-    return word && !this->signedOffAt && this->life->clockMs != 0 && now <= this->life->lastContact + this->config.contactValidity;
+    // A worker that may be gone gets none: its runs are known to be over sooner, and its clock says nothing of the next one's.
+    return word && !this->signedOffAt && !this->candidate && this->life->clockMs != 0 && now <= this->life->lastContact + this->config.contactValidity;
 }
 
 std::int64_t WorkerMachine::leaseUntil(TimePoint now)
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -637,3 +637,36 @@
     REQUIRE(agent.find<CallLook>());
     CHECK_FALSE(agent.find<CallLook>()->leaseUntilMs);
 }
+
+TEST_CASE("agent: while another life is reported no lease goes out by the clock of the present one", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, {}, {} });
+    REQUIRE(agent.find<CallLook>());
+    REQUIRE(agent.find<CallLook>()->leaseUntilMs);
+    // The clock of the reported life starts anew, so that such a lease would last for the longest time that is allowed.
+    agent.step(AgentUnderTest::beatOf({ firstLife.id, firstLife.born + 5 }));
+    REQUIRE(agent.find<CallLook>());
+    CHECK_FALSE(agent.find<CallLook>()->leaseUntilMs);
+    agent.step(LeaderSaid { leaderLink, agent.order() });
+    CHECK_FALSE(agent.find<CallStart>());
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, {}, {} });
+    REQUIRE(agent.find<CallLook>());
+    CHECK(agent.find<CallLook>()->leaseUntilMs);
+}
+
+TEST_CASE("agent: a lease that a new life took over from the clock of the one before is waited for", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(LookAnswered { agent.lastLook, firstLife.born, 5000, {}, {} });
+    REQUIRE(agent.find<CallLook>()->leaseUntilMs);
+    const WorkerIdentity reborn { firstLife.id, firstLife.born + 5 };
+    agent.step(LookAnswered { agent.lastLook, reborn.born, 100, {}, {} });
+    REQUIRE(agent.machine.worker()->identity == reborn);
+    const auto unanswered = [](CallNumber call) { return WorkerEvent(CallUnanswered { call }); };
+    const auto noBeats = [](TimePoint) { return std::optional<WorkerEvent>(); };
+    CHECK_FALSE(agent.toldThatNothingRuns(milliseconds(6000), unanswered, noBeats));
+    CHECK(agent.toldThatNothingRuns(milliseconds(400), unanswered, noBeats));
+}
