Rely on nothing of a worker's earlier life or of one late report

Evidence: 'agent: a life that only a look showed ...' now demands that the capacity is empty before the report (it was 8,000 milli-cores), 'agent: a report that comes late does not take a draining back' is new; both checks contradict the lines that were replaced.

--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -257,6 +257,8 @@
         bool assumed = false;
         /// Whether its last report said that it is leaving.
         bool drainingReported = false;
+        /// Reports in a row that did not say so.
+        std::uint32_t readyReports = 0;
         /// What one report stated otherwise; it counts once the next one says the same.
         std::optional<WorkerInfo> claimed {};
         /// Whether the worker has accepted a token of this run of the agent.
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -369,8 +369,10 @@
 {
     const WorkerInfo before = this->life->info;
     WorkerInfo& present = this->life->info;
-    this->life->drainingReported = info.draining;
-    present.draining = info.draining || this->signedOffAt;
+    // A report that was held up must not take a draining back.
+    this->life->readyReports = info.draining ? 0 : this->life->readyReports + 1;
+    this->life->drainingReported = info.draining || (this->life->drainingReported && this->life->readyReports < 2);
+    present.draining = this->life->drainingReported || this->signedOffAt;
     present.remaining = info.remaining;
     // One odd report must not overfill a worker.
     if (std::exchange(this->life->assumed, false) || (this->life->claimed && sameAttributes(*this->life->claimed, info))) {
@@ -402,6 +404,11 @@
     WorkerInfo info = reported ? this->candidate->info : this->life->info;
     info.identity = identity;
     info.draining = reported && info.draining;
+    // It may be of another kind; its first report tells what it holds.
+    if (!reported) {
+        info.capacity = {};
+        info.labels.clear();
+    }
     if (this->candidate && !reported)
         this->dropCandidate("the worker answers as " + describeLife(identity), effects);
     this->beginLife(info, now, effects);
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -450,6 +450,7 @@
     const WorkerIdentity reborn { firstLife.id, firstLife.born + 5 };
     agent.step(LookAnswered { agent.lastLook, reborn.born, 100, {}, {} });
     CHECK(agent.machine.worker()->identity == reborn);
+    CHECK(agent.machine.worker()->capacity == Room {});
     agent.step(AgentUnderTest::beatOf(reborn, { 4000, 4000, 0 }));
     CHECK(agent.machine.worker()->capacity == Room { 4000, 4000, 0 });
 }
@@ -467,6 +468,19 @@
     CHECK(agent.machine.worker()->capacity == Room { 8000, 8000, 0 });
 }
 
+TEST_CASE("agent: a report that comes late does not take a draining back", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    const WorkerInfo leaving { firstLife, "service", { 8000, 8000, 0 }, {}, true, {} };
+    agent.step(WorkerBeat { leaving });
+    CHECK(agent.machine.worker()->draining);
+    agent.step(AgentUnderTest::beatOf(firstLife));
+    CHECK(agent.machine.worker()->draining);
+    agent.step(AgentUnderTest::beatOf(firstLife));
+    CHECK_FALSE(agent.machine.worker()->draining);
+}
+
 TEST_CASE("agent: a late sign-off ends no worker that answers", "[jobs]")
 {
     AgentUnderTest agent;
