Count silence from the end of the earlier leader's lease, not from the takeover

Callers would see: a task that lasts away for longer than the 7 s that are allowed after a disturbance, when its agent and the leader are lost together: the takeover takes 1.5 to 2.2 s, and silence of 4.9 s was counted from there, with a pause of 0.1 s and a write after it. Cause: a new leader knows of no word to any agent, and took its takeover for the last one. But words end with the lease of the leader before, which is over 1.5 s after its last write was seen first, whatever the takeover takes on top (deference, polls, the write itself). And a run that is given up for silence paused like a refused one. Class: times that are right one by one and too long in their sum. Why it works: the standby saw the version of that write no earlier than it was sent, so 'first seen and one lease' is never too early; where a lease is taken over sooner (released, or of an earlier run of the process) the moment of the takeover counts.

'lease: a new leader knows when ...' is new.

--- a/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
@@ -5,6 +5,7 @@
 
 #include "Rows.h"
 #include "Store.h"
+#include <algorithm>
 #include <cowslipdoor/core/Time.h>
 #include <optional>
 #include <string>
@@ -139,6 +140,10 @@
     /// @return whether no other process can have taken over by now; false while leadership is being given up
     [[nodiscard]] bool valid(TimePoint now) const noexcept;
 
+    /// @param now the present
+    /// @return until when an earlier leader may have taken its own lease for valid, at the latest
+    [[nodiscard]] TimePoint earlierLeaseEnd(TimePoint now) const noexcept { return std::min(now, this->predecessorEnd); }
+
     /// @return the epoch that this process leads, or the last one that it saw
     [[nodiscard]] std::uint64_t epoch() const noexcept { return this->current.epoch; }
 
@@ -169,6 +174,8 @@
     TimePoint unchangedSince {};
     TimePoint readAt {};
     TimePoint validUntil {};
+    /// Latest end of the lease of the leader before this one.
+    TimePoint predecessorEnd {};
     TimePoint lastWrite {};
     TimePoint yieldedUntil {};
     std::optional<InFlight> inFlight;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -276,7 +276,7 @@
     void adoptRuns(WorkerEntry& worker, const WorkerSnapshot& snapshot);
     void dropUnnamed(WorkerEntry& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
     [[nodiscard]] WorkerEntry* holderOf(const RunId& run);
-    void loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects);
+    void loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint notBefore, TimePoint now, Effects& effects);
     void loseSilentWorkers(TimePoint now, Effects& effects);
     void greet(WorkerEntry& worker, Effects& effects);
     void describeRuns(WorkerEntry& worker, Effects& effects) const;
@@ -297,7 +297,8 @@
     Workers knownWorkers;
     InterferenceModel interference;
     bool tablesRead = false;
-    TimePoint ledSince {};
+    /// When the last word of an earlier leader was given, at the latest.
+    TimePoint earlierWordsEnd {};
     /// When more of the tables was read last.
     TimePoint tablesProgressAt {};
     /// When tasks are placed and changes are written next, if anything calls for it.
--- a/libs/scheduling/src/LeaderLease.cpp
+++ b/libs/scheduling/src/LeaderLease.cpp
@@ -72,6 +72,8 @@
     if (!this->leads) {
         next.epoch = this->current.epoch + 1;
         next.sequence = 1;
+        // Its last write was sent before its version was seen first.
+        this->predecessorEnd = this->unchangedSince + this->config.leaseTime;
     }
     return this->send(std::move(next), std::move(writes), std::move(removals), now);
 }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -221,7 +221,7 @@
     this->knownWorkers.clear();
     this->interference = InterferenceModel();
     this->tablesRead = false;
-    this->ledSince = now;
+    this->earlierWordsEnd = this->leaderLease.earlierLeaseEnd(now);
     this->tablesProgressAt = now;
     this->pendingWritten.clear();
     this->modelWritten.clear();
@@ -253,7 +253,7 @@
             continue;
         WorkerEntry& worker = this->knownWorkers[task.record.assignment->agent];
         if (!task.ordered) {
-            this->loseRun(worker, id, "the job has ended", now, effects);
+            this->loseRun(worker, id, "the job has ended", now, now, effects);
             continue;
         }
         this->orderStop(worker, id, "the job is " + std::string(toString(state)), effects);
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -74,7 +74,7 @@
     if (!state->stopping && worker.info && worker.info->identity == state->record.assignment->worker)
         worker.noteRefusal(state->startedAt, this->config.health, now);
     effects.emplace_back(RecordEvent { EventId::RunRejectedByWorker, describe(report.run) + " at " + worker.agent + ": " + report.reason });
-    this->loseRun(worker, report.run.task, "rejected", now, effects);
+    this->loseRun(worker, report.run.task, "rejected", now + this->config.rejectionPause, now, effects);
 }
 
 void Scheduler::heard(WorkerEntry& worker, const RunProgress& report, TimePoint now, Effects& effects)
@@ -239,7 +239,7 @@
             continue;
         const bool sameLife = snapshot.worker && snapshot.worker->identity == item.second;
         if (!sameLife || !named.contains({ item.first, task->record.run }))
-            this->loseRun(worker, item.first, sameLife ? "the worker does not list it" : "the worker's life has ended", now, effects);
+            this->loseRun(worker, item.first, sameLife ? "the worker does not list it" : "the worker's life has ended", now + this->config.rejectionPause, now, effects);
         else if (task->stopping || isTerminal(this->book.find(item.first.job)->state))
             this->send(worker, StopRun { { item.first, task->record.run } }, effects);
     }
@@ -255,12 +255,12 @@
     return state ? &this->knownWorkers[state->record.assignment->agent] : nullptr;
 }
 
-void Scheduler::loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint now, Effects& effects)
+void Scheduler::loseRun(WorkerEntry& worker, const TaskId& task, const std::string& reason, TimePoint notBefore, TimePoint now, Effects& effects)
 {
     const TaskState* const state = this->book.task(task);
     const RunId run { task, state->record.run };
     worker.giveBack(task, this->book.find(task.job)->spec->steps[task.step]);
-    if (this->holderOf(run) != &worker || !this->book.release(run, now + this->config.rejectionPause, now))
+    if (this->holderOf(run) != &worker || !this->book.release(run, notBefore, now))
         return;
     effects.emplace_back(RecordEvent { EventId::RunLost, describe(run) + " at " + worker.agent + ": " + reason });
     this->wantPass(now);
@@ -284,7 +284,7 @@
         if (worker.tasks.empty())
             continue;
         // Words alone allow renewals; a link that is open proves nothing.
-        const TimePoint deadline = std::max(worker.lastWord, this->ledSince) + this->config.silenceLimit;
+        const TimePoint deadline = std::max(worker.lastWord, this->earlierWordsEnd) + this->config.silenceLimit;
         if (now < deadline) {
             this->silenceCheckAt = std::min(this->silenceCheckAt, deadline);
             continue;
@@ -292,7 +292,7 @@
         worker.info.reset();
         const std::map<TaskId, WorkerIdentity> tasks = worker.tasks;
         for (const std::map<TaskId, WorkerIdentity>::value_type& task : tasks)
-            this->loseRun(worker, task.first, "the agent is silent and its leases have expired", now, effects);
+            this->loseRun(worker, task.first, "the agent is silent and its leases have expired", now, now, effects);
         this->greet(worker, effects);
     }
 }
--- a/libs/scheduling/tests/JobWorld.cpp
+++ b/libs/scheduling/tests/JobWorld.cpp
@@ -794,7 +794,7 @@
 
 void JobWorld::injectFault()
 {
-    if (!this->config.workerFaults.empty() && this->chance(0.5)) {
+    if (!this->config.workerFaults.empty() && (this->config.onlyWorkerFaults || this->chance(0.5))) {
         this->injectWorkerFault(this->config.workerFaults[this->pick(this->config.workerFaults.size())]);
         return;
     }
@@ -870,7 +870,7 @@
     const Duration length = milliseconds(200) + this->jitter(milliseconds(6000));
     const std::size_t index = this->pick(this->workers.size());
     WorkerNode& worker = this->workers[index];
-    this->disturb(length);
+    this->disturb(fault == WorkerFault::LossWithLeader ? Duration {} : length);
     switch (fault) {
     case WorkerFault::ClockStep:
         this->stepClock(index, length);
@@ -902,7 +902,27 @@
         this->killAgent(index, length);
         this->killWorker(index, length);
         break;
+    case WorkerFault::LossWithLeader:
+        this->loseWithLeader(index);
+        break;
+    }
+}
+
+void JobWorld::loseWithLeader(std::size_t index)
+{
+    constexpr Duration away = seconds(15);
+    this->note("fault: agent, worker and leader are lost " + std::to_string(index));
+    // The others are calm from here on: a loss for good is over at once.
+    const TimePoint calm = std::max(this->calmSince, this->now);
+    this->killAgent(index, away);
+    this->killWorker(index, away);
+    // Somebody must be left to lead.
+    const std::ptrdiff_t up = std::count_if(this->entries.begin(), this->entries.end(), [](const EntryNode& node) { return node.up; });
+    for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
+        if (this->entries[entry].up && this->entries[entry].machine->serving() && up > 1)
+            this->killEntry(entry, away);
     }
+    this->calmSince = calm;
 }
 
 void JobWorld::stepClock(std::size_t index, Duration length)
--- a/libs/scheduling/tests/JobWorld.h
+++ b/libs/scheduling/tests/JobWorld.h
@@ -35,6 +35,8 @@
     LateSignOff,
     /// Agent and worker are gone together.
     PowerLoss,
+    /// Agent, worker and the leading entry are gone together and stay away longer than tasks that last may.
+    LossWithLeader,
 };
 
 /// @brief Sizes of a world, and which guards the machines work with.
@@ -50,6 +52,8 @@
     Duration tablesTime = std::chrono::milliseconds(10);
     /// Faults beside the agents that are drawn for every second fault; some jobs that last stay until the faults are over then.
     std::vector<WorkerFault> workerFaults {};
+    /// Whether no other faults are drawn.
+    bool onlyWorkerFaults = false;
     SchedulerConfig scheduler {};
     WorkerMachineConfig agent {};
 };
@@ -233,6 +237,7 @@
     void sendForeignBeat(std::size_t index);
     void replaceWorker(std::size_t index, Duration away);
     void stepClock(std::size_t index, Duration length);
+    void loseWithLeader(std::size_t index);
     void killWorker(std::size_t index, Duration away);
     void flapWorker(std::size_t index, TimePoint end);
     void heal();
--- a/libs/scheduling/tests/JobWorldTests.cpp
+++ b/libs/scheduling/tests/JobWorldTests.cpp
@@ -129,3 +129,12 @@
 {
     playSeeds(besideAgents({ WorkerFault::LateSignOff, WorkerFault::Flapping }), 100);
 }
+
+TEST_CASE("world: tasks whose agent is lost together with the leader run again in time", "[jobs][world][fuzz]")
+{
+    JobWorldConfig config = besideAgents({ WorkerFault::LossWithLeader });
+    config.entries = 3;
+    config.faultEvery = std::chrono::milliseconds(6000);
+    config.onlyWorkerFaults = true;
+    playSeeds(config, 100);
+}
--- a/libs/scheduling/tests/LeaderLeaseTests.cpp
+++ b/libs/scheduling/tests/LeaderLeaseTests.cpp
@@ -159,3 +159,15 @@
     CHECK(lease.finished(Applied { 12 }, start) == CommitVerdict::Deposed);
     CHECK_FALSE(lease.wantsTakeover(start + std::chrono::seconds(10)));
 }
+
+TEST_CASE("lease: a new leader knows when the lease of the one before was over", "[jobs]")
+{
+    LeaderLease lease = leaseOf("me", 100);
+    lease.rowRead(LeaderRecord { 3, "other", 1, 9, 500 }, 40, start);
+    const TimePoint late = start + leaseTime + LeaseConfig {}.deference + milliseconds(300);
+    static_cast<void>(lease.begin({}, {}, late));
+    CHECK(lease.finished(Applied { 41 }, late) == CommitVerdict::TookOver);
+    CHECK(lease.earlierLeaseEnd(late) == start + leaseTime);
+    // A lease that was taken over before its end, from an earlier run of this process, is over by then.
+    CHECK(lease.earlierLeaseEnd(start + milliseconds(10)) == start + milliseconds(10));
+}
