Log series of failed calls of the leader election, and when earlier grants ended

Reads and writes of the leader's row that failed left no line, so dead connections and a slow store could not be told apart, nor could a lease lost by silence from one lost by work. One pure class, StoreContact, now logs the first failure of a series (E603) and its end with the number of calls, the time and the last reason (E604), for feeds as before and for the leader's row; E604 is counted like E603.

No decision changes.

--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -115,6 +115,7 @@
     asio::awaitable<void> post(SchedulerEvent event);
     asio::awaitable<void> postRow(Row row);
     asio::awaitable<void> ignoreRow();
+    void noteWrite(const TransactionResult& result);
     void recordAllIgnored(const std::vector<RowKey>& keys);
     void stopFollowing();
     void armTimer();
@@ -128,6 +129,8 @@
     asio::steady_timer timer;
     AgentDialer dialer;
     std::shared_ptr<TableFollower> follower;
+    StoreContact rowReads { "reads of the leader's row" };
+    StoreContact writes { "writes of the leader's row" };
 };
 
 }
--- a/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
+++ b/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
@@ -7,6 +7,7 @@
 #include "Log.h"
 #include "Metrics.h"
 #include "StorePort.h"
+#include <cowslipdoor/scheduling/StoreContact.h>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -33,6 +34,12 @@
 /// @param metrics counts the event
 void recordIgnored(const RowKey& key, const Log& log, Metrics& metrics);
 
+/// @brief Logs and counts an event of the contact with the store, if there is one.
+/// @param event the event
+/// @param log receives the event
+/// @param metrics counts the event
+void recordContact(const std::optional<RecordEvent>& event, const Log& log, Metrics& metrics);
+
 /// @brief Settings of a feed.
 struct TableFeedConfig {
     std::string table {};
@@ -72,7 +79,7 @@
     asio::awaitable<void> followOnce();
     asio::awaitable<void> deliverRows(RowPage page);
     asio::awaitable<void> pauseAfterFailure(std::string reason);
-    void noteContact(bool answered);
+    void noteAnswer();
 
     StorePort store;
     TableFeedConfig config;
@@ -81,7 +88,7 @@
     const Log& log;
     Metrics& metrics;
     std::optional<RowVersion> knownVersion;
-    bool answering = true;
+    StoreContact contact;
     bool stopped = false;
 };
 
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -137,10 +137,12 @@
     const ReadResult result = co_await this->store.read(range);
     const RowPage* const page = std::get_if<RowPage>(&result);
     if (!page) {
+        recordContact(this->rowReads.failed(std::get<StoreRefused>(result).reason, bootTimeNow()), this->log, this->metrics);
         const SchedulerEvent unread = LeaderRowReadFailed {};
         co_await this->post(unread);
         co_return;
     }
+    recordContact(this->rowReads.answered(bootTimeNow()), this->log, this->metrics);
     const bool present = !page->rows.empty();
     const SchedulerEvent read = LeaderRowRead { present ? parseLeaderRecord(page->rows.front().value) : std::nullopt, present ? page->rows.front().version : 0 };
     co_await this->post(read);
@@ -149,10 +151,24 @@
 asio::awaitable<void> SchedulerTask::submit(Transaction transaction)
 {
     const TransactionResult result = co_await this->store.transact(std::move(transaction), storeCallLimit);
+    this->noteWrite(result);
     const SchedulerEvent finished = CommitFinished { result };
     co_await this->post(finished);
 }
 
+void SchedulerTask::noteWrite(const TransactionResult& result)
+{
+    const StoreRefused* const refused = std::get_if<StoreRefused>(&result);
+    const OutcomeAmbiguous* const ambiguous = std::get_if<OutcomeAmbiguous>(&result);
+    const TimePoint now = bootTimeNow();
+    if (refused)
+        recordContact(this->writes.failed(refused->reason, now), this->log, this->metrics);
+    else if (ambiguous)
+        recordContact(this->writes.failed(ambiguous->reason, now), this->log, this->metrics);
+    else
+        recordContact(this->writes.answered(now), this->log, this->metrics);
+}
+
 asio::awaitable<void> SchedulerTask::readTables(std::shared_ptr<TableFollower> follower)
 {
     // Agents are read first, so that they are linked and get renewal grants while the other tables are read.
--- a/libs/runtime/src/TableFeed.cpp
+++ b/libs/runtime/src/TableFeed.cpp
@@ -1,4 +1,5 @@
 #include "cowslipdoor/runtime/TableFeed.h"
+#include "cowslipdoor/runtime/Clock.h"
 #include "cowslipdoor/runtime/Process.h"
 #include <algorithm>
 #include <utility>
@@ -48,6 +49,14 @@
     log.record(EventId::RowIgnored, key.table + "/" + key.key);
 }
 
+void recordContact(const std::optional<RecordEvent>& event, const Log& log, Metrics& metrics)
+{
+    if (!event)
+        return;
+    metrics.countEvent(event->event);
+    log.record(event->event, event->detail);
+}
+
 TableFeed::TableFeed(StorePort store, TableFeedConfig config, RowHandler onRow, ContactHandler onContact, const Log& log, Metrics& metrics)
     : store(std::move(store))
     , config(std::move(config))
@@ -55,6 +64,7 @@
     , onContact(std::move(onContact))
     , log(log)
     , metrics(metrics)
+    , contact(this->config.table)
 {
 }
 
@@ -77,7 +87,7 @@
         co_await this->pauseAfterFailure(refused->reason);
         co_return;
     }
-    this->noteContact(true);
+    this->noteAnswer();
     co_await this->deliverRows(std::get<RowPage>(result));
 }
 
@@ -91,7 +101,7 @@
         co_await this->pauseAfterFailure(refused->reason);
         co_return;
     }
-    this->noteContact(true);
+    this->noteAnswer();
     if (std::holds_alternative<HistoryGone>(result)) {
         this->metrics.countEvent(EventId::FeedRestarted);
         this->log.record(EventId::FeedRestarted, this->config.table + ": the store no longer has the changes after version " + std::to_string(*this->knownVersion) + "; reading the table again");
@@ -115,21 +125,17 @@
 
 asio::awaitable<void> TableFeed::pauseAfterFailure(std::string reason)
 {
-    if (this->answering) {
-        this->metrics.countEvent(EventId::StoreLost);
-        this->log.record(EventId::StoreLost, this->config.table + ": " + reason);
-    }
-    this->noteContact(false);
+    recordContact(this->contact.failed(reason, bootTimeNow()), this->log, this->metrics);
+    if (this->onContact)
+        this->onContact(false);
     co_await pauseFor(this->config.retryDelay);
 }
 
-void TableFeed::noteContact(bool answered)
+void TableFeed::noteAnswer()
 {
-    if (answered && !this->answering)
-        this->log.record(EventId::StoreRegained, this->config.table);
-    this->answering = answered;
+    recordContact(this->contact.answered(bootTimeNow()), this->log, this->metrics);
     if (this->onContact)
-        this->onContact(answered);
+        this->onContact(true);
 }
 
 }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -231,7 +231,7 @@
     this->acknowledgeNext.clear();
     this->acknowledgeAfterWrite.clear();
     this->jobsInWrite.clear();
-    effects.emplace_back(RecordEvent { EventId::LeadershipTaken, "epoch " + std::to_string(this->leaderLease.epoch()) });
+    effects.emplace_back(RecordEvent { EventId::LeadershipTaken, "epoch " + std::to_string(this->leaderLease.epoch()) + "; earlier leaders gave their last grants " + std::to_string(toMilliseconds(now - this->earlierGrantsEnd)) + " ms ago or before" });
     effects.emplace_back(ReadTables { this->leaderLease.epoch() });
 }
 
