--- a/libs/scheduling/tests/JobSimulation.cpp
+++ b/libs/scheduling/tests/JobSimulation.cpp
@@ -11,7 +11,6 @@
     using std::chrono::milliseconds;
     using std::chrono::seconds;
 
-    constexpr ResourceVector workerCapacity { 8000, 16000, 0 };
     constexpr Duration storeDelay = milliseconds(2);
     constexpr Duration linkDelay = milliseconds(1);
     constexpr Duration workerDelay = std::chrono::microseconds(500);
@@ -27,6 +26,14 @@
     /// How long after the end of the last fault a missing run is still excused, as the platform requires.
     constexpr Duration recoveryTime = milliseconds(4000);
     constexpr Duration longRunningCheckInterval = milliseconds(100);
+    /// Objective of long-running tasks where a fault raises tail latencies, and the tail latencies without and with it.
+    constexpr Duration longRunningTarget = milliseconds(50);
+    constexpr std::uint32_t usualTailMs = 20;
+    constexpr std::uint32_t stalledTailMs = 30'000;
+    /// How long a slow process takes to handle an event.
+    constexpr Duration slowEventTime = milliseconds(40);
+    /// Time until an agent closes a link on which it receives nothing.
+    constexpr Duration agentSilenceLimit = milliseconds(5250);
     /// Time from the end of the faults until the remaining long-running jobs are cancelled: several times restartLimit.
     constexpr Duration longRunningCancelDelay = seconds(25);
 
@@ -150,6 +157,7 @@
     const Duration step = worker.clockStep;
     const TimePoint refusesUntil = worker.refusesUntil;
     const TimePoint cutUntil = worker.cutUntil;
+    const TimePoint standsStillUntil = worker.standsStillUntil;
     std::int64_t startedAtMs = toMilliseconds(this->now.time_since_epoch() + step);
     if (this->config.workerFaults.empty())
         startedAtMs = std::max(worker.startedAtMs + 1, startedAtMs);
@@ -160,6 +168,7 @@
     worker.clockStep = step;
     worker.refusesUntil = refusesUntil;
     worker.cutUntil = cutUntil;
+    worker.standsStillUntil = standsStillUntil;
     worker.startedAtMs = startedAtMs;
     worker.up = true;
     worker.incarnationStart = this->now;
@@ -173,7 +182,7 @@
     const WorkerNode& worker = this->workers[index];
     if (!worker.up || worker.startedAtMs != startedAtMs)
         return;
-    const WorkerInfo info { { worker.id, startedAtMs }, "service", workerCapacity, {}, false, {} };
+    const WorkerInfo info { { worker.id, startedAtMs }, "service", this->config.workerCapacity, {}, false, {} };
     const Duration delay = this->chance(0.02) ? milliseconds(3000) : workerDelay;
     if (this->now >= worker.cutUntil)
         this->after(delay, [this, index, info]() { this->deliverToAgent(index, this->agents[index].incarnation, WorkerHeartbeat { info }); });
@@ -186,11 +195,11 @@
     typename Nodes::value_type& node = nodes[index];
     if (!node.up || node.incarnation != incarnation)
         return;
-    if (this->now >= node.stalledUntil && node.backlog.empty())
+    if (this->now >= node.stalledUntil && this->now >= node.slowUntil && node.backlog.empty())
         return this->step(index, event);
     node.backlog.push_back(std::move(event));
     if (node.backlog.size() == 1)
-        this->at(node.stalledUntil, [this, &nodes, index, incarnation]() { this->deliverBacklog(nodes, index, incarnation); });
+        this->at(std::max(node.stalledUntil, this->now), [this, &nodes, index, incarnation]() { this->deliverBacklog(nodes, index, incarnation); });
 }
 
 template <typename Nodes>
@@ -203,11 +212,30 @@
         this->at(node.stalledUntil, [this, &nodes, index, incarnation]() { this->deliverBacklog(nodes, index, incarnation); });
         return;
     }
+    if (this->now < node.slowUntil) {
+        this->deliverSlowly(nodes, index, incarnation);
+        return;
+    }
     const decltype(node.backlog) backlog = std::exchange(node.backlog, {});
     for (const typename decltype(node.backlog)::value_type& event : backlog)
         this->step(index, event);
 }
 
+template <typename Nodes>
+void JobSimulation::deliverSlowly(Nodes& nodes, std::size_t index, std::uint64_t incarnation)
+{
+    typename Nodes::value_type& node = nodes[index];
+    const typename decltype(node.backlog)::value_type event = std::move(node.backlog.front());
+    this->after(slowEventTime, [this, &nodes, index, incarnation, event]() {
+        if (!nodes[index].up || nodes[index].incarnation != incarnation)
+            return;
+        this->step(index, event);
+        nodes[index].backlog.pop_front();
+        if (!nodes[index].backlog.empty())
+            this->deliverBacklog(nodes, index, incarnation);
+    });
+}
+
 void JobSimulation::deliverToEntry(std::size_t index, std::uint64_t incarnation, SchedulerEvent event)
 {
     this->deliver(this->entries, index, incarnation, std::move(event));
@@ -343,7 +371,7 @@
         this->after(milliseconds(800), [done]() { done(OutcomeAmbiguous { "no answer" }); });
         return;
     }
-    this->after(storeDelay + this->jitter(milliseconds(3)), [this, transaction, done]() {
+    this->after(storeDelay + this->config.extraWriteTime + this->jitter(milliseconds(3)), [this, transaction, done]() {
         const TransactionResult result = this->apply(transaction);
         this->after(storeDelay, [done, result]() { done(result); });
     });
@@ -460,7 +488,7 @@
     });
     if (!linked && this->agents[agent].up && !this->cut(entry, agent) && this->now >= node.stalledUntil) {
         const std::uint64_t link = ++this->lastLink;
-        this->links[link] = { entry, agent, true, true, this->now, this->now, this->now, {} };
+        this->links[link] = { .entry = entry, .agent = agent, .entryOpen = true, .agentOpen = true, .lastToAgent = this->now, .lastToEntry = this->now, .lastReceivedAt = this->now };
         this->deliverToAgent(agent, this->agents[agent].incarnation, LeaderAttached { LinkId { link } });
         this->deliverToEntry(entry, incarnation, AgentLinked { this->agents[agent].name, LinkId { link } });
         this->watchLink(link);
@@ -481,7 +509,9 @@
             arrived.lastReceivedAt = this->now;
         deliver();
     };
-    if (this->cut(state.entry, state.agent)) {
+    if (toAgentSide ? state.silentToAgent : state.silentToEntry)
+        return;
+    if (this->cutInDirection(state.entry, state.agent, toAgentSide)) {
         state.held.push_back(receive);
         return;
     }
@@ -524,7 +554,22 @@
 
 bool JobSimulation::cut(std::size_t entry, std::size_t agent) const
 {
-    return this->cuts.contains({ entry, agent });
+    return this->cuts.contains({ entry, agent }) || this->oneWayCuts.contains({ entry, agent, false }) || this->oneWayCuts.contains({ entry, agent, true });
+}
+
+bool JobSimulation::cutInDirection(std::size_t entry, std::size_t agent, bool toAgentSide) const
+{
+    return this->cuts.contains({ entry, agent }) || this->oneWayCuts.contains({ entry, agent, toAgentSide });
+}
+
+void JobSimulation::deliverHeldMessages(std::size_t entry, std::size_t agent)
+{
+    for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
+        if (item.second.entry != entry || item.second.agent != agent)
+            continue;
+        for (const Action& held : std::exchange(item.second.held, {}))
+            held();
+    }
 }
 
 void JobSimulation::callWorker(std::size_t agent, CallNumber call, std::function<std::optional<WorkerEvent>()> execute)
@@ -581,7 +626,7 @@
     }
     std::vector<RunStatus> running;
     for (const std::map<RunId, Run>::value_type& item : worker.running)
-        running.push_back({ item.first, "", 50, 0 });
+        running.push_back({ item.first, "", 50, this->measurementOf(worker, item.first) });
     const PollAnswered answer { call.call, worker.startedAtMs, this->clockMs(worker), running, worker.ended };
     this->after(workerDelay + this->jitter(milliseconds(2)), [this, agent, incarnation, answer]() { this->deliverToAgent(agent, incarnation, answer); });
 }
@@ -613,10 +658,7 @@
     const bool fails = this->chance(0.05);
     if (!step.longRunning || fails) {
         const Duration time = milliseconds(100) + this->jitter(milliseconds(1500));
-        this->after(time, [this, index, startedAtMs, run = call.run, fails]() {
-            if (this->workers[index].up && this->workers[index].startedAtMs == startedAtMs)
-                this->endRun(index, run, fails ? RunEndKind::Failed : RunEndKind::Done);
-        });
+        this->after(time, [this, index, startedAtMs, run = call.run, fails]() { this->endRunInTime(index, startedAtMs, run, fails ? RunEndKind::Failed : RunEndKind::Done); });
     }
     return OrderAnswered { call.call, true, "" };
 }
@@ -668,6 +710,30 @@
         this->endRun(index, item.first, RunEndKind::LeaseExpired);
 }
 
+void JobSimulation::endRunInTime(std::size_t index, std::int64_t startedAtMs, const RunId& run, RunEndKind kind)
+{
+    const WorkerNode& worker = this->workers[index];
+    if (!worker.up || worker.startedAtMs != startedAtMs)
+        return;
+    if (this->now < worker.standsStillUntil)
+        this->at(worker.standsStillUntil, [this, index, startedAtMs, run, kind]() { this->endRunInTime(index, startedAtMs, run, kind); });
+    else
+        this->endRun(index, run, kind);
+}
+
+std::uint32_t JobSimulation::measurementOf(const WorkerNode& worker, const RunId& run) const
+{
+    const StepSpec& step = this->jobs.at(run.task.job).spec->steps[run.task.step];
+    if (step.target <= Duration {})
+        return 0;
+    return this->now < std::max(worker.standsStillUntil, this->overloadUntil) ? stalledTailMs : usualTailMs;
+}
+
+bool JobSimulation::draws(WorkerFault fault) const
+{
+    return std::find(this->config.workerFaults.begin(), this->config.workerFaults.end(), fault) != this->config.workerFaults.end();
+}
+
 void JobSimulation::endRun(std::size_t index, const RunId& run, RunEndKind kind)
 {
     WorkerNode& worker = this->workers[index];
@@ -718,7 +784,7 @@
     ResourceVector used = step.countedDemand();
     for (const std::map<RunId, Run>::value_type& item : this->workers[index].running)
         used = used.plus(this->jobs.at(item.first.task.job).spec->steps[item.first.task.step].countedDemand());
-    if (!workerCapacity.covers(used))
+    if (!this->config.workerCapacity.covers(used))
         this->recordViolation(describe(run) + " exceeds the capacity of " + this->workers[index].id);
     for (const WorkerNode& other : this->workers) {
         for (const std::map<RunId, Run>::value_type& item : other.running) {
@@ -760,6 +826,11 @@
         next.demand = { static_cast<std::uint32_t>(500 + 500 * this->pick(6)), 1000, 0 };
         next.estimate = milliseconds(800);
         next.longRunning = longRunning;
+        if (longRunning && (this->draws(WorkerFault::StandStill) || this->draws(WorkerFault::Overload))) {
+            next.image = "web";
+            next.target = longRunningTarget;
+            next.mayMiss = number % 2 == 0 && next.count > 1 ? 1 : 0;
+        }
         next.bestEffort = !longRunning && this->chance(0.2);
         if (step > 0)
             next.after = { static_cast<std::uint32_t>(step - 1) };
@@ -838,12 +909,7 @@
         this->cuts.insert({ entry, agent });
         this->after(length, [this, entry, agent]() {
             this->cuts.erase({ entry, agent });
-            for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
-                if (item.second.entry != entry || item.second.agent != agent)
-                    continue;
-                for (const Action& held : std::exchange(item.second.held, {}))
-                    held();
-            }
+            this->deliverHeldMessages(entry, agent);
         });
         break;
     case 8:
@@ -870,7 +936,8 @@
     const Duration length = milliseconds(200) + this->jitter(milliseconds(6000));
     const std::size_t index = this->pick(this->workers.size());
     WorkerNode& worker = this->workers[index];
-    this->extendFaultPeriod(fault == WorkerFault::LossWithLeader ? Duration {} : length);
+    const bool instantaneous = fault == WorkerFault::LossWithLeader || fault == WorkerFault::Overload || fault == WorkerFault::TotalPowerLoss || fault == WorkerFault::SilentLinks || fault == WorkerFault::SilentStore;
+    this->extendFaultPeriod(instantaneous ? Duration {} : length);
     switch (fault) {
     case WorkerFault::ClockStep:
         this->stepClock(index, length);
@@ -905,23 +972,143 @@
     case WorkerFault::LossWithLeader:
         this->loseWithLeader(index);
         break;
+    case WorkerFault::StandStill:
+        this->note("fault: runs on " + worker.id + " stand still");
+        worker.standsStillUntil = this->now + length;
+        break;
+    case WorkerFault::Overload:
+        this->note("fault: all workers are overloaded");
+        this->overloadUntil = this->now + length * 4;
+        break;
+    case WorkerFault::TotalPowerLoss:
+        this->losePowerEverywhere(index);
+        break;
+    case WorkerFault::PlannedStop:
+        this->stopAsPlanned(index);
+        break;
+    case WorkerFault::AgentReplacement:
+        this->replaceAgent(index, length / 2);
+        break;
+    case WorkerFault::SlowProcess:
+        this->slowDown(index, length);
+        break;
+    case WorkerFault::OneWayCut:
+        this->cutOneWay(index, length);
+        break;
+    case WorkerFault::SilentLinks:
+        this->silenceLinks(index);
+        break;
+    case WorkerFault::SilentStore:
+        this->note("fault: the store is silent");
+        this->storeDownUntil = this->now + length / 2;
+        break;
     }
 }
 
-void JobSimulation::loseWithLeader(std::size_t index)
+void JobSimulation::losePowerEverywhere(std::size_t index)
 {
+    constexpr Duration restartTime = milliseconds(500);
     constexpr Duration downtime = seconds(15);
-    this->note("fault: agent, worker and leader fail together " + std::to_string(index));
-    // The loss counts as over at once: the other processes must restart the tasks while these ones stay down.
-    const TimePoint calm = std::max(this->faultsEndAt, this->now);
+    this->note("fault: all lose power; the leader and agent " + std::to_string(index) + " stay down");
+    const TimePoint calm = std::max(this->faultsEndAt, this->now + restartTime);
+    this->killLeader(downtime);
     this->killAgent(index, downtime);
     this->killWorker(index, downtime);
+    for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
+        if (this->entries[entry].up)
+            this->killEntry(entry, restartTime);
+    }
+    for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
+        if (this->agents[agent].up)
+            this->killAgent(agent, restartTime);
+        if (this->workers[agent].up)
+            this->killWorker(agent, restartTime);
+    }
+    this->faultsEndAt = calm;
+}
+
+void JobSimulation::killLeader(Duration downtime)
+{
     // At least one entry must stay up to take over.
     const std::ptrdiff_t up = std::count_if(this->entries.begin(), this->entries.end(), [](const EntryNode& node) { return node.up; });
     for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
         if (this->entries[entry].up && this->entries[entry].machine->isActiveLeader() && up > 1)
             this->killEntry(entry, downtime);
     }
+}
+
+void JobSimulation::stopAsPlanned(std::size_t agent)
+{
+    const std::size_t entry = this->pick(this->entries.size());
+    const Duration downtime = milliseconds(500) + this->jitter(seconds(2));
+    if (this->chance(0.5)) {
+        this->note("fault: agent " + std::to_string(agent) + " is stopped");
+        this->killAgent(agent, downtime);
+        return;
+    }
+    this->note("fault: entry " + std::to_string(entry) + " is stopped");
+    this->deliverToEntry(entry, this->entries[entry].incarnation, ReleaseRequested {});
+    this->after(milliseconds(300), [this, entry, downtime]() { this->killEntry(entry, downtime); });
+}
+
+void JobSimulation::replaceAgent(std::size_t index, Duration downtime)
+{
+    this->note("fault: agent " + this->agents[index].name + " is replaced");
+    this->killAgent(index, downtime);
+    this->replaceWorker(index, downtime);
+    this->agents[index].name = "agent-" + std::to_string(index) + "-" + std::to_string(this->version);
+}
+
+void JobSimulation::slowDown(std::size_t agent, Duration length)
+{
+    const std::size_t entry = this->pick(this->entries.size());
+    const TimePoint until = this->now + length;
+    if (this->chance(0.5)) {
+        this->note("fault: agent " + std::to_string(agent) + " is slow");
+        this->agents[agent].slowUntil = until;
+    } else {
+        this->note("fault: entry " + std::to_string(entry) + " is slow");
+        this->entries[entry].slowUntil = until;
+    }
+}
+
+void JobSimulation::cutOneWay(std::size_t agent, Duration length)
+{
+    const std::size_t entry = this->pick(this->entries.size());
+    const bool toAgentSide = this->chance(0.5);
+    this->note("fault: link cut one way " + std::to_string(entry) + (toAgentSide ? " to " : " from ") + std::to_string(agent));
+    this->oneWayCuts.insert({ entry, agent, toAgentSide });
+    this->after(length, [this, entry, agent, toAgentSide]() {
+        this->oneWayCuts.erase({ entry, agent, toAgentSide });
+        this->deliverHeldMessages(entry, agent);
+    });
+}
+
+void JobSimulation::silenceLinks(std::size_t agent)
+{
+    const bool toAgentSide = this->chance(0.7);
+    const bool toEntrySide = !toAgentSide || this->chance(0.3);
+    this->note("fault: links of agent " + std::to_string(agent) + " go silent " + (toAgentSide ? "towards it " : "") + (toEntrySide ? "from it" : ""));
+    for (std::map<std::uint64_t, Link>::value_type& item : this->links) {
+        Link& link = item.second;
+        if (link.agent != agent || !link.entryOpen)
+            continue;
+        link.silentToAgent = link.silentToAgent || toAgentSide;
+        link.silentToEntry = link.silentToEntry || toEntrySide;
+        if (link.silentToAgent)
+            this->after(agentSilenceLimit, [this, id = item.first]() { this->closeLink(id); });
+    }
+}
+
+void JobSimulation::loseWithLeader(std::size_t index)
+{
+    constexpr Duration downtime = seconds(15);
+    this->note("fault: agent, worker and leader fail together " + std::to_string(index));
+    // The loss counts as over at once: the other processes must restart the tasks while these ones stay down.
+    const TimePoint calm = std::max(this->faultsEndAt, this->now);
+    this->killAgent(index, downtime);
+    this->killWorker(index, downtime);
+    this->killLeader(downtime);
     this->faultsEndAt = calm;
 }
 
@@ -948,7 +1135,7 @@
     const WorkerNode& worker = this->workers[index];
     const std::int64_t startedAtMs = worker.startedAtMs + (this->chance(0.5) ? 1 : 1'000'000'000);
     const WorkerIdentity identity { this->chance(0.5) ? worker.id : "other-writer", startedAtMs };
-    const WorkerInfo info { identity, this->chance(0.5) ? "service" : "other-service", workerCapacity, {}, false, {} };
+    const WorkerInfo info { identity, this->chance(0.5) ? "service" : "other-service", this->config.workerCapacity, {}, false, {} };
     this->note("fault: heartbeat of another writer at the agent of " + worker.id + ": " + identity.id + ", start time " + std::to_string(startedAtMs) + ", " + info.service);
     this->deliverToAgent(index, this->agents[index].incarnation, WorkerHeartbeat { info });
 }
@@ -1058,7 +1245,7 @@
 {
     std::uint32_t count = 0;
     for (const WorkerNode& worker : this->workers) {
-        ResourceVector free = workerCapacity;
+        ResourceVector free = this->config.workerCapacity;
         for (const std::map<RunId, Run>::value_type& item : worker.running)
             free = free.minus(this->jobs.at(item.first.task.job).spec->steps[item.first.task.step].countedDemand());
         for (; worker.up && free.covers(step.countedDemand()); free = free.minus(step.countedDemand()))
--- a/libs/scheduling/tests/JobSimulation.h
+++ b/libs/scheduling/tests/JobSimulation.h
@@ -13,6 +13,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace cowslipdoor::tests {
@@ -37,6 +38,24 @@
     PowerLoss,
     /// An agent, its worker and the leading entry fail together, for longer than a long-running task may be without a run.
     LossWithLeader,
+    /// The runs on a worker stand still, and the tail latencies that it lists are far above their targets.
+    StandStill,
+    /// All workers list tail latencies far above their targets for a while; no process or link is disturbed.
+    Overload,
+    /// All processes and workers lose power; the leading entry and one agent with its worker stay down.
+    TotalPowerLoss,
+    /// An entry or an agent is stopped in an orderly way and started again.
+    PlannedStop,
+    /// An agent and its worker are replaced by others with other names.
+    AgentReplacement,
+    /// A process takes long to handle each event.
+    SlowProcess,
+    /// Packets between an entry and an agent pass one way only.
+    OneWayCut,
+    /// The open links of an agent go silent in one direction or both, for good; new links work.
+    SilentLinks,
+    /// The store answers nobody for some seconds; no process or link is disturbed otherwise.
+    SilentStore,
 };
 
 /// @brief Size of a simulation, its faults, and the settings of the simulated processes.
@@ -50,6 +69,10 @@
     Duration faultPeriod = std::chrono::seconds(25);
     /// How long a new leader takes to read the tables.
     Duration tableReadTime = std::chrono::milliseconds(10);
+    /// How much longer than usual the store takes for each transaction.
+    Duration extraWriteTime {};
+    /// Cores and memory of each worker.
+    ResourceVector workerCapacity { 8000, 16000, 0 };
     /// Unless empty, half of the faults are drawn from these, and some long-running jobs run until all faults are over.
     std::vector<WorkerFault> workerFaults {};
     /// Whether all faults are drawn from workerFaults.
@@ -89,6 +112,8 @@
         bool up = false;
         bool storeCut = false;
         TimePoint stalledUntil {};
+        /// Until when it takes long to handle each event.
+        TimePoint slowUntil {};
         /// Events that arrived while it was stalled, in order of arrival.
         std::deque<SchedulerEvent> backlog {};
         std::uint64_t timer = 0;
@@ -105,6 +130,8 @@
         std::uint64_t incarnation = 0;
         bool up = false;
         TimePoint stalledUntil {};
+        /// Until when it takes long to handle each event.
+        TimePoint slowUntil {};
         /// Events that arrived while it was stalled, in order of arrival.
         std::deque<WorkerEvent> backlog {};
         std::uint64_t timer = 0;
@@ -137,6 +164,8 @@
         TimePoint refusesUntil {};
         /// Until when calls and heartbeats between it and its agent are lost.
         TimePoint cutUntil {};
+        /// Until when its runs stand still.
+        TimePoint standsStillUntil {};
         TimePoint incarnationStart {};
         std::uint64_t token = 0;
         std::int64_t leaseMs = 0;
@@ -154,6 +183,9 @@
         std::size_t agent = 0;
         bool entryOpen = false;
         bool agentOpen = false;
+        /// Whether messages in a direction are lost for good.
+        bool silentToAgent = false;
+        bool silentToEntry = false;
         TimePoint lastToAgent {};
         TimePoint lastToEntry {};
         TimePoint lastReceivedAt {};
@@ -190,6 +222,8 @@
     void deliver(Nodes& nodes, std::size_t index, std::uint64_t incarnation, Event event);
     template <typename Nodes>
     void deliverBacklog(Nodes& nodes, std::size_t index, std::uint64_t incarnation);
+    template <typename Nodes>
+    void deliverSlowly(Nodes& nodes, std::size_t index, std::uint64_t incarnation);
     void step(std::size_t index, const SchedulerEvent& event);
     void step(std::size_t index, const WorkerEvent& event);
     void deliverToEntry(std::size_t index, std::uint64_t incarnation, SchedulerEvent event);
@@ -211,6 +245,8 @@
     void closeLinks(const std::function<bool(const Link&)>& which);
     void watchLink(std::uint64_t link);
     [[nodiscard]] bool cut(std::size_t entry, std::size_t agent) const;
+    [[nodiscard]] bool cutInDirection(std::size_t entry, std::size_t agent, bool toAgentSide) const;
+    void deliverHeldMessages(std::size_t entry, std::size_t agent);
 
     void callWorker(std::size_t agent, CallNumber call, std::function<std::optional<WorkerEvent>()> execute);
     void answerPoll(std::size_t agent, std::uint64_t incarnation, const CallPoll& call, bool mayWait);
@@ -238,6 +274,16 @@
     void replaceWorker(std::size_t index, Duration downtime);
     void stepClock(std::size_t index, Duration length);
     void loseWithLeader(std::size_t index);
+    void losePowerEverywhere(std::size_t index);
+    void killLeader(Duration downtime);
+    void stopAsPlanned(std::size_t agent);
+    void replaceAgent(std::size_t index, Duration downtime);
+    void slowDown(std::size_t agent, Duration length);
+    void cutOneWay(std::size_t agent, Duration length);
+    void silenceLinks(std::size_t agent);
+    [[nodiscard]] bool draws(WorkerFault fault) const;
+    [[nodiscard]] std::uint32_t measurementOf(const WorkerNode& worker, const RunId& run) const;
+    void endRunInTime(std::size_t worker, std::int64_t startedAtMs, const RunId& run, RunEndKind kind);
     void killWorker(std::size_t index, Duration downtime);
     void flapWorker(std::size_t index, TimePoint end);
     void recover();
@@ -261,6 +307,9 @@
     std::map<std::uint64_t, Link> links;
     std::uint64_t lastLink = 0;
     std::set<std::pair<std::size_t, std::size_t>> cuts;
+    /// Entry, agent and direction (whether towards the agent) in which no message passes.
+    std::set<std::tuple<std::size_t, std::size_t, bool>> oneWayCuts;
+    TimePoint overloadUntil {};
     std::map<JobId, OracleJob> jobs;
     std::vector<std::string> recordedViolations;
     std::vector<std::string> historyLines;
--- a/libs/scheduling/tests/JobSimulationTests.cpp
+++ b/libs/scheduling/tests/JobSimulationTests.cpp
@@ -141,3 +141,33 @@
     config.onlyWorkerFaults = true;
     simulateSeeds(config, 100);
 }
+
+TEST_CASE("simulation: long-running tasks restart in time after a loss of power everywhere", "[jobs][world][fuzz]")
+{
+    JobSimulationConfig config = withWorkerFaults({ WorkerFault::TotalPowerLoss });
+    config.entries = 3;
+    config.faultInterval = std::chrono::milliseconds(8000);
+    config.onlyWorkerFaults = true;
+    simulateSeeds(config, 100);
+}
+
+TEST_CASE("simulation: long-running tasks restart in time after planned stops and replacements", "[jobs][world][fuzz]")
+{
+    for (const WorkerFault kind : { WorkerFault::PlannedStop, WorkerFault::AgentReplacement }) {
+        JobSimulationConfig config = withWorkerFaults({ kind });
+        config.onlyWorkerFaults = true;
+        INFO("kind " << static_cast<unsigned>(kind));
+        simulateSeeds(config, 50);
+    }
+}
+
+TEST_CASE("simulation: long-running tasks restart in time after slow processes and faults of links", "[jobs][world][fuzz]")
+{
+    for (const WorkerFault kind : { WorkerFault::SlowProcess, WorkerFault::OneWayCut, WorkerFault::SilentLinks, WorkerFault::SilentStore }) {
+        JobSimulationConfig config = withWorkerFaults({ kind });
+        config.onlyWorkerFaults = true;
+        config.faultInterval = std::chrono::milliseconds(4000);
+        INFO("kind " << static_cast<unsigned>(kind));
+        simulateSeeds(config, 50);
+    }
+}
