Red: a long-running task waits without end while all workers are excluded after stalls

Once each worker holds a run whose tail is fifty times its target and that may not be stopped (may-miss), each listing renews the exclusion of its worker. The run that was stopped, and all new ones, then wait for as long as the tails stay high, which a missing run does not better.

--- a/libs/scheduling/tests/JobSimulationTests.cpp
+++ b/libs/scheduling/tests/JobSimulationTests.cpp
@@ -171,3 +171,15 @@
         simulateSeeds(config, 50);
     }
 }
+
+TEST_CASE("simulation: long-running tasks run although all workers are excluded after stalls", "[jobs][world][fuzz]")
+{
+    const std::vector<WorkerFault> kinds { WorkerFault::StandStill, WorkerFault::Overload };
+    for (const WorkerFault kind : kinds) {
+        JobSimulationConfig config = withWorkerFaults({ kind });
+        config.onlyWorkerFaults = true;
+        config.faultInterval = std::chrono::milliseconds(3000);
+        INFO("kind " << static_cast<unsigned>(kind));
+        simulateSeeds(config, 50);
+    }
+}
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -123,6 +123,27 @@
     CHECK(chosen(job, workers, InterferenceModel(), start + milliseconds(1)) == "b");
 }
 
+TEST_CASE("placement: a long-running task goes to an excluded worker rather than wait", "[jobs]")
+{
+    Workers workers { { "a", workerOf("a", 16000) }, { "b", workerOf("b", 16000) }, { "c", workerOf("c", 16000) } };
+    StepSpec longRunningStep = stepOf(1, 500);
+    longRunningStep.longRunning = true;
+    const TrackedJob longRunning = trackedJobOf(jobOf("x", { longRunningStep }));
+    const TrackedJob finite = trackedJobOf(jobOf("y", { stepOf(1, 500) }));
+    workers.at("a").stalledUntil = start + milliseconds(1);
+    workers.at("b").excludedUntil = start + milliseconds(1);
+    workers.at("c").lastChoiceUntil = start + milliseconds(1);
+    CHECK(chosen(longRunning, workers, InterferenceModel()) == "c");
+    workers.at("c").refusingUntil = start + milliseconds(1);
+    CHECK(chosen(longRunning, workers, InterferenceModel()) != "");
+    CHECK(chosen(longRunning, workers, InterferenceModel()) != "c");
+    CHECK(chosen(finite, workers, InterferenceModel()).empty());
+    workers.at("a").info->draining = true;
+    CHECK(chosen(longRunning, workers, InterferenceModel()) == "b");
+    workers.at("b").settled = false;
+    CHECK(chosen(longRunning, workers, InterferenceModel()).empty());
+}
+
 TEST_CASE("placement: in a burst, best-effort tasks first go to workers without serving tasks; then harmless ones go beside serving tasks and harmful ones wait", "[jobs]")
 {
     const InterferenceModel interference = learntInterference();
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -256,6 +256,60 @@
     CHECK(stopped.contains(serving));
 }
 
+TEST_CASE("scheduler: long-running tasks run although all workers are excluded after stalls", "[jobs]")
+{
+    SchedulerUnderTest test;
+    StepSpec longRunningStep = stepOf(4, 500);
+    longRunningStep.longRunning = true;
+    longRunningStep.target = milliseconds(50);
+    longRunningStep.maximumPerWorker = 2;
+    longRunningStep.mayMiss = 1;
+    test.becomeLeader({ jobOf("a", { longRunningStep }) });
+    test.addWorker("other", LinkId { 2 }, 8000);
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    std::map<std::string, std::set<RunId>> running;
+    for (const Workers::value_type& worker : test.machine.workers()) {
+        for (const std::map<TaskId, WorkerIdentity>::value_type& task : worker.second.tasks)
+            running[worker.first].insert({ task.first, 1 });
+    }
+    REQUIRE(running["agent"].size() == 2);
+    REQUIRE(running["other"].size() == 2);
+    TimePoint missingSince = test.now;
+    Duration longestMissing {};
+    // Both workers list a tail latency of 600 times the target all the while.
+    for (int round = 0; round < 40; ++round) {
+        for (const std::string agent : { "agent", "other" }) {
+            test.now += milliseconds(250);
+            const LinkId link = agent == "agent" ? LinkId { 1 } : LinkId { 2 };
+            const WorkerIdentity worker = agent == "agent" ? firstIncarnation : WorkerIdentity { "other", 1 };
+            std::vector<SchedulerEvent> events { AgentReportReceived { agent, link, Ping { 1 } } };
+            std::vector<RunStatus> listed;
+            for (const RunId& run : running[agent])
+                listed.push_back({ run, "", 100, 30000 });
+            events.emplace_back(AgentReportReceived { agent, link, RunProgress { worker, listed } });
+            events.emplace_back(TimePassed {});
+            events.emplace_back(CommitFinished { Applied { ++test.version } });
+            for (const SchedulerEvent& event : events) {
+                test.step(event);
+                const std::optional<StopRun> stop = test.sent<StopRun>();
+                if (stop && running[agent].erase(stop->run) > 0)
+                    test.step(AgentReportReceived { agent, link, RunsEnded { worker, { { 1, stop->run, RunEndKind::Stopped, "" } } } });
+                for (const SchedulerEffect& effect : test.effects) {
+                    const SendToAgent* const message = std::get_if<SendToAgent>(&effect);
+                    const StartRun* const order = message ? std::get_if<StartRun>(&message->message) : nullptr;
+                    if (order)
+                        running[message->link == LinkId { 1 } ? "agent" : "other"].insert(order->run);
+                }
+            }
+        }
+        if (running["agent"].size() + running["other"].size() == 4)
+            missingSince = test.now;
+        longestMissing = std::max(longestMissing, test.now - missingSince);
+    }
+    CHECK(longestMissing < std::chrono::seconds(3));
+}
+
 TEST_CASE("scheduler: the interference model is written with other rows and only when it has changed", "[jobs]")
 {
     SchedulerUnderTest test;
