Placement: exclusions give way to long-running tasks instead of keeping them without a run

Cause: a worker whose runs stall was unfit for 3 s, renewed with each listing of a stalled run. A run that may not be stopped (may-miss) kept its worker unfit; with one on each worker, the run that had been stopped and all new ones had nowhere to go, and a missing run does not bring tails down. Class: a health hint taken for a prohibition, renewed by what it causes. Ruled out: room counted wrongly and believed runs; E627 said "excluded after a stall" of all workers each second. Change: an exclusion (failures or stall) ranks a worker last for a long-running task and no longer forbids it. A stall also gives way to a job of other tasks that has waited 1 s with nothing assigned; failures do not, as they cost attempts. A stalled long-running run is stopped only if a worker that is not excluded can take it: stopping it for nothing bettered nothing. Changed test: "a worker on which all runs stall loses them ..." had one worker only, where stopping the serving run now is pointless; it has a second worker and checks the same stops.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -270,6 +270,8 @@
     void sendChangedTraits(TrackedWorker& worker, Effects& effects);
     void notePace(TrackedWorker& worker, const std::vector<ListedRun>& listed, TimePoint now);
     void leaveStalledWorker(TrackedWorker& worker, const std::vector<ListedRun>& listed, TimePoint now, Effects& effects);
+    /// Returns whether a worker that is not excluded can take the task of a run.
+    [[nodiscard]] bool hasPlaceElsewhere(const TrackedWorker& worker, const ListedRun& run, TimePoint now) const;
     [[nodiscard]] bool mayStop(const TrackedJob& job, std::uint32_t step) const;
     void relocateOneStarvingRun(const TrackedWorker& worker, TimePoint now, Effects& effects);
     void orderStop(const TrackedWorker& worker, const TaskId& id, const std::string& reason, Effects& effects);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -129,8 +129,13 @@
     [[nodiscard]] std::optional<UnfitReason> unfitReason(TimePoint now) const noexcept;
 
     /// @param now current time
-    /// @return whether runs can be sent here
-    [[nodiscard]] bool usable(TimePoint now) const noexcept { return !this->unfitReason(now); }
+    /// @return why the worker is excluded because of its runs, or std::nullopt; a task for which waiting is worse than a run
+    /// here may still be placed
+    [[nodiscard]] std::optional<UnfitReason> exclusionReason(TimePoint now) const noexcept;
+
+    /// @param now current time
+    /// @return whether runs can be sent here and the worker is not excluded
+    [[nodiscard]] bool usable(TimePoint now) const noexcept { return !this->unfitReason(now) && !this->exclusionReason(now); }
 
     /// @return the capacity that is not reserved by assigned tasks; zero while no worker is known
     [[nodiscard]] ResourceVector free() const noexcept { return this->info ? this->info->capacity.minus(this->used) : ResourceVector {}; }
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -58,6 +58,19 @@
         return sum;
     }
 
+    /// Whether a job with tasks to place has had none assigned for so long that any worker with headroom will do.
+    bool waitedTooLong(const TrackedJob& job, TimePoint now)
+    {
+        return job.assigned == 0 && now > job.waitingSince + maximumPlacementWait;
+    }
+
+    /// Whether an exclusion keeps a task away. Exclusions may be renewed on all workers for as long as a cause lasts; a stalled
+    /// run of a long-running task is worth more than none, and only failed runs cost other tasks an attempt.
+    bool keepsAway(UnfitReason exclusion, const TrackedJob& job, const StepSpec& step, TimePoint now)
+    {
+        return !step.longRunning && (exclusion != UnfitReason::Stalled || !waitedTooLong(job, now));
+    }
+
     /// Reason why a task cannot be placed on a worker: the worker's state, service, labels, free resources or tasks of the step.
     std::optional<UnfitReason> unfitFor(const TrackedWorker& worker, const TrackedJob& job, std::uint32_t number, TimePoint now)
     {
@@ -65,6 +78,9 @@
         const std::optional<UnfitReason> unfitReason = worker.unfitReason(now);
         if (unfitReason)
             return unfitReason;
+        const std::optional<UnfitReason> exclusion = worker.exclusionReason(now);
+        if (exclusion && keepsAway(*exclusion, job, step, now))
+            return exclusion;
         if (worker.info->service != job.spec->service)
             return UnfitReason::OtherService;
         if (!hasLabel(*worker.info, step.requiredLabel))
@@ -86,7 +102,7 @@
     }
 
     /// Score of a worker for a task; greater is better, and elements are compared in order.
-    using Score = std::tuple<bool, bool, bool, double, double>;
+    using Score = std::tuple<bool, bool, bool, bool, double, double>;
 
     /// Returns std::nullopt for a worker that cannot take the task.
     std::optional<Score> scoreOf(const TrackedWorker& worker, const TrackedJob& job, std::uint32_t number, const TaskState& task, const InterferenceModel& interference, TimePoint now)
@@ -94,18 +110,18 @@
         if (unfitFor(worker, job, number, now))
             return std::nullopt;
         const StepSpec& step = job.spec->steps[number];
+        const bool allowed = !worker.exclusionReason(now);
         const bool preferred = !worker.lastChoice(step.longRunning, now);
         const bool elsewhere = worker.agent != task.avoidedAgent;
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
         const double pace = step.bestEffort ? expectedPace(worker, step, interference) : 1;
-        const bool waitedTooLong = job.assigned == 0 && now > job.waitingSince + maximumPlacementWait;
-        if (step.bestEffort && !waitedTooLong && !canAddBestEffort(worker, step, pace))
+        if (step.bestEffort && !waitedTooLong(job, now) && !canAddBestEffort(worker, step, pace))
             return std::nullopt;
         if (step.longRunning)
-            return Score { preferred, elsewhere, nearData, -weightedDistance(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
+            return Score { allowed, preferred, elsewhere, nearData, -weightedDistance(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
         if (step.bestEffort)
-            return Score { preferred, elsewhere, nearData, pace, unusedCores(worker) };
-        return Score { preferred, elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
+            return Score { allowed, preferred, elsewhere, nearData, pace, unusedCores(worker) };
+        return Score { allowed, preferred, elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
     }
 
 }
--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -1,3 +1,4 @@
+#include "cowslipdoor/scheduling/Placement.h"
 #include "cowslipdoor/scheduling/Scheduler.h"
 #include <algorithm>
 
@@ -54,13 +55,19 @@
     worker.stalledUntil = now + limits.stallExclusion;
     for (const ListedRun* const run : stalled) {
         const TaskId& id = run->status.run.task;
-        if (!this->mayStop(run->job, id.step))
+        if (!this->mayStop(run->job, id.step) || (run->step.longRunning && !this->hasPlaceElsewhere(worker, *run, now)))
             continue;
         run->task.avoidedAgent = worker.agent;
         this->orderStop(worker, id, "it stands still", effects);
     }
 }
 
+bool Scheduler::hasPlaceElsewhere(const TrackedWorker& worker, const ListedRun& run, TimePoint now) const
+{
+    const TrackedWorker* const chosen = chooseWorker(run.job, run.status.run.task.step, run.task, this->knownWorkers, this->interference, now);
+    return chosen && chosen->agent != worker.agent && !chosen->exclusionReason(now);
+}
+
 bool Scheduler::mayStop(const TrackedJob& job, std::uint32_t step) const
 {
     const std::uint32_t mayMiss = job.spec->steps[step].mayMiss;
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -64,17 +64,22 @@
         return UnfitReason::NotSettled;
     if (this->info->draining)
         return UnfitReason::Draining;
-    if (now < this->excludedUntil)
-        return UnfitReason::Excluded;
     if (now < this->refusingUntil)
         return UnfitReason::RefusesStarts;
-    if (this->isStalled(now))
-        return UnfitReason::Stalled;
     if (!this->hasFreshGrant(now))
         return UnfitReason::StaleGrant;
     return std::nullopt;
 }
 
+std::optional<UnfitReason> TrackedWorker::exclusionReason(TimePoint now) const noexcept
+{
+    if (now < this->excludedUntil)
+        return UnfitReason::Excluded;
+    if (this->isStalled(now))
+        return UnfitReason::Stalled;
+    return std::nullopt;
+}
+
 std::uint32_t TrackedWorker::bestEffortMilliCores() const noexcept
 {
     const auto add = [](std::uint32_t sum, const std::map<std::string, ImageLoad>::value_type& item) { return sum + item.second.milliCores; };
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -138,7 +138,16 @@
     CHECK(chosen(longRunning, workers, InterferenceModel()) != "");
     CHECK(chosen(longRunning, workers, InterferenceModel()) != "c");
     CHECK(chosen(finite, workers, InterferenceModel()).empty());
+    // A job that has waited for 1 s takes a stalled worker, but not one that fails its runs.
+    const TimePoint later = start + milliseconds(1001);
+    workers.at("a").stalledUntil = later + milliseconds(1);
+    workers.at("b").excludedUntil = later + milliseconds(1);
+    workers.at("c").refusingUntil = later + milliseconds(1);
+    for (Workers::value_type& worker : workers)
+        worker.second.lastGrantAt = later;
+    CHECK(chosen(finite, workers, InterferenceModel(), later) == "a");
     workers.at("a").info->draining = true;
+    CHECK(chosen(finite, workers, InterferenceModel(), later).empty());
     CHECK(chosen(longRunning, workers, InterferenceModel()) == "b");
     workers.at("b").settled = false;
     CHECK(chosen(longRunning, workers, InterferenceModel()).empty());
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -225,6 +225,7 @@
     test.becomeLeader({ jobOf("a", { stepOf(2, 500) }), jobOf("b", { longRunningStep }) });
     static_cast<void>(test.awaitWrite());
     test.commit();
+    test.addWorker("other", LinkId { 2 }, 8000);
     const RunId first { { { "a" }, 0, 0 }, 1 };
     const RunId second { { { "a" }, 0, 1 }, 1 };
     const RunId serving { { { "b" }, 0, 0 }, 1 };
@@ -232,6 +233,7 @@
     const auto report = [&](std::uint32_t moving) {
         test.now += milliseconds(500);
         test.step(AgentReportReceived { "agent", LinkId { 1 }, Ping { test.now.time_since_epoch().count() } });
+        test.step(AgentReportReceived { "other", LinkId { 2 }, Ping { test.now.time_since_epoch().count() } });
         test.step(AgentReportReceived { "agent", LinkId { 1 }, RunProgress { firstIncarnation, { { first, "", 30, 500 }, { second, "", moving, 500 }, { serving, "", 100, 30000 } } } });
         if (!test.machine.lease().idle())
             test.commit();
