--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -123,6 +123,36 @@
     CHECK(chosen(job, workers, InterferenceModel(), start + milliseconds(1)) == "b");
 }
 
+TEST_CASE("placement: a long-running task goes to an excluded worker rather than wait", "[jobs]")
+{
+    Workers workers { { "a", workerOf("a", 16000) }, { "b", workerOf("b", 16000) }, { "c", workerOf("c", 16000) } };
+    StepSpec longRunningStep = stepOf(1, 500);
+    longRunningStep.longRunning = true;
+    const TrackedJob longRunning = trackedJobOf(jobOf("x", { longRunningStep }));
+    const TrackedJob finite = trackedJobOf(jobOf("y", { stepOf(1, 500) }));
+    workers.at("a").stalledUntil = start + milliseconds(1);
+    workers.at("b").excludedUntil = start + milliseconds(1);
+    workers.at("c").lastChoiceUntil = start + milliseconds(1);
+    CHECK(chosen(longRunning, workers, InterferenceModel()) == "c");
+    workers.at("c").refusingUntil = start + milliseconds(1);
+    CHECK(chosen(longRunning, workers, InterferenceModel()) != "");
+    CHECK(chosen(longRunning, workers, InterferenceModel()) != "c");
+    CHECK(chosen(finite, workers, InterferenceModel()).empty());
+    // A job that has waited for 1 s takes a stalled worker, but not one that fails its runs.
+    const TimePoint later = start + milliseconds(1001);
+    workers.at("a").stalledUntil = later + milliseconds(1);
+    workers.at("b").excludedUntil = later + milliseconds(1);
+    workers.at("c").refusingUntil = later + milliseconds(1);
+    for (Workers::value_type& worker : workers)
+        worker.second.lastGrantAt = later;
+    CHECK(chosen(finite, workers, InterferenceModel(), later) == "a");
+    workers.at("a").info->draining = true;
+    CHECK(chosen(finite, workers, InterferenceModel(), later).empty());
+    CHECK(chosen(longRunning, workers, InterferenceModel()) == "b");
+    workers.at("b").settled = false;
+    CHECK(chosen(longRunning, workers, InterferenceModel()).empty());
+}
+
 TEST_CASE("placement: in a burst, best-effort tasks first go to workers without serving tasks; then harmless ones go beside serving tasks and harmful ones wait", "[jobs]")
 {
     const InterferenceModel interference = learntInterference();
