Red: the progress of a job is never stored while jobs with lower identifiers change

Rows are written in the order of identifiers, at most 96 a write. While more jobs change than fit, the highest identifiers are never reached: their assignments are not stored, so their orders are not sent, and their tasks have no run.

--- a/libs/scheduling/tests/JobRegistryTests.cpp
+++ b/libs/scheduling/tests/JobRegistryTests.cpp
@@ -129,3 +129,21 @@
     jobRegistry.release(jobRegistry.assign(taskOf("a", 0, 0), place, start), start, start);
     CHECK(jobRegistry.pendingCounts() == PendingCounts { { "queue", 1 } });
 }
+
+TEST_CASE("job registry: a job that changed first is written first, however often others change", "[jobs]")
+{
+    JobRegistry jobRegistry;
+    for (const char* const id : { "a", "b", "z" })
+        jobRegistry.add(jobOf(id, { stepOf(100, 100) }), start);
+    static_cast<void>(jobRegistry.assign(taskOf("z", 0, 0), place, start));
+    for (std::uint32_t index = 0; index < 10; ++index) {
+        static_cast<void>(jobRegistry.assign(taskOf("a", 0, index), place, start));
+        static_cast<void>(jobRegistry.assign(taskOf("b", 0, index), place, start));
+        const std::vector<JobId> taken = jobRegistry.takeChanged(1);
+        REQUIRE(taken.size() == 1);
+        CHECK(taken.front() == JobId { index == 0 ? "z" : index % 2 == 1 ? "a"
+                                                                         : "b" });
+    }
+    CHECK(jobRegistry.takeChanged(5).size() == 1);
+    CHECK_FALSE(jobRegistry.changed());
+}
--- a/libs/scheduling/tests/JobSimulationTests.cpp
+++ b/libs/scheduling/tests/JobSimulationTests.cpp
@@ -183,3 +183,15 @@
         simulateSeeds(config, 50);
     }
 }
+
+TEST_CASE("simulation: long-running tasks run while more jobs change than fit in a slow write", "[jobs][world][fuzz]")
+{
+    JobSimulationConfig config = withWorkerFaults({ WorkerFault::PowerLoss });
+    config.onlyWorkerFaults = true;
+    config.faultInterval = std::chrono::milliseconds(12000);
+    config.jobs = 120;
+    config.workerCapacity = { 64000, 128000, 0 };
+    config.extraWriteTime = std::chrono::milliseconds(200);
+    config.scheduler.rowsPerWrite = 4;
+    simulateSeeds(config, 50);
+}
