Registry: progress is written in the order of changes, so that no job waits without end

What callers saw: tasks without a run while workers had room, for as long as more jobs changed than fit in the leader's writes (model). Their assignments were made and never stored, so their orders were never sent. Cause: JobRegistry::takeChanged() took the lowest identifiers first; a job with a high identifier was passed over each time. Class: a queue served by a fixed rank instead of by age.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
@@ -5,6 +5,7 @@
 
 #include "Rows.h"
 #include <cowslipdoor/core/Time.h>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -175,7 +176,7 @@
     /// @return the number of jobs that have not started, by queue
     [[nodiscard]] PendingCounts pendingCounts() const;
 
-    /// @brief Takes jobs whose stored progress is out of date, in the order of their identifiers.
+    /// @brief Takes jobs whose stored progress is out of date, in the order of their first change since it was stored.
     /// @return the jobs, which count as stored from now on
     /// @param most maximum number of jobs
     [[nodiscard]] std::vector<JobId> takeChanged(std::size_t most);
@@ -197,10 +198,14 @@
     static void delayLongRunningRestart(TaskState& task, TimePoint now);
     void unassign(TrackedJob& job, TaskState& task);
     void refresh(TrackedJob& job, TimePoint now);
+    void noteChange(const JobId& job);
 
     std::map<JobId, TrackedJob> trackedJobs;
     std::set<JobId> waitingJobs;
+    /// Jobs whose stored progress is out of date, also in the order of their changes, so that none waits while others change
+    /// again and again.
     std::set<JobId> changedJobs;
+    std::deque<JobId> changeOrder;
 };
 
 }
--- a/libs/scheduling/src/JobRegistry.cpp
+++ b/libs/scheduling/src/JobRegistry.cpp
@@ -1,5 +1,6 @@
 #include "cowslipdoor/scheduling/JobRegistry.h"
 #include <algorithm>
+#include <utility>
 
 namespace cowslipdoor {
 
@@ -122,7 +123,7 @@
     job.waitingSince = now;
     if (job.state == JobState::Queued)
         job.state = JobState::Running;
-    this->changedJobs.insert(task.job);
+    this->noteChange(task.job);
     this->refresh(job, now);
     return { task, state.record.run };
 }
@@ -150,7 +151,7 @@
         if (kind == RunEndKind::Failed && step.longRunning)
             this->delayLongRunningRestart(*state, now);
     }
-    this->changedJobs.insert(run.task.job);
+    this->noteChange(run.task.job);
     if (!checkpoint.empty())
         state->record.checkpoint = checkpoint;
     const RunVerdict verdict = finished || state->record.done ? this->finishTask(job, *state, run.task.step, now) : this->requeueTask(job, *state, freshFailure, now);
@@ -197,7 +198,7 @@
     TrackedJob& job = this->trackedJob(run.task.job);
     this->unassign(job, *state);
     state->notBefore = notBefore;
-    this->changedJobs.insert(run.task.job);
+    this->noteChange(run.task.job);
     this->refresh(job, now);
     return true;
 }
@@ -205,7 +206,7 @@
 void JobRegistry::moveToIncarnation(const RunId& run, const WorkerIdentity& incarnation)
 {
     this->openRun(run)->record.assignment->worker = incarnation;
-    this->changedJobs.insert(run.task.job);
+    this->noteChange(run.task.job);
 }
 
 const TrackedJob* JobRegistry::find(const JobId& job) const
@@ -268,8 +269,11 @@
 std::vector<JobId> JobRegistry::takeChanged(std::size_t most)
 {
     std::vector<JobId> taken;
-    while (taken.size() < most && !this->changedJobs.empty())
-        taken.push_back(this->changedJobs.extract(this->changedJobs.begin()).value());
+    while (taken.size() < most && !this->changeOrder.empty()) {
+        taken.push_back(std::move(this->changeOrder.front()));
+        this->changeOrder.pop_front();
+        this->changedJobs.erase(taken.back());
+    }
     return taken;
 }
 
@@ -295,7 +299,7 @@
 {
     job.state = state;
     job.endedAt = now;
-    this->changedJobs.insert(job.spec->id);
+    this->noteChange(job.spec->id);
     this->refresh(job, now);
 }
 
@@ -305,6 +309,12 @@
     --job.assigned;
 }
 
+void JobRegistry::noteChange(const JobId& job)
+{
+    if (this->changedJobs.insert(job).second)
+        this->changeOrder.push_back(job);
+}
+
 void JobRegistry::refresh(TrackedJob& job, TimePoint now)
 {
     bool waits = false;
