Red: room for long-running tasks is reserved by assignments that wait to be stored

While writes are slow, the leader assigns all finite tasks that find room and reserves it, though their orders can be sent only once a write has stored them. Long-running tasks then wait with "0 fit, 4 without enough headroom" while the workers are nearly empty.

--- a/libs/scheduling/tests/JobSimulationTests.cpp
+++ b/libs/scheduling/tests/JobSimulationTests.cpp
@@ -195,3 +195,15 @@
     config.scheduler.rowsPerWrite = 4;
     simulateSeeds(config, 50);
 }
+
+TEST_CASE("simulation: long-running tasks find room while finite jobs wait for slow writes", "[jobs][world][fuzz]")
+{
+    JobSimulationConfig config = withWorkerFaults({ WorkerFault::PowerLoss });
+    config.onlyWorkerFaults = true;
+    config.faultInterval = std::chrono::milliseconds(12000);
+    config.jobs = 300;
+    config.workerCapacity = { 64000, 128000, 0 };
+    config.extraWriteTime = std::chrono::milliseconds(200);
+    config.scheduler.rowsPerWrite = 4;
+    simulateSeeds(config, 20);
+}
