Placement: finite tasks reserve room only if the next write can store their assignments

What callers saw: long-running tasks without a run while workers had room (model), E627 "0 fit, 4 without enough headroom". Cause: each pass assigned all waiting tasks that found room, however many jobs were still to be written. An assignment reserves its room at once, its order follows only after the write; behind a backlog of several seconds most room was reserved for tasks that nobody had been told to start. Class: resources held by work that cannot begin. Ruled out: room that is never released (it came free when the backlog was written), lost orders. Change: a pass assigns tasks of finite jobs only while the job fits into the next write. Long-running tasks are always assigned. Not seen: a job held back for over 1 s counts as one that has waited too long, so its best-effort tasks go to any worker.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
@@ -190,6 +190,11 @@
     /// @return whether the stored progress of any job is out of date
     [[nodiscard]] bool changed() const noexcept { return !this->changedJobs.empty(); }
 
+    /// @param job a known job
+    /// @param most maximum number of jobs in a write
+    /// @return whether a further change of the job would be stored by the next write
+    [[nodiscard]] bool fitsNextWrite(const JobId& job, std::size_t most) const { return this->changedJobs.size() < most || this->changedJobs.contains(job); }
+
 private:
     TrackedJob& trackedJob(const JobId& job);
     void finishJob(TrackedJob& job, JobState state, TimePoint now);
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -17,8 +17,11 @@
 
 void Scheduler::placeTasks(TimePoint now, Effects& effects)
 {
-    for (const TrackedJob* const job : placementOrder(this->jobRegistry.waiting(), this->jobRegistry, now))
-        this->placeJob(*job, now, effects);
+    for (const TrackedJob* const job : placementOrder(this->jobRegistry.waiting(), this->jobRegistry, now)) {
+        // An assignment reserves room, but its order is sent only once it is stored.
+        if (job->spec->isLongRunning() || this->jobRegistry.fitsNextWrite(job->spec->id, this->config.rowsPerWrite))
+            this->placeJob(*job, now, effects);
+    }
 }
 
 void Scheduler::placeJob(const TrackedJob& job, TimePoint now, Effects& effects)
