Red: a write of many large jobs exceeds what the store takes

Writes are limited to 96 jobs, not in bytes. 96 jobs of 1,000 tasks make 1,417,376 bytes in base64, the store takes 1 MB. A refused transaction is repeated unchanged for ever and carries the renewal of the lease, so by the code nobody leads from then on.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Store.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Store.h
@@ -94,4 +94,7 @@
 /// @brief Maximum number of writes, conditions and removals together in one transaction of the store.
 constexpr std::size_t maximumTransactionEntries = 100;
 
+/// @brief Maximum size of one transaction of the store, with values in base64.
+constexpr std::size_t maximumTransactionBytes = 1'000'000;
+
 }
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -312,6 +312,32 @@
     CHECK(longestMissing < std::chrono::seconds(3));
 }
 
+TEST_CASE("scheduler: writes of many large jobs stay within the store's limit of bytes", "[jobs]")
+{
+    SchedulerUnderTest test;
+    StepSpec wide = stepOf(1000, 0);
+    wide.demand = {};
+    std::vector<JobSpecHandle> jobs;
+    for (int number = 100; number < 196; ++number)
+        jobs.push_back(jobOf(std::to_string(number), { wide }));
+    test.becomeLeader(jobs);
+    std::set<std::string> written;
+    for (int count = 0; count < 5; ++count) {
+        const Transaction write = test.awaitWrite();
+        std::size_t bytes = 0;
+        for (const RowWrite& row : write.writes) {
+            bytes += (row.value.size() + 2) / 3 * 4 + row.key.table.size() + row.key.part.size() + row.key.key.size();
+            if (row.key.table == progressTable)
+                written.insert(row.key.key);
+        }
+        CHECK(bytes < maximumTransactionBytes);
+        test.commit();
+        if (written.size() == jobs.size())
+            break;
+    }
+    CHECK(written.size() == jobs.size());
+}
+
 TEST_CASE("scheduler: the interference model is written with other rows and only when it has changed", "[jobs]")
 {
     SchedulerUnderTest test;
