Scheduler: a write holds no more bytes than the store takes

What callers would see: nothing runs and nothing is placed any more, as no leader can renew its lease. Read from the code, not played: the store's page says a call holds at most 1 MB; a refused transaction is repeated unchanged, with the renewal in it. Cause: takeWrites() counted job rows (96), not bytes. Jobs of 1,000 tasks have rows of 11 KB and more; from about 7.6 KB a row on (jobs of some 240 tasks with checkpoints, by arithmetic) 96 of them are too large. Class: one of two limits kept. Change: a write takes no further job row once its rows hold 500 KB; the next write takes the rest. Ruled out: many jobs in one row: a job has one row. Left open: one job whose own row exceeds row-bytes (64 KiB, from about 5,000 tasks without checkpoints) has the same effect and is accepted; it would have to be refused at its intake.

Evidence: "scheduler: writes of many large jobs ...": 1,417,376 bytes before (limit 1,000,000), passes now.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -55,6 +55,9 @@
     std::size_t removedAtOnce = 20;
     /// Maximum number of job rows in one write; the rest of the store's limit is left to rows of the leader.
     std::size_t rowsPerWrite = maximumTransactionEntries - 4;
+    /// Size of job rows from which a write takes no further one; base64 adds a third, and names, the last row and rows of the
+    /// leader come on top.
+    std::size_t bytesPerWrite = maximumTransactionBytes / 2;
 
     bool operator==(const SchedulerConfig&) const = default;
 };
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -53,8 +53,10 @@
 {
     ++this->writes;
     std::vector<RowWrite> rows;
-    this->jobsInWrite = this->jobRegistry.takeChanged(this->config.rowsPerWrite);
-    for (const JobId& job : this->jobsInWrite) {
+    this->jobsInWrite.clear();
+    for (std::size_t bytes = 0; rows.size() < this->config.rowsPerWrite && bytes < this->config.bytesPerWrite && this->jobRegistry.changed(); bytes += rows.back().value.size()) {
+        const JobId job = this->jobRegistry.takeChanged(1).front();
+        this->jobsInWrite.push_back(job);
         rows.push_back({ progressRowKey(job), print(this->jobRegistry.record(job)) });
         for (const TaskId& id : this->jobRegistry.placedTasks(job)) {
             TaskState& task = *this->jobRegistry.task(id);
