--- a/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
@@ -5,6 +5,7 @@
 
 #include "Rows.h"
 #include <cowslipdoor/core/Time.h>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -175,7 +176,7 @@
     /// @return the number of jobs that have not started, by queue
     [[nodiscard]] PendingCounts pendingCounts() const;
 
-    /// @brief Takes jobs whose stored progress is out of date, in the order of their identifiers.
+    /// @brief Takes jobs whose stored progress is out of date, in the order of their first change since it was stored.
     /// @return the jobs, which count as stored from now on
     /// @param most maximum number of jobs
     [[nodiscard]] std::vector<JobId> takeChanged(std::size_t most);
@@ -189,6 +190,11 @@
     /// @return whether the stored progress of any job is out of date
     [[nodiscard]] bool changed() const noexcept { return !this->changedJobs.empty(); }
 
+    /// @param job a known job
+    /// @param most maximum number of jobs in a write
+    /// @return whether a further change of the job would be stored by the next write
+    [[nodiscard]] bool fitsNextWrite(const JobId& job, std::size_t most) const { return this->changedJobs.size() < most || this->changedJobs.contains(job); }
+
 private:
     TrackedJob& trackedJob(const JobId& job);
     void finishJob(TrackedJob& job, JobState state, TimePoint now);
@@ -197,10 +203,14 @@
     static void delayLongRunningRestart(TaskState& task, TimePoint now);
     void unassign(TrackedJob& job, TaskState& task);
     void refresh(TrackedJob& job, TimePoint now);
+    void noteChange(const JobId& job);
 
     std::map<JobId, TrackedJob> trackedJobs;
     std::set<JobId> waitingJobs;
+    /// Jobs whose stored progress is out of date, also in the order of their changes, so that none waits while others change
+    /// again and again.
     std::set<JobId> changedJobs;
+    std::deque<JobId> changeOrder;
 };
 
 }
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -17,8 +17,11 @@
 
 void Scheduler::placeTasks(TimePoint now, Effects& effects)
 {
-    for (const TrackedJob* const job : placementOrder(this->jobRegistry.waiting(), this->jobRegistry, now))
-        this->placeJob(*job, now, effects);
+    for (const TrackedJob* const job : placementOrder(this->jobRegistry.waiting(), this->jobRegistry, now)) {
+        // An assignment reserves room, but its order is sent only once it is stored.
+        if (job->spec->isLongRunning() || this->jobRegistry.fitsNextWrite(job->spec->id, this->config.rowsPerWrite))
+            this->placeJob(*job, now, effects);
+    }
 }
 
 void Scheduler::placeJob(const TrackedJob& job, TimePoint now, Effects& effects)
@@ -50,8 +53,10 @@
 {
     ++this->writes;
     std::vector<RowWrite> rows;
-    this->jobsInWrite = this->jobRegistry.takeChanged(this->config.rowsPerWrite);
-    for (const JobId& job : this->jobsInWrite) {
+    this->jobsInWrite.clear();
+    for (std::size_t bytes = 0; rows.size() < this->config.rowsPerWrite && bytes < this->config.bytesPerWrite && this->jobRegistry.changed(); bytes += rows.back().value.size()) {
+        const JobId job = this->jobRegistry.takeChanged(1).front();
+        this->jobsInWrite.push_back(job);
         rows.push_back({ progressRowKey(job), print(this->jobRegistry.record(job)) });
         for (const TaskId& id : this->jobRegistry.placedTasks(job)) {
             TaskState& task = *this->jobRegistry.task(id);
