Scheduler: a new leader replaces the waiting counts of an earlier one

What callers saw: after a takeover GET PREFIX could go on saying that jobs wait though none does, until the next job waited.

Cause: a new leader took the counts in the row for empty, and wrote the row only when its own counts differed from that. Ruled out: a late write of the earlier leader (each write has the leader's row as condition).

Before: "scheduler: a new leader without waiting jobs replaces ...": "REQUIRE( commit )" failed, no write at all. Now: what this leader has written last is unknown until its first write, which is due as soon as the tables are read. Cost: one row in the first write of each leader.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -312,7 +312,8 @@
     /// Acknowledgements by agent that may be sent once all current changes are stored.
     std::map<std::string, AcknowledgeEnds> acknowledgeNext;
     std::map<std::string, AcknowledgeEnds> acknowledgeAfterWrite;
-    PendingCounts pendingWritten;
+    /// Counts as last written by this leader; std::nullopt until its first write, as the row may hold those of an earlier leader.
+    std::optional<PendingCounts> pendingWritten;
     TimePoint pendingWrittenAt {};
     std::string modelWritten;
     TimePoint modelWrittenAt {};
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -224,7 +224,7 @@
     this->tablesRead = false;
     this->earlierGrantsEnd = this->leaderLease.earlierLeaseEnd(now);
     this->tablesProgressAt = now;
-    this->pendingWritten.clear();
+    this->pendingWritten.reset();
     this->modelWritten.clear();
     this->idleTasks = 0;
     this->silenceCheckAt = now;
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -1,4 +1,5 @@
 #include "Values.h"
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cowslipdoor/scheduling/Scheduler.h>
 
@@ -624,3 +625,15 @@
     }
     CHECK(test.machine.lease().valid(test.now));
 }
+
+TEST_CASE("scheduler: a new leader without waiting jobs replaces the counts of an earlier leader", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.step(LeaderRowRead { std::nullopt, 0 });
+    test.commit();
+    test.step(TablesRead { 1, {}, {}, {}, {} });
+    const std::optional<SubmitCommit> commit = test.find<SubmitCommit>();
+    REQUIRE(commit);
+    const RowWrite none { pendingRowKey(), print(PendingCounts {}) };
+    CHECK(std::count(commit->transaction.writes.begin(), commit->transaction.writes.end(), none) == 1);
+}
