Jobs count as waiting until a worker has begun a run

Cause: a job left the count as soon as one of its tasks had a run number, i.e. with the assignment, before an order was sent.

Now a job has begun when an agent reports a listing or an end of a run of it. That cannot be true of a run that no worker has begun. The fact is part of the progress row (begun); a listing of an assigned run causes no write, as its agent reports it to the next leader and the write that ends the assignment states it; for an abandoned run it does. Rows without the field are read, and a done or failed task in them shows a begun job.

Tests changed: "job registry: pending counts jobs without a start" asserted that an assigned and released job no longer waits, which is the fault; it now asserts the opposite, and what ends the waiting. "scheduler: a starving best-effort run ..." ended one write before its last report; a listing now changes the counts, so a second write may follow, and it ends all of them. Its checks are the same.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
@@ -63,6 +63,8 @@
     std::vector<std::uint32_t> remaining {};
     /// Number of tasks of all steps that have an assignment.
     std::uint32_t assigned = 0;
+    /// Whether a worker has begun a run of it, as a listing or an end of a run shows; an order may come to nothing.
+    bool begun = false;
 
     /// @param step number of a step
     /// @return whether all steps that it depends on are done
@@ -71,8 +73,8 @@
     /// @return expected time of the longest chain of steps that are not done
     [[nodiscard]] Duration remainingChain() const;
 
-    /// @return whether the job has not ended and none of its tasks has been started
-    [[nodiscard]] bool pending() const;
+    /// @return whether the job has not ended and no worker is known to have begun a run of it
+    [[nodiscard]] bool pending() const noexcept { return !isTerminal(this->state) && !this->begun; }
 };
 
 /// @param job the job
@@ -126,6 +128,14 @@
     /// @return its new run
     RunId assign(const TaskId& task, const Assignment& assignment, TimePoint now);
 
+    /// @brief Notes that a worker has begun a run.
+    ///
+    /// This makes the stored progress out of date only if the run is abandoned: while it is assigned, its agent reports it to the
+    /// next leader, and whatever ends the assignment is stored.
+    /// @param run a run that a worker has listed
+    /// @param now current time
+    void noteBegun(const RunId& run, TimePoint now);
+
     /// @brief Processes the end of a run.
     /// @param run the run
     /// @param kind how it ended
@@ -172,7 +182,7 @@
     /// @return its progress as the store should hold it
     [[nodiscard]] ProgressRecord record(const JobId& job) const;
 
-    /// @return the number of jobs that have not started, by queue
+    /// @return the number of jobs that have not ended and of which no worker has begun a run, by queue
     [[nodiscard]] PendingCounts pendingCounts() const;
 
     /// @brief Takes jobs whose stored progress is out of date, in the order of their identifiers.
@@ -200,6 +210,7 @@
 
     std::map<JobId, TrackedJob> trackedJobs;
     std::set<JobId> waitingJobs;
+    std::set<JobId> pendingJobs;
     std::set<JobId> changedJobs;
 };
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
@@ -79,11 +79,13 @@
     JobState state = JobState::Queued;
     /// Tasks of all steps, ordered by step and index; empty once the job has ended and none of its runs is left.
     std::vector<TaskRecord> tasks;
+    /// Whether a worker is known to have begun a run of the job; rows of earlier versions do not state it.
+    bool begun = false;
 
     bool operator==(const ProgressRecord&) const = default;
 };
 
-/// @brief Number of jobs that have not started, by queue.
+/// @brief Number of jobs that have not ended and of which no worker has begun a run, by queue.
 using PendingCounts = std::map<std::string, std::uint32_t>;
 
 /// @return the key of the leader's row
--- a/libs/scheduling/src/JobRegistry.cpp
+++ b/libs/scheduling/src/JobRegistry.cpp
@@ -1,5 +1,6 @@
 #include "cowslipdoor/scheduling/JobRegistry.h"
 #include <algorithm>
+#include <utility>
 
 namespace cowslipdoor {
 
@@ -56,13 +57,6 @@
     return longest;
 }
 
-bool TrackedJob::pending() const
-{
-    return !isTerminal(this->state) && std::none_of(this->steps.begin(), this->steps.end(), [](const std::vector<TaskState>& step) {
-        return std::any_of(step.begin(), step.end(), [](const TaskState& task) { return task.record.run > 0; });
-    });
-}
-
 bool JobRegistry::add(const JobSpecHandle& spec, TimePoint now, Duration age)
 {
     if (this->trackedJobs.contains(spec->id))
@@ -78,6 +72,7 @@
         return;
     TrackedJob& job = this->trackedJob(spec->id);
     job.state = record.state;
+    job.begun = record.begun;
     job.endedAt = now;
     std::size_t next = 0;
     for (std::size_t step = 0; step < job.steps.size(); ++step) {
@@ -90,6 +85,8 @@
             task.progressedAt = now;
             job.assigned += task.record.assignment ? 1 : 0;
             job.remaining[step] -= task.record.done ? 1 : 0;
+            // Rows of earlier versions do not state whether the job has begun.
+            job.begun = job.begun || task.record.done || !task.record.failedRuns.empty();
         }
     }
     this->refresh(job, now);
@@ -127,11 +124,25 @@
     return { task, state.record.run };
 }
 
+void JobRegistry::noteBegun(const RunId& run, TimePoint now)
+{
+    if (!this->task(run.task))
+        return;
+    TrackedJob& job = this->trackedJob(run.task.job);
+    if (std::exchange(job.begun, true))
+        return;
+    // No agent reports an abandoned run to the next leader once it has ended.
+    if (!this->openRun(run))
+        this->changedJobs.insert(run.task.job);
+    this->refresh(job, now);
+}
+
 RunVerdict JobRegistry::end(const RunId& run, RunEndKind kind, const std::string& checkpoint, TimePoint now)
 {
     TaskState* const state = this->task(run.task);
     if (!state || run.number > state->record.run)
         return RunVerdict::Unknown;
+    this->noteBegun(run, now);
     TrackedJob& job = this->trackedJob(run.task.job);
     const StepSpec& step = job.spec->steps[run.task.step];
     const bool open = this->openRun(run) != nullptr;
@@ -244,7 +255,7 @@
 ProgressRecord JobRegistry::record(const JobId& job) const
 {
     const TrackedJob& trackedJob = this->trackedJobs.at(job);
-    ProgressRecord record { trackedJob.state, {} };
+    ProgressRecord record { trackedJob.state, {}, trackedJob.begun };
     if (isTerminal(trackedJob.state) && trackedJob.assigned == 0)
         return record;
     for (const std::vector<TaskState>& step : trackedJob.steps) {
@@ -257,11 +268,8 @@
 PendingCounts JobRegistry::pendingCounts() const
 {
     PendingCounts counts;
-    for (const JobId& id : this->waitingJobs) {
-        const TrackedJob& job = this->trackedJobs.at(id);
-        if (job.pending())
-            ++counts[job.spec->queue];
-    }
+    for (const JobId& id : this->pendingJobs)
+        ++counts[this->trackedJobs.at(id).spec->queue];
     return counts;
 }
 
@@ -314,6 +322,10 @@
         job.waitingSince = now;
     if (!waits)
         this->waitingJobs.erase(job.spec->id);
+    if (job.pending())
+        this->pendingJobs.insert(job.spec->id);
+    else
+        this->pendingJobs.erase(job.spec->id);
 }
 
 }
--- a/libs/scheduling/src/Rows.cpp
+++ b/libs/scheduling/src/Rows.cpp
@@ -206,7 +206,10 @@
     Json assignments = Json::array();
     for (const Assignment& assignment : known)
         assignments.push_back({ assignment.agent, assignment.worker.id, assignment.worker.startedAtMs });
-    return dump({ { "state", static_cast<unsigned>(record.state) }, { "places", assignments }, { "tasks", tasks } });
+    Json row = { { "state", static_cast<unsigned>(record.state) }, { "places", assignments }, { "tasks", tasks } };
+    if (record.begun)
+        row["begun"] = 1;
+    return dump(row);
 }
 
 std::string print(const JobSpec& spec)
@@ -254,6 +257,7 @@
         record.state = static_cast<JobState>(json.at("state").integer<unsigned>({ 0, static_cast<unsigned>(JobState::Cancelled) }));
         for (const CheckedJson& task : json.at("tasks").items())
             record.tasks.push_back(taskFromJson(task, assignments));
+        record.begun = json.integerOr<int>("begun", 0, { 0, 1 }) == 1;
         return record;
     });
 }
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -137,6 +137,7 @@
 void Scheduler::applyRunStatus(TrackedWorker& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects)
 {
     for (const RunStatus& status : running) {
+        this->jobRegistry.noteBegun(status.run, now);
         TaskState* const task = this->jobRegistry.openRun(status.run);
         const bool open = task && task->record.assignment->agent == worker.agent && task->record.assignment->worker == worker.info->identity;
         if (!open || task->stopping || isTerminal(this->jobRegistry.find(status.run.task.job)->state))
--- a/libs/scheduling/tests/JobRegistryTests.cpp
+++ b/libs/scheduling/tests/JobRegistryTests.cpp
@@ -120,12 +120,56 @@
     CHECK(next.waiting().size() == 1);
 }
 
-TEST_CASE("job registry: pending counts jobs without a start", "[jobs]")
+TEST_CASE("job registry: pending counts jobs of which no worker has begun a run", "[jobs]")
 {
     JobRegistry jobRegistry;
     jobRegistry.add(jobOf("a", { stepOf(1, 100) }), start);
     jobRegistry.add(jobOf("b", { stepOf(1, 100) }), start);
     CHECK(jobRegistry.pendingCounts() == PendingCounts { { "queue", 2 } });
-    jobRegistry.release(jobRegistry.assign(taskOf("a", 0, 0), place, start), start, start);
+    const RunId abandoned = jobRegistry.assign(taskOf("a", 0, 0), place, start);
+    CHECK(jobRegistry.pendingCounts() == PendingCounts { { "queue", 2 } });
+    jobRegistry.release(abandoned, start, start);
+    CHECK(jobRegistry.pendingCounts() == PendingCounts { { "queue", 2 } });
+    // A worker lists the abandoned run after all.
+    jobRegistry.noteBegun(abandoned, start);
     CHECK(jobRegistry.pendingCounts() == PendingCounts { { "queue", 1 } });
+    CHECK(jobRegistry.end(jobRegistry.assign(taskOf("b", 0, 0), place, start), RunEndKind::Stopped, "", start) == RunVerdict::Requeued);
+    CHECK(jobRegistry.pendingCounts().empty());
+    jobRegistry.add(jobOf("c", { stepOf(1, 100) }), start);
+    jobRegistry.cancel({ "c" }, start);
+    CHECK(jobRegistry.pendingCounts().empty());
+}
+
+TEST_CASE("job registry: a new leader counts a job as begun if its row or a report says so", "[jobs]")
+{
+    const JobSpecHandle spec = jobOf("a", { stepOf(2, 100) });
+    JobRegistry jobRegistry;
+    jobRegistry.add(spec, start);
+    const RunId run = jobRegistry.assign(taskOf("a", 0, 0), place, start);
+    const auto next = [&jobRegistry, &spec]() {
+        JobRegistry restored;
+        restored.restore(spec, *parseProgressRecord(print(jobRegistry.record({ "a" }))), start);
+        return restored;
+    };
+    JobRegistry beforeListing = next();
+    CHECK(beforeListing.pendingCounts() == PendingCounts { { "queue", 1 } });
+    beforeListing.noteBegun(run, start);
+    CHECK(beforeListing.pendingCounts().empty());
+    jobRegistry.noteBegun(run, start);
+    jobRegistry.release(run, start, start);
+    CHECK(next().pendingCounts().empty());
+    // Once an abandoned run has ended, only the row can tell the next leader that it had begun.
+    JobRegistry abandoning;
+    abandoning.add(spec, start);
+    abandoning.release(abandoning.assign(taskOf("a", 0, 0), place, start), start, start);
+    static_cast<void>(abandoning.takeChanged(1));
+    CHECK(abandoning.end(run, RunEndKind::Stopped, "", start) == RunVerdict::Unknown);
+    CHECK(abandoning.takeChanged(1) == std::vector<JobId> { spec->id });
+    CHECK(abandoning.record({ "a" }).begun);
+    // Rows of earlier versions tell it by their tasks only.
+    for (const TaskRecord& task : { TaskRecord { true, 1, {}, std::nullopt, "" }, TaskRecord { false, 1, { 1 }, std::nullopt, "" } }) {
+        JobRegistry restored;
+        restored.restore(spec, { JobState::Running, { task } }, start);
+        CHECK(restored.pendingCounts().empty());
+    }
 }
--- a/libs/scheduling/tests/JobSimulation.cpp
+++ b/libs/scheduling/tests/JobSimulation.cpp
@@ -27,6 +27,13 @@
     /// How long after the end of the last fault a missing run is still excused, as the platform requires.
     constexpr Duration recoveryTime = milliseconds(4000);
     constexpr Duration longRunningCheckInterval = milliseconds(100);
+    constexpr Duration waitingCheckInterval = milliseconds(100);
+    /// Age that a count of waiting jobs may have, as the platform permits.
+    constexpr Duration maximumCountAge = milliseconds(2000);
+    /// How long after its acceptance a job may be unknown to the leader, as the platform permits.
+    constexpr Duration visibilityTime = milliseconds(3000);
+    /// How long after the last fault of the entries and the store their answers are excused, as the platform permits.
+    constexpr Duration contactTime = milliseconds(3000);
     /// Time from the end of the faults until the remaining long-running jobs are cancelled: several times restartLimit.
     constexpr Duration longRunningCancelDelay = seconds(25);
 
@@ -61,6 +68,7 @@
 void JobSimulation::simulate()
 {
     this->checkLongRunningTasks();
+    this->checkWaitingCounts();
     this->runUntil(this->now + seconds(4));
     const TimePoint end = this->now + this->config.faultPeriod;
     for (std::size_t number = 0; number < this->config.jobs; ++number)
@@ -608,6 +616,7 @@
     this->checkStart(index, call.run, call.payload);
     worker.running[call.run] = { call.payload, this->now, false };
     ++this->startCount;
+    this->jobs.at(call.run.task.job).begun = true;
     this->note(worker.id + " starts " + describe(call.run));
     const StepSpec& step = this->jobs.at(call.run.task.job).spec->steps[call.run.task.step];
     const bool fails = this->chance(0.05);
@@ -771,6 +780,7 @@
         return;
     OracleJob& oracleJob = this->jobs[spec.id];
     oracleJob.spec = handle;
+    oracleJob.storedAt = this->now;
     for (std::uint32_t index = 0; longRunning && index < spec.steps.front().count; ++index)
         oracleJob.longRunningTasks.emplace(TaskId { spec.id, 0, index }, OracleLongRunningTask { .lastRun = this->now });
     this->note("job " + spec.id.text + (longRunning ? ", long-running" : ""));
@@ -809,19 +819,23 @@
         break;
     case 1:
         this->note("fault: entry stalled " + std::to_string(entry));
+        this->extendLeaderFaultPeriod(length);
         this->entries[entry].stalledUntil = std::max(this->entries[entry].stalledUntil, this->now + length);
         break;
     case 2:
         this->note("fault: entry cut from the store " + std::to_string(entry));
+        this->extendLeaderFaultPeriod(length);
         this->entries[entry].storeCut = true;
         this->after(length, [this, entry]() { this->entries[entry].storeCut = false; });
         break;
     case 3:
         this->note("fault: store down");
+        this->extendLeaderFaultPeriod(length / 2);
         this->storeDownUntil = this->now + length / 2;
         break;
     case 4:
         this->note("fault: answers of the store lost");
+        this->extendLeaderFaultPeriod(length);
         this->answerLossProbability = 0.35;
         this->after(length, [this]() { this->answerLossProbability = 0; });
         break;
@@ -982,6 +996,7 @@
 void JobSimulation::killEntry(std::size_t index, Duration downtime)
 {
     this->extendFaultPeriod(downtime);
+    this->extendLeaderFaultPeriod(downtime);
     this->entries[index].up = false;
     this->closeLinks([index](const Link& link) { return link.entry == index; });
     this->after(downtime, [this, index]() {
@@ -1020,6 +1035,54 @@
     this->faultsEndAt = std::max(this->faultsEndAt, this->now + length);
 }
 
+void JobSimulation::extendLeaderFaultPeriod(Duration length)
+{
+    this->leaderFaultsEndAt = std::max(this->leaderFaultsEndAt, this->now + length);
+}
+
+void JobSimulation::checkWaitingCounts()
+{
+    std::uint32_t least = 0;
+    std::uint32_t most = 0;
+    for (std::map<JobId, OracleJob>::value_type& item : this->jobs) {
+        OracleJob& oracleJob = item.second;
+        if (this->isWaiting(item.first, oracleJob))
+            oracleJob.notWaitingSince.reset();
+        else if (!oracleJob.notWaitingSince)
+            oracleJob.notWaitingSince = this->now;
+        least += !oracleJob.begun && !oracleJob.cancelledAt && this->now > oracleJob.storedAt + visibilityTime + maximumCountAge ? 1 : 0;
+        most += !oracleJob.notWaitingSince || this->now <= *oracleJob.notWaitingSince + maximumCountAge ? 1 : 0;
+    }
+    const std::uint32_t count = this->waitingCount();
+    const bool tooLow = count < least && this->now >= this->leaderFaultsEndAt + contactTime;
+    const bool tooHigh = count > most && this->now >= std::max(this->faultsEndAt, this->leaderFaultsEndAt) + recoveryTime;
+    if ((tooLow || tooHigh) && !std::exchange(this->reportedWaitingCount, true))
+        this->recordViolation(std::to_string(count) + " jobs are stored as waiting, but " + std::to_string(least) + " to " + std::to_string(most) + " wait");
+    this->after(waitingCheckInterval, [this]() { this->checkWaitingCounts(); });
+}
+
+std::uint32_t JobSimulation::waitingCount() const
+{
+    const std::map<RowKey, Row>::const_iterator row = this->rows.find(pendingRowKey());
+    const std::optional<PendingCounts> counts = row == this->rows.end() ? std::nullopt : parsePendingCounts(row->second.value);
+    return counts && counts->contains("queue") ? counts->at("queue") : 0;
+}
+
+bool JobSimulation::isWaiting(const JobId& id, const OracleJob& oracleJob) const
+{
+    if (oracleJob.cancelledAt)
+        return false;
+    const bool runs = std::any_of(this->workers.begin(), this->workers.end(), [&id](const WorkerNode& worker) {
+        const std::map<RunId, Run>::const_iterator first = worker.running.lower_bound({ { id, 0, 0 }, 0 });
+        return worker.up && first != worker.running.end() && first->first.task.job == id;
+    });
+    if (runs)
+        return false;
+    const std::map<RowKey, Row>::const_iterator row = this->rows.find(progressRowKey(id));
+    const std::optional<ProgressRecord> record = row == this->rows.end() ? std::nullopt : parseProgressRecord(row->second.value);
+    return !record || !isTerminal(record->state);
+}
+
 void JobSimulation::checkLongRunningTasks()
 {
     for (std::map<JobId, OracleJob>::value_type& item : this->jobs) {
--- a/libs/scheduling/tests/JobSimulation.h
+++ b/libs/scheduling/tests/JobSimulation.h
@@ -168,6 +168,11 @@
         std::map<TaskId, std::uint32_t> failuresNoted {};
         std::map<TaskId, std::uint32_t> failures {};
         std::map<TaskId, OracleLongRunningTask> longRunningTasks {};
+        TimePoint storedAt {};
+        /// Whether a worker has begun a run of it.
+        bool begun = false;
+        /// Since when the job has had a run, or has been cancelled or stored as ended, without interruption.
+        std::optional<TimePoint> notWaitingSince {};
     };
 
     using Action = std::function<void()>;
@@ -223,6 +228,10 @@
     void acknowledge(WorkerNode& worker, std::uint64_t upTo);
     void checkStart(std::size_t worker, const RunId& run, const std::string& payload);
     void extendFaultPeriod(Duration length);
+    void extendLeaderFaultPeriod(Duration length);
+    void checkWaitingCounts();
+    [[nodiscard]] std::uint32_t waitingCount() const;
+    [[nodiscard]] bool isWaiting(const JobId& id, const OracleJob& oracleJob) const;
     void checkLongRunningTasks();
     void checkLongRunningTask(const TaskId& id, const StepSpec& step, OracleLongRunningTask& task);
     [[nodiscard]] bool running(const TaskId& id) const;
@@ -253,6 +262,9 @@
     TimePoint storeDownUntil {};
     /// When the last of the faults so far ends.
     TimePoint faultsEndAt {};
+    /// When the last of the faults so far of entries and the store ends.
+    TimePoint leaderFaultsEndAt {};
+    bool reportedWaitingCount = false;
     double answerLossProbability = 0;
     double lateOrderProbability = 0;
     std::vector<EntryNode> entries;
--- a/libs/scheduling/tests/JobSimulationTests.cpp
+++ b/libs/scheduling/tests/JobSimulationTests.cpp
@@ -123,6 +123,14 @@
     simulateSeeds(withWorkerFaults(faults), 100);
 }
 
+TEST_CASE("simulation: jobs whose orders came to nothing count as waiting while workers have no headroom", "[jobs][world][fuzz]")
+{
+    JobSimulationConfig config = withWorkerFaults({ WorkerFault::Refusal, WorkerFault::Cut, WorkerFault::Flapping });
+    config.jobs = 80;
+    config.onlyWorkerFaults = true;
+    simulateSeeds(config, 50);
+}
+
 TEST_CASE("simulation: heartbeats of other writers take no worker out of use", "[jobs][world][fuzz]")
 {
     simulateSeeds(withWorkerFaults({ WorkerFault::ForeignHeartbeat, WorkerFault::Flapping, WorkerFault::PowerLoss }), 100);
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -30,6 +30,8 @@
     const Assignment second { "agent-2", { "w2", 6 } };
     const ProgressRecord progress { JobState::Running, { { true, 1, {}, std::nullopt, "" }, { false, 3, { 1, 2 }, first, "saved" }, { false, 2, {}, second, "" }, { false, 1, {}, first, "" } } };
     CHECK(parseProgressRecord(print(progress)) == progress);
+    const ProgressRecord begun { JobState::Running, progress.tasks, true };
+    CHECK(parseProgressRecord(print(begun)) == begun);
     const PendingCounts counts { { "q", 4 } };
     CHECK(parsePendingCounts(print(counts)) == counts);
 }
@@ -62,7 +64,7 @@
 {
     const std::string leader = print(LeaderRecord { 71, "entry", 17, 72, 73 });
     const std::string agent = print(AgentRecord { "10.0.0.1:7720", 71 });
-    const std::string progress = print(ProgressRecord { JobState::Running, { { false, 71, { 72 }, std::nullopt, "" } } });
+    const std::string progress = print(ProgressRecord { JobState::Running, { { false, 71, { 72 }, std::nullopt, "" } }, true });
     for (const std::string& odd : invalidNumbers) {
         INFO(odd);
         for (const char* const field : { "71", "72", "73" })
@@ -71,6 +73,7 @@
         CHECK_FALSE(parseProgressRecord(replaced(progress, "71", odd)));
         CHECK_FALSE(parseProgressRecord(replaced(progress, "72", odd)));
         CHECK_FALSE(parseProgressRecord(replaced(progress, "\"state\":1", "\"state\":" + odd)));
+        CHECK_FALSE(parseProgressRecord(replaced(progress, "\"begun\":1", "\"begun\":" + odd)));
         CHECK_FALSE(parsePendingCounts("{\"q\":" + odd + "}"));
     }
     CHECK_FALSE(parseProgressRecord(replaced(progress, "\"state\":1", "\"state\":5")));
@@ -78,6 +81,12 @@
     CHECK_FALSE(parseLearntLosses(R"([["a","b",1e300,0]])"));
 }
 
+TEST_CASE("rows: progress that an earlier version wrote is read", "[jobs]")
+{
+    const ProgressRecord expected { JobState::Running, { { false, 1, {}, Assignment { "agent", { "w", 5 } }, "" } } };
+    CHECK(parseProgressRecord(R"({"places":[["agent","w",5]],"state":1,"tasks":[[0,1,[],0]]})") == expected);
+}
+
 TEST_CASE("rows: a job with too many tasks or a dependency on a step that is not earlier is refused", "[jobs]")
 {
     StepSpec second = stepOf(2, 300);
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -206,7 +206,7 @@
     starve();
     REQUIRE(test.sent<StopRun>());
     CHECK(test.sent<StopRun>()->run == run);
-    if (!test.machine.lease().idle())
+    while (!test.machine.lease().idle())
         test.commit();
     test.step(AgentReportReceived { "agent", LinkId { 1 }, RunsEnded { firstIncarnation, { { 1, run, RunEndKind::Stopped, "fresh" } } } });
     static_cast<void>(test.awaitWrite());
@@ -637,3 +637,38 @@
     const RowWrite none { pendingRowKey(), print(PendingCounts {}) };
     CHECK(std::count(commit->transaction.writes.begin(), commit->transaction.writes.end(), none) == 1);
 }
+
+TEST_CASE("scheduler: a job whose only start order was rejected or had no answer still counts as waiting", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.becomeLeader({ jobOf("a", { stepOf(1, 100) }), jobOf("b", { stepOf(1, 100) }) });
+    const PendingCounts both { { "queue", 2 } };
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    REQUIRE(test.sent<StartRun>());
+    CHECK(test.machine.jobs().pendingCounts() == both);
+    test.step(AgentReportReceived { "agent", LinkId { 1 }, RunRejected { { { { "a" }, 0, 0 }, 1 }, "503" } });
+    CHECK(test.machine.jobs().pendingCounts() == both);
+    test.now += test.config.silenceLimit;
+    test.step(TimePassed {});
+    CHECK(test.machine.jobs().find({ "b" })->assigned == 0);
+    CHECK(test.machine.jobs().pendingCounts() == both);
+}
+
+TEST_CASE("scheduler: a job counts as waiting until a worker lists a run or an end of it", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.becomeLeader({ jobOf("a", { stepOf(1, 100) }), jobOf("b", { stepOf(1, 100) }), jobOf("c", { stepOf(1, 100) }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    CHECK(test.machine.jobs().pendingCounts() == PendingCounts { { "queue", 3 } });
+    test.step(AgentReportReceived { "agent", LinkId { 1 }, RunProgress { firstIncarnation, { { { { { "a" }, 0, 0 }, 1 }, "", 0, 0 } } } });
+    CHECK(test.machine.jobs().pendingCounts() == PendingCounts { { "queue", 2 } });
+    test.step(AgentReportReceived { "agent", LinkId { 1 }, RunsEnded { firstIncarnation, { { 1, { { { "b" }, 0, 0 }, 1 }, RunEndKind::LeaseExpired, "" } } } });
+    CHECK(test.machine.jobs().pendingCounts() == PendingCounts { { "queue", 1 } });
+    // A run that is abandoned afterwards has begun all the same.
+    test.now += test.config.silenceLimit;
+    test.step(TimePassed {});
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 0);
+    CHECK(test.machine.jobs().pendingCounts() == PendingCounts { { "queue", 1 } });
+}
