FaultProxy: open connections can fall silent for good

The proxy swallows both directions of the connections that are open, and neither end sees the other's close.

--- a/standins/FaultProxy.cpp
+++ b/standins/FaultProxy.cpp
@@ -29,6 +29,16 @@
     tcp::socket& from(bool fromClient) { return fromClient ? this->client : this->server; }
     tcp::socket& to(bool fromClient) { return fromClient ? this->server : this->client; }
 
+    /// Closes both sockets, or on a silent connection only the one that has ended.
+    void closeFrom(bool fromClient)
+    {
+        error_code ignored;
+        if (this->silent)
+            this->from(fromClient).close(ignored);
+        else
+            this->close();
+    }
+
     void close()
     {
         error_code ignored;
@@ -38,6 +48,7 @@
 
     tcp::socket client;
     tcp::socket server;
+    bool silent = false;
     /// Decoders by direction: index 0 for frames from the server, 1 for frames from the client.
     std::array<wire::FrameDecoder, 2> decoders;
 };
@@ -72,6 +83,14 @@
     });
 }
 
+void FaultProxy::silenceConnections()
+{
+    asio::post(this->context, [this]() {
+        for (const std::shared_ptr<Session>& session : this->sessions)
+            session->silent = true;
+    });
+}
+
 asio::awaitable<void> FaultProxy::acceptAll()
 {
     while (true) {
@@ -108,9 +127,10 @@
             co_await pauseFor(this->faults.delay);
         co_await this->awaitRelease(session, fromClient);
         const std::string_view bytes(buffer.data(), std::get<1>(read));
-        open = co_await this->forwardBytes(session, fromClient, bytes);
+        if (!session->silent)
+            open = co_await this->forwardBytes(session, fromClient, bytes);
     }
-    session->close();
+    session->closeFrom(fromClient);
 }
 
 asio::awaitable<bool> FaultProxy::forwardBytes(std::shared_ptr<Session> session, bool fromClient, std::string_view bytes)
@@ -150,7 +170,8 @@
 asio::awaitable<void> FaultProxy::sendLater(std::shared_ptr<Session> session, std::string frame)
 {
     co_await pauseFor(this->faults.answerDelay);
-    co_await asio::async_write(session->server, asio::buffer(frame), asTuple);
+    if (!session->silent)
+        co_await asio::async_write(session->server, asio::buffer(frame), asTuple);
 }
 
 bool FaultProxy::chance(std::uint32_t percent)
--- a/standins/FaultProxy.h
+++ b/standins/FaultProxy.h
@@ -59,6 +59,10 @@
     /// @brief Closes all open connections; new ones are accepted.
     void dropConnections();
 
+    /// @brief Swallows from now on whatever arrives on the connections that are open, in both directions, for good. Neither
+    /// end learns that the other end has closed its connection. New connections work.
+    void silenceConnections();
+
 private:
     struct Session;
 
