KeepAliveClient: a call that fails closes all idle connections

Jobs aren't accepted, the lease of the leader can't be renewed, runs lose their leases, and a task that is to last has no run.

Cause: the client keeps any number of idle connections and learns of each silent one by a call that fails at its own limit (0.8 s a write or read, 1.2 s a feed). A burst of callers leaves dozens. Connections that were reset cost one failed call each.

Why this works: a failed call says that one connection is broken, and those that lie idle have nothing that proves them sound since. They are closed, and the next call connects, which costs one round trip. Other calls under way keep their connections, and the answered ones return to the pool. What a failure reports to callers (sent or not) is as before.

Ruled out: keeping the connections that have answered since the failed call was sent. A bound on the pool or on idle time leaves several in series: two write limits already exceed the lease of the leader.

--- a/libs/runtime/src/KeepAliveClient.cpp
+++ b/libs/runtime/src/KeepAliveClient.cpp
@@ -34,7 +34,10 @@
         if (error)
             co_return PeerFailure { false, "connecting to " + this->address + ": " + error.message() };
     }
-    co_return co_await this->exchange(std::move(connection), std::move(call), fresh);
+    PeerResult result = co_await this->exchange(std::move(connection), std::move(call), fresh);
+    if (std::holds_alternative<PeerFailure>(result))
+        this->idle.clear();
+    co_return result;
 }
 
 asio::awaitable<error_code> KeepAliveClient::readAnswer(ConnectionHandle connection, http::response_parser<http::string_body>& parser, Duration timeout, TimePoint deadline)
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <memory>
 
 using namespace cowslipdoor;
@@ -37,6 +38,7 @@
 /// Required by the platform for long-running tasks (2026-12-05): a quiet period of 4 s or a restart within 6 s,
 /// then a window of 3 s in which the task must run.
 constexpr std::chrono::seconds restartLimit { 6 };
+constexpr std::chrono::seconds window { 3 };
 constexpr std::chrono::seconds quietPeriodAndWindow { 7 };
 constexpr std::chrono::seconds restartAndWindow { 9 };
 
@@ -46,10 +48,11 @@
 }
 
 /// Starts a deployment with one agent and one worker, which runs a single long-running task.
-std::unique_ptr<JobsDeployment> startWithLongRunningTask(const std::string& name)
+std::unique_ptr<JobsDeployment> startWithLongRunningTask(const std::string& name, bool proxied = false)
 {
     JobsDeploymentConfig config = configFor(name);
     config.agents = 1;
+    config.proxied = proxied;
     std::unique_ptr<JobsDeployment> deployment = std::make_unique<JobsDeployment>(config);
     REQUIRE(deployment->submitLongRunning(jobId(0), 1));
     JobsDeployment::await("the task to run", [&deployment]() { return runsTasks(*deployment, 1); });
@@ -85,6 +88,25 @@
     return runsWithin(deployment, 2, restartAndWindow);
 }
 
+/// Asks each entry for the queue as often while no answer of the store arrives, so that each call opens a connection to the store.
+void openStoreConnections(JobsDeployment& deployment, std::size_t callersOfEntry)
+{
+    const auto holdAnswers = [&deployment](bool held) {
+        for (std::size_t entry = 0; entry < 2; ++entry)
+            deployment.storeProxyOfEntry(entry).setFaults({ .heldToClient = held });
+    };
+    holdAnswers(true);
+    std::vector<std::future<unsigned>> answers;
+    for (std::size_t number = 0; number < callersOfEntry; ++number) {
+        for (std::size_t entry = 0; entry < 2; ++entry)
+            answers.push_back(std::async(std::launch::async, [&deployment, entry]() { return deployment.call(entry, "GET", "").first; }));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    holdAnswers(false);
+    for (std::future<unsigned>& answer : answers)
+        CHECK(answer.get() == 200);
+}
+
 }
 
 TEST_CASE("jobs: a job runs to its end, and submitting it again refers to the same job", "[system][jobs]")
@@ -268,3 +290,15 @@
     SECTION("a start time in the future") { check("future", { .startOffset = std::chrono::hours(24) }); }
     SECTION("an unknown service") { check("service", { .service = "nobody-knows" }); }
 }
+
+TEST_CASE("jobs: a long-running task has its run after all open connections to the store fell silent for good", "[system][jobs]")
+{
+    const std::unique_ptr<JobsDeployment> deployment = startWithLongRunningTask("silent-store", true);
+    openStoreConnections(*deployment, 60);
+    deployment->silenceStoreConnections();
+    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + quietPeriodAndWindow;
+    JobsDeployment::await("a job to be accepted", [&deployment]() { return deployment->submitLongRunning(jobId(1), 1); });
+    std::this_thread::sleep_until(end - window);
+    CHECK(runsWithin(*deployment, 2, std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now())));
+    CHECK(deployment->overfilled() == 0);
+}
