--- a/libs/scheduling/src/JobRegistry.cpp
+++ b/libs/scheduling/src/JobRegistry.cpp
@@ -133,7 +133,7 @@
         return;
     // No agent reports an abandoned run to the next leader once it has ended.
     if (!this->openRun(run))
-        this->changedJobs.insert(run.task.job);
+        this->noteChange(run.task.job);
     this->refresh(job, now);
 }
 
