Model: a loss of power everywhere leaves room on the other workers

The case gave the workers so little room that no task had to run again after the loss, so it checked next to nothing.

--- a/libs/scheduling/tests/JobSimulationTests.cpp
+++ b/libs/scheduling/tests/JobSimulationTests.cpp
@@ -146,6 +146,8 @@
 {
     JobSimulationConfig config = withWorkerFaults({ WorkerFault::TotalPowerLoss });
     config.entries = 3;
+    // Without room on the other workers, no task has to run again.
+    config.workerCapacity = { 64000, 128000, 0 };
     config.faultInterval = std::chrono::milliseconds(8000);
     config.onlyWorkerFaults = true;
     simulateSeeds(config, 100);
