Soak: open connections to the store fall silent for good

A fault of its own kind for deployments that run jobs: the open connections of one process, or of all at the same moment, go silent while new ones work.

The plan tests pass, with a new check that a plan of job faults is sorted by time.

--- a/standins/soak/Fault.h
+++ b/standins/soak/Fault.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cowslipdoor/core/Time.h>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -158,11 +159,19 @@
     bool operator==(const SendForeignHeartbeat&) const = default;
 };
 
+/// @brief Silences the open connections through the proxy of a process for good; new connections work.
+struct SilenceConnections {
+    /// The process, or nothing for all processes at the same moment.
+    std::optional<ProcessName> process {};
+
+    bool operator==(const SilenceConnections&) const = default;
+};
+
 /// @brief Fault of a deployment that serves requests.
 using RequestFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SilenceLinks, SlowConnections, DuplicateAndDelayAnswers, ChangeRules>;
 
 /// @brief Fault of a deployment that runs jobs.
-using JobFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SlowConnections, StoreOutage, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers, CrashWorker, SendForeignHeartbeat>;
+using JobFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SlowConnections, StoreOutage, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers, CrashWorker, SendForeignHeartbeat, SilenceConnections>;
 
 /// @brief A fault and its time.
 template <typename Fault>
--- a/standins/soak/FaultInjector.h
+++ b/standins/soak/FaultInjector.h
@@ -47,6 +47,10 @@
     void inject(const HoldOneWay& fault, TimePoint now);
     void inject(const SlowConnections& fault, TimePoint now);
 
+    /// @param process a process
+    /// @return the proxy of its connections
+    [[nodiscard]] standins::FaultProxy& proxy(const ProcessName& process) const { return this->proxyOf(process); }
+
     /// @brief Adds a fault to the active faults of the proxy of a process.
     /// @param process the process
     /// @param until end of the fault
--- a/standins/soak/JobSoak.cpp
+++ b/standins/soak/JobSoak.cpp
@@ -234,4 +234,12 @@
     (void)this->deployment.worker(fault.agent).sendForeignHeartbeat(heartbeat);
 }
 
+void JobSoak::inject(const SilenceConnections& fault, TimePoint)
+{
+    if (fault.process)
+        this->injector.proxy(*fault.process).silenceConnections();
+    else
+        this->deployment.silenceStoreConnections();
+}
+
 }
--- a/standins/soak/JobSoak.h
+++ b/standins/soak/JobSoak.h
@@ -60,6 +60,7 @@
     void inject(const LoseWorkerAnswers& fault, TimePoint now);
     void inject(const CrashWorker& fault, TimePoint now);
     void inject(const SendForeignHeartbeat& fault, TimePoint now);
+    void inject(const SilenceConnections& fault, TimePoint now);
 
     SoakSize size;
     std::string folder;
--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -1,4 +1,6 @@
 #include "SoakPlan.h"
+#include <algorithm>
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -25,9 +27,14 @@
     constexpr Duration longestWorkerDown = milliseconds(4500);
     constexpr Duration longestFlap = milliseconds(900);
     constexpr int maximumFlaps = 4;
+    constexpr Duration longestBetweenSilences = milliseconds(6000);
     /// Step of a VM's wall clock, and offset of start times in heartbeats of other writers; longer than any soak.
     constexpr Duration clockStep = std::chrono::hours(24);
 
+    /// Silences have a random sequence of their own, so that the other faults of a seed don't depend on them.
+    constexpr std::uint64_t silenceSequence = 1ULL << 63;
+    constexpr std::size_t kindsWithSilence = 1;
+
     /// Draws faults and their times from a single random sequence, so that equal seeds give equal plans.
     class FaultGenerator {
     public:
@@ -86,6 +93,13 @@
             return { worker, times, downFor, this->below(2) == 0 ? Duration {} : -clockStep, this->below(3) == 0 };
         }
 
+        SilenceConnections silence()
+        {
+            if (this->below(2) == 0)
+                return {};
+            return { this->entryOrAgent() };
+        }
+
         SendForeignHeartbeat drawForeignHeartbeat()
         {
             const std::size_t agent = this->agent();
@@ -124,7 +138,7 @@
 
     JobFault drawJobFault(FaultGenerator& generator)
     {
-        switch (generator.below(std::variant_size_v<JobFault>)) {
+        switch (generator.below(std::variant_size_v<JobFault> - kindsWithSilence)) {
         case 0:
             return Kill { generator.entryOrAgent(), generator.upTo(longestDown) };
         case 1:
@@ -162,6 +176,16 @@
         return faults;
     }
 
+    std::vector<Planned<JobFault>> planSilences(SoakSize size)
+    {
+        size.seed ^= silenceSequence;
+        FaultGenerator generator(size);
+        std::vector<Planned<JobFault>> faults;
+        for (Duration at = generator.upTo(longestBetweenSilences); at < size.length; at += generator.upTo(longestBetweenSilences))
+            faults.push_back({ at, generator.silence() });
+        return faults;
+    }
+
     std::string lengthOf(Duration duration)
     {
         return " for " + std::to_string(toMilliseconds(duration)) + " ms";
@@ -194,6 +218,10 @@
             return "another writer sends a heartbeat to agent " + std::to_string(fault.agent) + (fault.otherId ? ", with another id" : "")
                 + (fault.unknownService ? ", with an unknown service" : "") + (fault.startOffset > Duration {} ? ", with a start time in the future" : "");
         }
+        std::string operator()(const SilenceConnections& fault) const
+        {
+            return "open connections of " + (fault.process ? describe(*fault.process) : "all processes") + " fall silent for good";
+        }
     };
 
 }
@@ -205,7 +233,12 @@
 
 std::vector<Planned<JobFault>> planJobFaults(const SoakSize& size)
 {
-    return plan<JobFault>(size, drawJobFault);
+    const std::vector<Planned<JobFault>> faults = plan<JobFault>(size, drawJobFault);
+    const std::vector<Planned<JobFault>> silences = planSilences(size);
+    const auto earlier = [](const Planned<JobFault>& left, const Planned<JobFault>& right) { return left.at < right.at; };
+    std::vector<Planned<JobFault>> merged;
+    std::merge(faults.begin(), faults.end(), silences.begin(), silences.end(), std::back_inserter(merged), earlier);
+    return merged;
 }
 
 std::string describe(const ProcessName& process)
--- a/standins/soak/tests/PlanTests.cpp
+++ b/standins/soak/tests/PlanTests.cpp
@@ -49,6 +49,8 @@
     CHECK(kindsIn(plan).size() == std::variant_size_v<RequestFault>);
     CHECK(kindsIn(planJobFaults(size)).size() == std::variant_size_v<JobFault>);
     CHECK(std::is_sorted(plan.begin(), plan.end(), [](const Planned<RequestFault>& left, const Planned<RequestFault>& right) { return left.at < right.at; }));
+    const std::vector<Planned<JobFault>> jobPlan = planJobFaults(size);
+    CHECK(std::is_sorted(jobPlan.begin(), jobPlan.end(), [](const Planned<JobFault>& left, const Planned<JobFault>& right) { return left.at < right.at; }));
     CHECK(plan.back().at < size.length);
     CHECK(killed(plan, Role::Entry) == std::set<std::size_t> { 0, 1 });
     CHECK(killed(plan, Role::Agent) == std::set<std::size_t> { 0, 1, 2, 3 });
