Simulation: the waiting counts are excused while the store is silent

The rule asks for counts only of machines in touch, which a silent store excludes for 3 s beyond its end; the simulation's other outages of the store say so already. No bound is changed.

--- a/libs/scheduling/tests/JobSimulation.cpp
+++ b/libs/scheduling/tests/JobSimulation.cpp
@@ -1014,6 +1014,7 @@
         break;
     case WorkerFault::SilentStore:
         this->note("fault: the store is silent");
+        this->extendLeaderFaultPeriod(length / 2);
         this->storeDownUntil = this->now + length / 2;
         break;
     }
