Placement and acknowledgements: neither waits for a backlog of writes that never ends

What callers would see: a finite job without any start although there is room; a worker that is no longer used, as its ends are not acknowledged. Causes: (1) the limit on assignments before a write counted every change, so ends of other jobs kept a new job out, and a held-back job waited for the next renewal (375 ms); (2) ends were acknowledged only once nothing was left to write; (3) long-running tasks could start on workers excluded after failures, and their own failures renewed that exclusion for everybody. "scheduler: an end is acknowledged although ..." and "scheduler: an urgent job is placed although ..." failed before: no write was due, as nothing was placed. New besides: "scheduler: a stalled long-running run stays where no other worker can take it", and the stall case checks again that new tasks go elsewhere.

--- a/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
@@ -200,10 +200,11 @@
     /// @return whether the stored progress of any job is out of date
     [[nodiscard]] bool changed() const noexcept { return !this->changedJobs.empty(); }
 
-    /// @param job a known job
-    /// @param most maximum number of jobs in a write
-    /// @return whether a further change of the job would be stored by the next write
-    [[nodiscard]] bool fitsNextWrite(const JobId& job, std::size_t most) const { return this->changedJobs.size() < most || this->changedJobs.contains(job); }
+    /// @return the number of jobs whose stored progress is out of date
+    [[nodiscard]] std::size_t changedCount() const noexcept { return this->changedJobs.size(); }
+
+    /// @return finite jobs that have been assigned a task since their progress was taken last
+    [[nodiscard]] const std::set<JobId>& unwrittenAssignments() const noexcept { return this->newlyAssignedJobs; }
 
 private:
     TrackedJob& trackedJob(const JobId& job);
@@ -222,6 +223,7 @@
     /// again and again.
     std::set<JobId> changedJobs;
     std::deque<JobId> changeOrder;
+    std::set<JobId> newlyAssignedJobs;
 };
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -260,7 +260,10 @@
     void placeTasks(TimePoint now, Effects& effects);
     void placeJob(const TrackedJob& job, TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<RowWrite> takeWrites(TimePoint now);
+    [[nodiscard]] std::vector<RowWrite> takeProgress();
     [[nodiscard]] std::optional<PendingCounts> duePendingCounts(TimePoint now) const;
+    void collectAcknowledgements();
+    void releaseAcknowledgements();
     void addModelRow(std::vector<RowWrite>& rows, TimePoint now);
     [[nodiscard]] std::vector<RowKey> takeRemovals(TimePoint now);
     void orderStored(const JobId& job, Effects& effects);
@@ -314,8 +317,13 @@
     /// Number of start orders that this leader has sent.
     std::uint64_t orders = 0;
     std::vector<JobId> jobsInWrite;
-    /// Acknowledgements by agent that may be sent once all current changes are stored.
+    /// Whether the last placement left out jobs because too many assignments wait to be written.
+    bool placementHeldBack = false;
+    /// Acknowledgements by agent for ends that were processed since the last ones were collected.
     std::map<std::string, AcknowledgeEnds> acknowledgeNext;
+    /// Collected acknowledgements, and the number of changed jobs that must be written before they may be sent.
+    std::map<std::string, AcknowledgeEnds> acknowledgeCollected;
+    std::size_t changesBeforeAcknowledge = 0;
     std::map<std::string, AcknowledgeEnds> acknowledgeAfterWrite;
     /// Counts as last written by this leader; std::nullopt until its first write, as the row may hold those of an earlier leader.
     std::optional<PendingCounts> pendingWritten;
--- a/libs/scheduling/src/JobRegistry.cpp
+++ b/libs/scheduling/src/JobRegistry.cpp
@@ -119,6 +119,8 @@
     job.waitingSince = now;
     if (job.state == JobState::Queued)
         job.state = JobState::Running;
+    if (!job.spec->isLongRunning())
+        this->newlyAssignedJobs.insert(task.job);
     this->noteChange(task.job);
     this->refresh(job, now);
     return { task, state.record.run };
@@ -280,6 +282,7 @@
         taken.push_back(std::move(this->changeOrder.front()));
         this->changeOrder.pop_front();
         this->changedJobs.erase(taken.back());
+        this->newlyAssignedJobs.erase(taken.back());
     }
     return taken;
 }
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -64,11 +64,11 @@
         return job.assigned == 0 && now > job.waitingSince + maximumPlacementWait;
     }
 
-    /// Whether an exclusion keeps a task away. Exclusions may be renewed on all workers for as long as a cause lasts; a stalled
-    /// run of a long-running task is worth more than none, and only failed runs cost other tasks an attempt.
+    /// Whether an exclusion keeps a task away. Stalls may exclude all workers for as long as a cause lasts, so they only rank a
+    /// worker last for long-running tasks and for jobs that have waited too long. Failed runs would renew the exclusion.
     bool keepsAway(UnfitReason exclusion, const TrackedJob& job, const StepSpec& step, TimePoint now)
     {
-        return !step.longRunning && (exclusion != UnfitReason::Stalled || !waitedTooLong(job, now));
+        return exclusion == UnfitReason::Excluded || !(step.longRunning || waitedTooLong(job, now));
     }
 
     /// Reason why a task cannot be placed on a worker: the worker's state, service, labels, free resources or tasks of the step.
@@ -110,7 +110,7 @@
         if (unfitFor(worker, job, number, now))
             return std::nullopt;
         const StepSpec& step = job.spec->steps[number];
-        const bool allowed = !worker.exclusionReason(now);
+        const bool notExcluded = !worker.exclusionReason(now);
         const bool preferred = !worker.lastChoice(step.longRunning, now);
         const bool elsewhere = worker.agent != task.avoidedAgent;
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
@@ -118,10 +118,10 @@
         if (step.bestEffort && !waitedTooLong(job, now) && !canAddBestEffort(worker, step, pace))
             return std::nullopt;
         if (step.longRunning)
-            return Score { allowed, preferred, elsewhere, nearData, -weightedDistance(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
+            return Score { notExcluded, preferred, elsewhere, nearData, -weightedDistance(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
         if (step.bestEffort)
-            return Score { allowed, preferred, elsewhere, nearData, pace, unusedCores(worker) };
-        return Score { allowed, preferred, elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
+            return Score { notExcluded, preferred, elsewhere, nearData, pace, unusedCores(worker) };
+        return Score { notExcluded, preferred, elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
     }
 
 }
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -229,6 +229,7 @@
     this->idleTasks = 0;
     this->silenceCheckAt = now;
     this->acknowledgeNext.clear();
+    this->acknowledgeCollected.clear();
     this->acknowledgeAfterWrite.clear();
     this->jobsInWrite.clear();
     effects.emplace_back(RecordEvent { EventId::LeadershipTaken, "epoch " + std::to_string(this->leaderLease.epoch()) + "; earlier leaders gave their last grants " + std::to_string(toMilliseconds(now - this->earlierGrantsEnd)) + " ms ago or before" });
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -11,16 +11,20 @@
         this->send(this->knownWorkers[item.first], item.second, effects);
     for (const JobId& job : std::exchange(this->jobsInWrite, {}))
         this->orderStored(job, effects);
-    if (this->jobRegistry.changed() || !this->acknowledgeNext.empty())
+    if (this->jobRegistry.changed() || !this->acknowledgeNext.empty() || this->placementHeldBack)
         this->schedulePass(now);
 }
 
 void Scheduler::placeTasks(TimePoint now, Effects& effects)
 {
+    this->placementHeldBack = false;
+    const std::set<JobId>& unwritten = this->jobRegistry.unwrittenAssignments();
     for (const TrackedJob* const job : placementOrder(this->jobRegistry.waiting(), this->jobRegistry, now)) {
         // An assignment reserves room, but its order is sent only once it is stored.
-        if (job->spec->isLongRunning() || this->jobRegistry.fitsNextWrite(job->spec->id, this->config.rowsPerWrite))
+        if (job->spec->isLongRunning() || unwritten.size() < this->config.rowsPerWrite || unwritten.contains(job->spec->id))
             this->placeJob(*job, now, effects);
+        else
+            this->placementHeldBack = true;
     }
 }
 
@@ -52,30 +56,54 @@
 std::vector<RowWrite> Scheduler::takeWrites(TimePoint now)
 {
     ++this->writes;
+    this->collectAcknowledgements();
+    std::vector<RowWrite> rows = this->takeProgress();
+    this->releaseAcknowledgements();
+    std::optional<PendingCounts> counts = this->duePendingCounts(now);
+    if (counts) {
+        rows.push_back({ pendingRowKey(), print(*counts) });
+        this->pendingWritten = std::move(*counts);
+        this->pendingWrittenAt = now;
+    }
+    this->addModelRow(rows, now);
+    return rows;
+}
+
+std::vector<RowWrite> Scheduler::takeProgress()
+{
     std::vector<RowWrite> rows;
+    std::size_t bytes = 0;
     this->jobsInWrite.clear();
-    for (std::size_t bytes = 0; rows.size() < this->config.rowsPerWrite && bytes < this->config.bytesPerWrite && this->jobRegistry.changed(); bytes += rows.back().value.size()) {
+    while (this->jobRegistry.changed() && rows.size() < this->config.rowsPerWrite && bytes < this->config.bytesPerWrite) {
         const JobId job = this->jobRegistry.takeChanged(1).front();
         this->jobsInWrite.push_back(job);
         rows.push_back({ progressRowKey(job), print(this->jobRegistry.record(job)) });
+        bytes += rows.back().value.size();
         for (const TaskId& id : this->jobRegistry.placedTasks(job)) {
             TaskState& task = *this->jobRegistry.task(id);
             if (task.storedBy == 0)
                 task.storedBy = this->writes;
         }
     }
-    std::optional<PendingCounts> counts = this->duePendingCounts(now);
-    if (counts) {
-        rows.push_back({ pendingRowKey(), print(*counts) });
-        this->pendingWritten = std::move(*counts);
-        this->pendingWrittenAt = now;
-    }
-    if (!this->jobRegistry.changed())
-        this->acknowledgeAfterWrite = std::exchange(this->acknowledgeNext, {});
-    this->addModelRow(rows, now);
     return rows;
 }
 
+void Scheduler::collectAcknowledgements()
+{
+    if (!this->acknowledgeCollected.empty())
+        return;
+    this->acknowledgeCollected = std::exchange(this->acknowledgeNext, {});
+    // Progress is written in the order of changes, so these changes come before any later one.
+    this->changesBeforeAcknowledge = this->jobRegistry.changedCount();
+}
+
+void Scheduler::releaseAcknowledgements()
+{
+    this->changesBeforeAcknowledge -= std::min(this->changesBeforeAcknowledge, this->jobsInWrite.size());
+    if (this->changesBeforeAcknowledge == 0)
+        this->acknowledgeAfterWrite = std::exchange(this->acknowledgeCollected, {});
+}
+
 void Scheduler::addModelRow(std::vector<RowWrite>& rows, TimePoint now)
 {
     if (now < this->modelWrittenAt + this->config.modelInterval)
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -96,6 +96,50 @@
     }
 };
 
+/// Leader whose writes hold one row, with three jobs that have 40 tasks each; all three change between two writes.
+struct BacklogOfWrites {
+    SchedulerUnderTest test { SchedulerConfig { .lease = { .holder = "me", .incarnation = 1 }, .rowsPerWrite = 1 } };
+    std::uint64_t ends = 0;
+    std::uint64_t acknowledged = 0;
+    std::set<RunId> started {};
+
+    BacklogOfWrites()
+    {
+        StepSpec small = stepOf(40, 50);
+        small.demand.memoryMb = 10;
+        this->test.becomeLeader({ jobOf("a", { small }), jobOf("b", { small }), jobOf("c", { small }) });
+        for (int write = 0; write < 6 && this->started.size() < 120; ++write)
+            this->writeOnce();
+        REQUIRE(this->started.size() == 120);
+    }
+
+    void endOneTaskOfEachJob(std::uint32_t index)
+    {
+        std::vector<RunEnd> listed;
+        for (const char* const job : { "a", "b", "c" })
+            listed.push_back({ ++this->ends, { { { job }, 0, index }, 1 }, RunEndKind::Done, "" });
+        this->test.step(AgentReportReceived { "agent", LinkId { 1 }, RunsEnded { firstIncarnation, listed } });
+        this->writeOnce();
+    }
+
+    void writeOnce()
+    {
+        this->test.now += milliseconds(6);
+        this->test.step(TimePassed {});
+        REQUIRE_FALSE(this->test.machine.lease().idle());
+        this->test.commit();
+        for (const SchedulerEffect& effect : this->test.effects) {
+            const SendToAgent* const message = std::get_if<SendToAgent>(&effect);
+            const StartRun* const order = message ? std::get_if<StartRun>(&message->message) : nullptr;
+            const AcknowledgeEnds* const acknowledgement = message ? std::get_if<AcknowledgeEnds>(&message->message) : nullptr;
+            if (order)
+                this->started.insert(order->run);
+            if (acknowledgement)
+                this->acknowledged = acknowledgement->upTo;
+        }
+    }
+};
+
 JobSpecHandle longRunningJob(const std::string& id)
 {
     StepSpec longRunningStep = stepOf(1, 500);
@@ -132,6 +176,23 @@
     CHECK(test.sent<AcknowledgeEnds>() == AcknowledgeEnds { firstIncarnation, 1 });
 }
 
+TEST_CASE("scheduler: an end is acknowledged although more jobs change than fit in a write", "[jobs]")
+{
+    BacklogOfWrites backlog;
+    for (std::uint32_t round = 0; round < 10; ++round)
+        backlog.endOneTaskOfEachJob(round);
+    CHECK(backlog.acknowledged >= 15);
+}
+
+TEST_CASE("scheduler: an urgent job is placed although more jobs change than fit in a write", "[jobs]")
+{
+    BacklogOfWrites backlog;
+    backlog.test.step(JobStored { jobOf("urgent", { stepOf(1, 50) }) });
+    for (std::uint32_t round = 0; round < 10; ++round)
+        backlog.endOneTaskOfEachJob(round);
+    CHECK(backlog.started.contains({ { { "urgent" }, 0, 0 }, 1 }));
+}
+
 TEST_CASE("scheduler: a job that is cancelled before its order is sent is never started", "[jobs]")
 {
     SchedulerUnderTest test;
@@ -257,6 +318,42 @@
     }
     CHECK(stopped.contains(first));
     CHECK(stopped.contains(serving));
+    if (!test.machine.lease().idle())
+        test.commit();
+    test.step(JobStored { jobOf("c", { stepOf(1, 500) }) });
+    static_cast<void>(test.awaitStart(milliseconds(900)));
+    CHECK(test.machine.workers().at("other").tasks.contains({ { "c" }, 0, 0 }));
+}
+
+TEST_CASE("scheduler: a stalled long-running run stays where no other worker can take it", "[jobs]")
+{
+    SchedulerUnderTest test;
+    StepSpec longRunningStep = stepOf(1, 500);
+    longRunningStep.longRunning = true;
+    longRunningStep.target = milliseconds(50);
+    test.becomeLeader({ jobOf("a", { longRunningStep }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    const auto stopsWithin = [&test](int reports) {
+        bool stopped = false;
+        for (int number = 0; number < reports; ++number) {
+            test.now += milliseconds(500);
+            for (const Workers::value_type& worker : Workers(test.machine.workers()))
+                test.step(AgentReportReceived { worker.first, *worker.second.link, Ping { 1 } });
+            if (!test.machine.lease().idle())
+                test.commit();
+            test.step(AgentReportReceived { "agent", LinkId { 1 }, RunProgress { firstIncarnation, { { { { { "a" }, 0, 0 }, 1 }, "", 100, 30000 } } } });
+            stopped = stopped || test.sent<StopRun>();
+            if (!test.machine.lease().idle())
+                test.commit();
+        }
+        return stopped;
+    };
+    CHECK_FALSE(stopsWithin(10));
+    test.addWorker("other", LinkId { 2 }, 8000);
+    if (!test.machine.lease().idle())
+        test.commit();
+    CHECK(stopsWithin(4));
 }
 
 TEST_CASE("scheduler: long-running tasks run although all workers are excluded after stalls", "[jobs]")
