--- a/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
+++ b/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
@@ -50,8 +50,8 @@
 
 /// @brief Calls one peer. A connection carries one call at a time and is reused for later calls.
 ///
-/// Connections often break together, and a silent one is recognised only by a call that fails. A call without a complete
-/// answer therefore closes all idle connections; a connection whose call is answered later is kept again.
+/// Connections often break together, and a silent one is recognised only by a call that fails. A call that fails on an open
+/// connection therefore closes all idle ones; a connection whose call is answered later is kept again.
 /// @code
 /// KeepAliveClient client(executor, "10.0.0.7:8169");
 /// const PeerCall call { .method = "GET", .target = "/health" };
