--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -129,8 +129,8 @@
     [[nodiscard]] std::optional<UnfitReason> unfitReason(TimePoint now) const noexcept;
 
     /// @param now current time
-    /// @return why the worker is excluded because of its runs, or std::nullopt; a task for which waiting is worse than a run
-    /// here may still be placed
+    /// @return why the worker is excluded because of its runs, or std::nullopt; for some tasks placement only ranks such a
+    /// worker last
     [[nodiscard]] std::optional<UnfitReason> exclusionReason(TimePoint now) const noexcept;
 
     /// @param now current time
