Pending counts: only what the leader knows, as before

Cause: entries added jobs that they stored and had no evidence yet that the leader learned; that evidence comes with the next read of the leader's row, up to 0.4 s after a worker has begun the job.

--- a/libs/runtime/src/JobIntake.cpp
+++ b/libs/runtime/src/JobIntake.cpp
@@ -40,7 +40,7 @@
         co_return result;
     }
     if (std::get<IntakeAccepted>(result).version != 0)
-        this->unlearned.stored(queue, std::get<IntakeAccepted>(result).version, bootTimeNow());
+        this->unlearned.stored(std::get<IntakeAccepted>(result).version, bootTimeNow());
     this->record(EventId::JobAccepted, id + " of queue " + queue);
     co_return result;
 }
@@ -112,8 +112,7 @@
     if (!counts)
         co_return 0U;
     const PendingCounts::const_iterator it = counts->find(queue);
-    const std::uint32_t known = it == counts->end() ? 0U : it->second;
-    co_return known + this->unlearned.countOf(queue);
+    co_return it == counts->end() ? 0U : it->second;
 }
 
 asio::awaitable<IntakeResult> JobIntake::insert(RowWrite row, TimePoint deadline)
--- a/libs/scheduling/include/cowslipdoor/scheduling/UnlearnedJobs.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/UnlearnedJobs.h
@@ -7,10 +7,8 @@
 #include "Store.h"
 #include <cowslipdoor/core/EventCatalogue.h>
 #include <cowslipdoor/core/Time.h>
-#include <cstdint>
 #include <deque>
 #include <optional>
-#include <string>
 
 namespace cowslipdoor {
 
@@ -30,7 +28,7 @@
 /// Store and leader state versions, so no clocks of different VMs are compared. The lag is measured only when the leader shows
 /// a sign of life: while nobody leads, jobs wait in the store for the next leader and are accepted.
 /// @code
-/// unlearned.stored("queue", version, now);
+/// unlearned.stored(version, now);
 /// const std::optional<RecordEvent> event = unlearned.learned(leaderVersion, now);
 /// @endcode
 class UnlearnedJobs {
@@ -39,10 +37,9 @@
     explicit UnlearnedJobs(UnlearnedJobsConfig config = {});
 
     /// @brief Notes a job that this entry has stored.
-    /// @param queue its queue
     /// @param version version of the store that contains it
     /// @param now current time
-    void stored(const std::string& queue, RowVersion version, TimePoint now);
+    void stored(RowVersion version, TimePoint now);
 
     /// @brief Notes how much the leader has learned, on fresh evidence.
     /// @param upTo version up to which it knows all jobs
@@ -60,13 +57,8 @@
     /// @return when its caller should retry: the leader needs about its lag to catch up, and callers return spread over as long
     [[nodiscard]] Duration retryAfter(const JobId& job) const;
 
-    /// @param queue name of a queue
-    /// @return the number of its jobs that this entry has stored and the leader has not learned
-    [[nodiscard]] std::uint32_t countOf(const std::string& queue) const;
-
 private:
     struct Job {
-        std::string queue;
         RowVersion version = 0;
         TimePoint storedAt {};
     };
--- a/libs/scheduling/src/UnlearnedJobs.cpp
+++ b/libs/scheduling/src/UnlearnedJobs.cpp
@@ -1,6 +1,7 @@
 #include "cowslipdoor/scheduling/UnlearnedJobs.h"
 #include <algorithm>
 #include <cowslipdoor/core/Rendezvous.h>
+#include <string>
 
 namespace cowslipdoor {
 
@@ -9,9 +10,9 @@
 {
 }
 
-void UnlearnedJobs::stored(const std::string& queue, RowVersion version, TimePoint now)
+void UnlearnedJobs::stored(RowVersion version, TimePoint now)
 {
-    this->jobs.push_back({ queue, version, now });
+    this->jobs.push_back({ version, now });
     if (this->jobs.size() > this->config.most)
         this->jobs.pop_front();
 }
@@ -32,9 +33,4 @@
     return this->measuredLag + this->measuredLag * static_cast<Duration::rep>(rendezvousWeight(job.text, "retry") % steps) / static_cast<Duration::rep>(steps);
 }
 
-std::uint32_t UnlearnedJobs::countOf(const std::string& queue) const
-{
-    return static_cast<std::uint32_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [&queue](const Job& job) { return job.queue == queue; }));
-}
-
 }
