--- a/libs/scheduling/tests/JobSimulationTests.cpp
+++ b/libs/scheduling/tests/JobSimulationTests.cpp
@@ -184,7 +184,6 @@
 
 TEST_CASE("simulation: no task starts after its job's cancellation although feeds lag", "[jobs][world][fuzz]")
 {
-    // On derwent-fanworks a feed's answer took up to 9 s, and tasks of jobs cancelled seconds before were started.
     JobSimulationConfig config = withWorkerFaults({ WorkerFault::LaggingFeed });
     config.onlyWorkerFaults = true;
     config.faultInterval = std::chrono::milliseconds(5000);
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -305,7 +305,6 @@
 
 TEST_CASE("jobs: a burst of callers is accepted within their time although each part of the store takes four writes a second", "[system][jobs]")
 {
-    // On tebu-rota-large trouble-2, 40 callers were refused while the store was 58 times as slow as usual.
     constexpr unsigned callers = 32;
     JobsDeployment deployment(configFor("slow-parts"));
     deployment.store().setWriteTime(std::chrono::milliseconds(250));
