--- /dev/null
+++ b/review/standins/ReviewMain.cpp
@@ -0,0 +1,259 @@
+/// @file
+/// @brief Cases of the review: each plays a small deployment and checks one rule.
+///
+/// Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
+
+#include "Deployment.h"
+#include <algorithm>
+#include <cstdlib>
+#include <exception>
+#include <filesystem>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+
+namespace review {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr int broken = 1;
+    constexpr int held = 0;
+    constexpr int notRun = 2;
+
+    /// finish_s: how long after the end of the traffic jobs are asked for.
+    constexpr long long finishMs = 14000;
+    /// How long a job may have nothing running while there is capacity for it.
+    constexpr long long idleLimitMs = 3000;
+
+    std::string randomId(std::mt19937_64& random)
+    {
+        constexpr const char* digits = "0123456789abcdef";
+        std::string id;
+        for (int index = 0; index < 16; ++index)
+            id += digits[random() % 16];
+        return id;
+    }
+
+    /// Job of steps that follow one another; each task runs for some milliseconds.
+    std::string jobBody(unsigned taskMs, const std::vector<unsigned>& counts, unsigned milliCores)
+    {
+        Json steps = Json::array();
+        for (const unsigned count : counts) {
+            Json step { { "count", count }, { "cpu", milliCores }, { "mem-mb", 16 }, { "estimate-ms", taskMs } };
+            if (!steps.empty())
+                step["after"] = { steps.size() - 1 };
+            steps.push_back(std::move(step));
+        }
+        return Json { { "spec", std::to_string(taskMs) }, { "phases", steps } }.dump();
+    }
+
+    /// Hands in jobs at a steady rate, each by a client of its own, and waits for all clients.
+    void playTraffic(Deployment& deployment, std::vector<ClientJob>& jobs, long long intervalMs)
+    {
+        std::vector<std::thread> clients;
+        for (std::size_t index = 0; index < jobs.size(); ++index) {
+            clients.emplace_back([&deployment, &jobs, index]() { deployment.submit(jobs[index], index % deployment.entryCount()); });
+            sleepMs(intervalMs);
+        }
+        for (std::thread& client : clients)
+            client.join();
+    }
+
+    bool ofJob(const std::string& task, const std::string& job)
+    {
+        return task.starts_with(job + ".");
+    }
+
+    void recordRuns(Deployment& deployment, std::size_t most)
+    {
+        const std::vector<RunRecord> runs = deployment.runs();
+        deployment.note(std::to_string(runs.size()) + " runs on the workers" + (runs.size() > most ? "; the first " + std::to_string(most) : "") + ":");
+        for (std::size_t index = 0; index < runs.size() && index < most; ++index) {
+            const RunRecord& run = runs[index];
+            deployment.note("  " + run.task + " run " + std::to_string(run.number) + " on " + run.worker + ": " + (run.how.empty() ? "runs" : run.how + " after " + std::to_string(run.endedAt - run.startedAt) + " ms"));
+        }
+    }
+
+    /// Rule LOST, `finish_s` after the end of the traffic: an accepted job is not known, or has nothing running for 3 s while
+    /// workers have room for it.
+    std::size_t lostJobs(Deployment& deployment, const std::vector<ClientJob>& jobs)
+    {
+        sleepMs(finishMs);
+        std::set<std::string> seen;
+        const long long end = steadyMs() + idleLimitMs;
+        std::size_t most = 0;
+        while (steadyMs() < end) {
+            const std::set<std::string> running = deployment.running();
+            most = std::max(most, running.size());
+            seen.insert(running.begin(), running.end());
+            sleepMs(10);
+        }
+        deployment.note("at most " + std::to_string(most) + " tasks ran at the same time in these 3 s");
+        std::size_t lost = 0;
+        for (const ClientJob& job : jobs) {
+            if (!job.accepted)
+                continue;
+            const std::string state = deployment.stateOf(job.id);
+            const bool ran = std::any_of(seen.begin(), seen.end(), [&job](const std::string& task) { return ofJob(task, job.id); });
+            if (state == "done" || ran)
+                continue;
+            ++lost;
+            if (lost <= 20)
+                deployment.note("LOST: GET " + job.id + ": " + state + ", accepted " + std::to_string(steadyMs() - job.acceptedAt) + " ms ago, and nothing of it has run for 3 s");
+        }
+        deployment.note(std::to_string(jobs.size()) + " jobs, " + std::to_string(std::count_if(jobs.begin(), jobs.end(), [](const ClientJob& job) { return job.accepted; })) + " accepted, " + std::to_string(lost) + " lost");
+        return lost;
+    }
+
+    /// The leader is killed early in the traffic while the store is slow.
+    int playTakeover(Deployment& deployment, bool trouble, std::mt19937_64& random)
+    {
+        constexpr std::size_t jobCount = 56;
+        constexpr long long intervalMs = 140;
+        constexpr long long usualAnswerMs = 4;
+        constexpr long long slowAnswerMs = 200;
+        constexpr long long slowForMs = 4500;
+        constexpr long long restartMs = 500;
+        if (!deployment.start(3, 4, 16000))
+            return notRun;
+        std::vector<ClientJob> jobs;
+        for (std::size_t index = 0; index < jobCount; ++index)
+            jobs.push_back({ randomId(random), jobBody(200, { 2 }, 500) });
+        std::thread disruption;
+        if (trouble) {
+            disruption = std::thread([&deployment]() {
+                deployment.store().setAnswerTime(slowAnswerMs);
+                deployment.note("the store answers after " + std::to_string(slowAnswerMs) + " ms");
+                const std::size_t leading = deployment.leader().value_or(0);
+                deployment.killEntry(leading);
+                sleepMs(restartMs);
+                deployment.startEntry(leading);
+                sleepMs(slowForMs - restartMs);
+                deployment.store().setAnswerTime(usualAnswerMs);
+                deployment.note("the store answers after " + std::to_string(usualAnswerMs) + " ms");
+            });
+        }
+        playTraffic(deployment, jobs, intervalMs);
+        if (disruption.joinable())
+            disruption.join();
+        deployment.note("end of the traffic");
+        const std::size_t lost = lostJobs(deployment, jobs);
+        recordRuns(deployment, 200);
+        return lost > 0 ? broken : held;
+    }
+
+    /// One large job among small ones.
+    int playLargeJob(Deployment& deployment, bool trouble, std::mt19937_64& random)
+    {
+        constexpr std::size_t jobCount = 40;
+        constexpr long long intervalMs = 250;
+        if (!deployment.start(3, 4, 16000))
+            return notRun;
+        std::vector<ClientJob> jobs;
+        for (std::size_t index = 0; index < jobCount; ++index)
+            jobs.push_back({ randomId(random), jobBody(200, { 2 }, 500) });
+        if (trouble)
+            jobs[jobCount / 4].body = jobBody(200, std::vector<unsigned>(6, 1000), 200);
+        playTraffic(deployment, jobs, intervalMs);
+        deployment.note("end of the traffic");
+        const std::size_t lost = lostJobs(deployment, jobs);
+        deployment.note("the store refused " + std::to_string(deployment.store().refusedAsTooLarge()) + " transactions as too large; the largest value had " + std::to_string(deployment.store().largestRefusedValue()) + " bytes of 65536");
+        recordRuns(deployment, 200);
+        return lost > 0 ? broken : held;
+    }
+
+    /// A worker is lost for good; its task of a long-running step that fills has to run again on another worker.
+    int playFillRestart(Deployment& deployment, bool trouble, std::mt19937_64& random)
+    {
+        constexpr std::size_t workers = 4;
+        constexpr unsigned milliCores = 12000;
+        constexpr long long startLimitMs = 10000;
+        // The rule holds from 6 s after the last run; leases, which end within 6 s, are added.
+        constexpr long long restartMs = 14000;
+        if (!deployment.start(3, workers, 16000))
+            return notRun;
+        const Json step { { "count", workers }, { "cpu", milliCores }, { "mem-mb", 512 }, { "long-running", true }, { "fills", true }, { "image", "indexer" } };
+        ClientJob job { randomId(random), Json { { "spec", "0 " + std::to_string(milliCores) }, { "phases", { step } } }.dump() };
+        deployment.submit(job, 0);
+        const long long end = steadyMs() + startLimitMs;
+        while (steadyMs() < end && deployment.running().size() < workers)
+            sleepMs(20);
+        if (!job.accepted || deployment.running().size() < workers)
+            return notRun;
+        deployment.note("all " + std::to_string(workers) + " tasks run");
+        if (trouble) {
+            deployment.worker(0).crash();
+            deployment.note("worker-0 has crashed for good");
+        }
+        sleepMs(restartMs);
+        std::set<std::string> seen;
+        const long long windowEnd = steadyMs() + idleLimitMs;
+        while (steadyMs() < windowEnd) {
+            seen.merge(deployment.running());
+            sleepMs(10);
+        }
+        deployment.note(std::to_string(seen.size()) + " of " + std::to_string(workers) + " tasks ran in the last 3 s; each worker that is left holds one task, and has 63488 MB of its memory free");
+        recordRuns(deployment, 200);
+        return seen.size() < workers ? broken : held;
+    }
+
+    int play(const std::string& name, const std::string& root, const std::string& folder, const std::string& recordFile)
+    {
+        const char* const setting = std::getenv("TROUBLE");
+        const bool trouble = !setting || std::string(setting) != "0";
+        struct Case {
+            std::function<int(Deployment&, bool, std::mt19937_64&)> function;
+            /// Number of deployments that play it at the same time, each on its own.
+            unsigned deployments = 1;
+        };
+        const std::map<std::string, Case> cases {
+            { "takeover", { playTakeover, 8 } },
+            { "large-job", { playLargeJob, 1 } },
+            { "fill-restart", { playFillRestart, 1 } },
+        };
+        if (!cases.contains(name))
+            return notRun;
+        std::ofstream(recordFile, std::ios::trunc).close();
+        std::random_device device;
+        std::vector<int> codes(cases.at(name).deployments, notRun);
+        std::vector<std::thread> players;
+        for (unsigned number = 0; number < codes.size(); ++number) {
+            const unsigned seed = device();
+            const std::string logs = folder + "/" + std::to_string(number);
+            std::filesystem::create_directories(logs);
+            // Threads of the stand-ins use it until the program ends.
+            Deployment* const deployment = new Deployment(root, logs, recordFile, codes.size() > 1 ? "[" + std::to_string(number + 1) + "] " : "");
+            deployment->note("case " + name + ", " + (trouble ? "with" : "without") + " the disruption, seed " + std::to_string(seed));
+            players.emplace_back([deployment, trouble, seed, &code = codes[number], &function = cases.at(name).function]() {
+                std::mt19937_64 random(seed);
+                try {
+                    code = function(*deployment, trouble, random);
+                } catch (const std::exception& error) {
+                    deployment->note(error.what());
+                }
+                deployment->endProcesses();
+                deployment->note(code == broken ? "the rule was broken" : code == held ? "the rule held"
+                                                                                       : "the case could not run");
+            });
+        }
+        for (std::thread& player : players)
+            player.join();
+        if (std::find(codes.begin(), codes.end(), broken) != codes.end())
+            return broken;
+        return std::find(codes.begin(), codes.end(), notRun) != codes.end() ? notRun : held;
+    }
+
+}
+
+}
+
+int main(int count, char** words)
+{
+    if (count != 5)
+        return review::notRun;
+    // Threads of the stand-ins still wait for calls, so the process ends without destructors.
+    std::_Exit(review::play(words[1], words[2], words[3], words[4]));
+}
