--- a/review/standins/Deployment.cpp
+++ b/review/standins/Deployment.cpp
@@ -50,16 +50,22 @@
 bool Deployment::start(std::size_t entryCount, std::size_t workerCount, std::uint32_t milliCores)
 {
     for (std::size_t index = 0; index < workerCount; ++index)
-        this->startAgent(index, milliCores);
+        this->addWorker(milliCores);
     for (std::size_t index = 0; index < entryCount; ++index) {
         this->entries.push_back({ "front-" + std::to_string(index), freeAddress(), freeAddress(), freeAddress() });
         this->startEntry(index);
     }
+    const bool inUse = this->awaitUse();
+    this->note("deployment: " + std::to_string(entryCount) + " entries, " + std::to_string(workerCount) + " workers of " + std::to_string(milliCores) + " milli-cores, " + std::to_string(this->usableWorkers()) + " in use");
+    return inUse;
+}
+
+bool Deployment::awaitUse() const
+{
     const long long end = steadyMs() + startLimitMs;
-    while (steadyMs() < end && this->usableWorkers() < workerCount)
+    while (steadyMs() < end && this->usableWorkers() < this->workers.size())
         sleepMs(50);
-    this->note("deployment: " + std::to_string(entryCount) + " entries, " + std::to_string(workerCount) + " workers of " + std::to_string(milliCores) + " milli-cores, " + std::to_string(this->usableWorkers()) + " in use");
-    return this->usableWorkers() == workerCount;
+    return this->usableWorkers() == this->workers.size();
 }
 
 void Deployment::startEntry(std::size_t index)
@@ -70,11 +76,12 @@
         entry.name);
 }
 
-void Deployment::startAgent(std::size_t index, std::uint32_t milliCores)
+void Deployment::addWorker(std::uint32_t milliCores, const std::string& label)
 {
-    const std::string name = "side-" + std::to_string(index);
+    const std::string number = std::to_string(this->workers.size());
+    const std::string name = "side-" + number;
     const std::string registry = freeAddress();
-    this->workers.push_back(std::make_unique<Worker>("worker-" + std::to_string(index), registry, milliCores));
+    this->workers.push_back(std::make_unique<Worker>("worker-" + number, registry, milliCores, label));
     this->spawn("target/apps/agent/cowslipdoor-agent",
         { "jobs", "--name", name, "--failure-domain", "zone-a", "--worker", this->workers.back()->address(), "--registry-listen", registry, "--link-listen", freeAddress(), "--admin-listen", freeAddress(), "--store", this->platformStore.address(), "--lease-limit", "6000ms" },
         name);
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -44,6 +44,15 @@
     /// @return whether the deployment is in use
     [[nodiscard]] bool start(std::size_t entries, std::size_t workers, std::uint32_t milliCores);
 
+    /// @brief Adds a worker with its agent.
+    /// @param milliCores its capacity
+    /// @param label a label beside that of its rack
+    void addWorker(std::uint32_t milliCores, const std::string& label = "a");
+
+    /// @brief Waits until an entry leads and can use each worker.
+    /// @return whether it can
+    [[nodiscard]] bool awaitUse() const;
+
     /// @brief Kills an entry with SIGKILL.
     void killEntry(std::size_t index);
 
@@ -88,7 +97,6 @@
     };
 
     pid_t spawn(const std::string& program, const std::vector<std::string>& words, const std::string& log);
-    void startAgent(std::size_t index, std::uint32_t milliCores);
     [[nodiscard]] std::size_t usableWorkers() const;
 
     std::string root;
--- a/review/standins/ReviewMain.cpp
+++ b/review/standins/ReviewMain.cpp
@@ -200,6 +200,67 @@
         return seen.size() < workers ? broken : held;
     }
 
+    /// Serving tasks on two workers become busy at the same time, and best-effort tasks beside them are moved.
+    int playMoves(Deployment& deployment, bool trouble, std::mt19937_64& random)
+    {
+        constexpr std::uint32_t milliCores = 16000;
+        constexpr long long startLimitMs = 10000;
+        constexpr std::uint64_t busy = 20;
+        constexpr long long busyMs = 6000;
+        constexpr long long settleMs = 3000;
+        if (!deployment.start(3, 0, milliCores))
+            return notRun;
+        for (int index = 0; index < 2; ++index)
+            deployment.addWorker(milliCores, "s");
+        if (!deployment.awaitUse())
+            return notRun;
+        const Json serving { { "count", 2 }, { "cpu", 4000 }, { "mem-mb", 512 }, { "long-running", true }, { "image", "desk" }, { "target-ms", 50 }, { "max-per-server", 1 }, { "requires", "s" } };
+        const Json filling { { "count", 2 }, { "cpu", 4000 }, { "mem-mb", 512 }, { "long-running", true }, { "fills", true }, { "checkpointing", true }, { "image", "indexer" }, { "max-per-server", 1 }, { "may-miss", 1 } };
+        ClientJob serves { randomId(random), Json { { "spec", "0 10" }, { "phases", { serving } } }.dump() };
+        ClientJob fills { randomId(random), Json { { "spec", "0 100" }, { "phases", { filling } } }.dump() };
+        deployment.submit(serves, 0);
+        sleepMs(settleMs);
+        deployment.submit(fills, 1);
+        const long long end = steadyMs() + startLimitMs;
+        while (steadyMs() < end && deployment.running().size() < 4)
+            sleepMs(20);
+        if (deployment.running().size() < 4)
+            return notRun;
+        deployment.addWorker(milliCores);
+        deployment.addWorker(milliCores);
+        if (!deployment.awaitUse())
+            return notRun;
+        deployment.note("all tasks run; two empty workers have been added");
+        sleepMs(settleMs);
+        if (trouble) {
+            deployment.worker(0).setLoad(busy);
+            deployment.worker(1).setLoad(busy);
+            deployment.note("the serving tasks have a tail latency of 200 ms, and a target of 50 ms");
+        }
+        sleepMs(busyMs);
+        deployment.worker(0).setLoad(1);
+        deployment.worker(1).setLoad(1);
+        sleepMs(settleMs);
+        // Rule AVAIL: a stop of a task at work while another task of the step, which a stop has ended, is away.
+        const std::vector<RunRecord> runs = deployment.runs();
+        std::size_t violations = 0;
+        for (const RunRecord& stopped : runs) {
+            if (!ofJob(stopped.task, fills.id) || stopped.how != "stopped" || !stopped.atWork(stopped.endedAt))
+                continue;
+            for (const RunRecord& other : runs) {
+                if (!ofJob(other.task, fills.id) || other.task == stopped.task || other.how != "stopped" || other.endedAt > stopped.endedAt)
+                    continue;
+                const bool back = std::any_of(runs.begin(), runs.end(), [&other, &stopped](const RunRecord& next) { return next.task == other.task && next.number > other.number && next.atWork(stopped.endedAt); });
+                if (back)
+                    continue;
+                ++violations;
+                deployment.note("AVAIL: run " + std::to_string(stopped.number) + " of " + stopped.task + " was at work and is stopped " + std::to_string(stopped.endedAt - other.endedAt) + " ms after run " + std::to_string(other.number) + " of " + other.task + ", which is not at work again; may-miss is 1");
+            }
+        }
+        recordRuns(deployment, 200);
+        return violations > 0 ? broken : held;
+    }
+
     int play(const std::string& name, const std::string& root, const std::string& folder, const std::string& recordFile)
     {
         const char* const setting = std::getenv("TROUBLE");
@@ -213,6 +274,7 @@
             { "takeover", { playTakeover, 8 } },
             { "large-job", { playLargeJob, 1 } },
             { "fill-restart", { playFillRestart, 1 } },
+            { "moves", { playMoves, 1 } },
         };
         if (!cases.contains(name))
             return notRun;
--- a/review/standins/Worker.cpp
+++ b/review/standins/Worker.cpp
@@ -16,6 +16,10 @@
     constexpr long long maximumHoldMs = 6000;
     constexpr long long heartbeatMs = 1500;
     constexpr long long checkMs = 3;
+    /// Time until a task that lasts is at work.
+    constexpr long long startupMs = 500;
+    /// restore-ms: time to resume from a checkpoint.
+    constexpr long long restoreMs = 250;
     constexpr std::size_t listedEnds = 500;
 
     long long unixMs()
@@ -25,12 +29,13 @@
 
 }
 
-Worker::Worker(std::string id, std::string registry, std::uint32_t milliCores)
+Worker::Worker(std::string id, std::string registry, std::uint32_t milliCores, std::string label)
     : id(std::move(id))
     , registry(std::move(registry))
     , milliCores(milliCores)
     , born(unixMs())
     , bornSteady(steadyMs() - 1000)
+    , label(std::move(label))
     , server([this](const HttpRequest& request) { return this->respond(request); })
 {
     std::thread([this]() { this->sendHeartbeats(); }).detach();
@@ -109,6 +114,8 @@
     std::uint64_t inUse = 0;
     spec >> duration >> inUse;
     const bool lasts = duration == 0;
+    if (lasts)
+        this->records.back().atWorkAt = steadyMs() + startupMs + (call.value("checkpoint", "").empty() ? 0 : restoreMs);
     this->current[task] = { this->records.size() - 1, lasts ? std::numeric_limits<long long>::max() : steadyMs() + duration, lasts, inUse };
     return { 200, Json { { "clock-ms", now }, { "born", this->born } }.dump() };
 }
@@ -159,11 +166,11 @@
         return {};
     Json running = Json::array();
     for (const std::map<std::string, Run>::value_type& item : this->current)
-        running.push_back({ item.first, this->records[item.second.record].number, "", item.second.lasts ? 100 : 50, item.second.inUse });
+        running.push_back({ item.first, this->records[item.second.record].number, "", item.second.lasts ? (this->records[item.second.record].atWork(steadyMs()) ? 100 : 0) : 50, item.second.inUse * this->load });
     Json ended = Json::array();
     for (const End& item : this->finished) {
         if (ended.size() < listedEnds)
-            ended.push_back({ item.number, item.task, item.run, item.how, "" });
+            ended.push_back({ item.number, item.task, item.run, item.how, item.saved });
     }
     return { 200, Json { { "clock-ms", this->clockMs() }, { "born", this->born }, { "running", running }, { "finished", ended } }.dump() };
 }
@@ -195,7 +202,7 @@
     RunRecord& record = this->records[this->current.at(task).record];
     record.endedAt = at;
     record.how = how;
-    this->finished.push_back({ ++this->lastEnd, task, record.number, how });
+    this->finished.push_back({ ++this->lastEnd, task, record.number, how, how == "stopped" ? "0000000000000001" : "" });
     this->highestEnded[task] = std::max(this->highestEnded[task], record.number);
     this->current.erase(task);
 }
@@ -211,7 +218,7 @@
     while (!this->down) {
         const Json capacity { { "cpu", this->milliCores }, { "mem-mb", 64000 }, { "gpus", 0 } };
         const Json body { { "service", "service" }, { "address", this->address() }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold-remaining-ms", 0 }, { "capacity", capacity },
-            { "labels", { "a", "r1-1" } }, { "clock-ms", this->clockMs() }, { "seq", ++sequence }, { "born", this->born } };
+            { "labels", { this->label, "r1-1" } }, { "clock-ms", this->clockMs() }, { "seq", ++sequence }, { "born", this->born } };
         callHttp(this->registry, "PUT", "/v1/instances/" + this->id, "Host: " + this->registry + "\r\n", body.dump(), 1000);
         sleepMs(heartbeatMs);
     }
--- a/review/standins/Worker.h
+++ b/review/standins/Worker.h
@@ -22,16 +22,23 @@
     /// Zero while it runs.
     long long endedAt = 0;
     std::string how;
+    /// When a task that lasts is at work; zero for one that does not last.
+    long long atWorkAt = 0;
+
+    /// @return whether it lasts and is at work at a time before its end
+    [[nodiscard]] bool atWork(long long at) const { return this->atWorkAt != 0 && at >= this->atWorkAt; }
 };
 
 /// @brief Worker that runs each task as its specification states: for a number of milliseconds, or until it is stopped if
-/// that is zero; a second number is the processor time in use that it reports for a task that fills.
+/// that is zero; a second number is the figure that it reports for the task: tail latency or processor time in use. A task
+/// that lasts is at work after a startup.
 class Worker {
 public:
     /// @param id its identifier
     /// @param registry address of its agent for heartbeats
     /// @param milliCores its capacity
-    Worker(std::string id, std::string registry, std::uint32_t milliCores);
+    /// @param label a label beside that of its rack
+    Worker(std::string id, std::string registry, std::uint32_t milliCores, std::string label = "a");
 
     /// @return its address
     [[nodiscard]] const std::string& address() const { return this->server.address(); }
@@ -39,6 +46,9 @@
     /// @brief Crashes for good: all runs end, and from now on it neither answers nor sends heartbeats.
     void crash();
 
+    /// @brief Multiplies the figure that it reports for its tasks from now on.
+    void setLoad(std::uint64_t factor) { this->load = factor; }
+
     /// @return all runs so far
     [[nodiscard]] std::vector<RunRecord> runs();
 
@@ -57,6 +67,7 @@
         std::string task;
         std::uint64_t run = 0;
         std::string how;
+        std::string saved;
     };
 
     HttpReply respond(const HttpRequest& request);
@@ -85,6 +96,8 @@
     std::uint64_t lastEnd = 0;
     std::vector<RunRecord> records;
     std::atomic<bool> down { false };
+    std::atomic<std::uint64_t> load { 1 };
+    std::string label;
     HttpServer server;
 };
 
