--- a/review/standins/Deployment.cpp
+++ b/review/standins/Deployment.cpp
@@ -82,9 +82,9 @@
     const std::string name = "side-" + number;
     const std::string registry = freeAddress();
     this->workers.push_back(std::make_unique<Worker>("worker-" + number, registry, milliCores, label));
-    this->spawn("target/apps/agent/cowslipdoor-agent",
+    this->agents.push_back(this->spawn("target/apps/agent/cowslipdoor-agent",
         { "jobs", "--name", name, "--failure-domain", "zone-a", "--worker", this->workers.back()->address(), "--registry-listen", registry, "--link-listen", freeAddress(), "--admin-listen", freeAddress(), "--store", this->platformStore.address(), "--lease-limit", "6000ms" },
-        name);
+        name));
 }
 
 pid_t Deployment::spawn(const std::string& program, const std::vector<std::string>& words, const std::string& log)
@@ -117,6 +117,12 @@
     this->note("SIGKILL to " + this->entries.at(index).name);
 }
 
+void Deployment::signalAgent(std::size_t index, int signal)
+{
+    kill(this->agents.at(index), signal);
+    this->note("signal " + std::to_string(signal) + " to side-" + std::to_string(index));
+}
+
 void Deployment::submit(ClientJob& job, std::size_t first, const std::string& queue)
 {
     const std::string headers = std::string("Host: ") + host + "\r\nDeadline-Ms: " + std::to_string(clientDeadlineMs) + "\r\n";
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -56,6 +56,9 @@
     /// @brief Kills an entry with SIGKILL.
     void killEntry(std::size_t index);
 
+    /// @brief Sends a signal to the agent of a worker.
+    void signalAgent(std::size_t index, int signal);
+
     /// @brief Starts an entry that has been killed.
     void startEntry(std::size_t index);
 
@@ -108,6 +111,7 @@
     Store platformStore;
     std::vector<Entry> entries;
     std::vector<std::unique_ptr<Worker>> workers;
+    std::vector<pid_t> agents;
     std::vector<pid_t> processes;
 };
 
--- a/review/standins/ReviewMain.cpp
+++ b/review/standins/ReviewMain.cpp
@@ -5,6 +5,7 @@
 
 #include "Deployment.h"
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <filesystem>
@@ -261,6 +262,69 @@
         return violations > 0 ? broken : held;
     }
 
+    /// A worker crashes and starts again under its identifier; soon after its task has started there again, its agent freezes.
+    int playLongLease(Deployment& deployment, bool trouble, std::mt19937_64& random)
+    {
+        constexpr std::uint32_t milliCores = 16000;
+        constexpr long long downMs = 200;
+        constexpr long long firstBeatMs = 400;
+        constexpr long long freezeMs = 5000;
+        constexpr long long limitMs = 10000;
+        constexpr long long settleMs = 4000;
+        if (!deployment.start(3, 2, milliCores))
+            return notRun;
+        const Json step { { "count", 1 }, { "cpu", milliCores }, { "mem-mb", 512 }, { "long-running", true } };
+        const std::string body = Json { { "spec", "0 10" }, { "phases", { step } } }.dump();
+        const auto awaitRuns = [&deployment](std::size_t count) {
+            const long long end = steadyMs() + limitMs;
+            while (steadyMs() < end && deployment.running().size() != count)
+                sleepMs(5);
+            return deployment.running().size() == count;
+        };
+        ClientJob first { randomId(random), body };
+        ClientJob second { randomId(random), body };
+        deployment.submit(first, 0);
+        if (!awaitRuns(1))
+            return notRun;
+        deployment.submit(second, 1);
+        if (!awaitRuns(2))
+            return notRun;
+        sleepMs(settleMs);
+        const std::string& other = deployment.runs().front().worker == "worker-0" ? second.id : first.id;
+        const std::string& moved = &other == &second.id ? first.id : second.id;
+        if (trouble) {
+            deployment.worker(0).crash();
+            deployment.note("worker-0 has crashed");
+            sleepMs(downMs);
+            deployment.worker(0).restart(firstBeatMs);
+            deployment.note("worker-0 starts again under its identifier");
+            if (!awaitRuns(2))
+                return notRun;
+            deployment.note("the task runs again on worker-0");
+            deployment.signalAgent(0, SIGSTOP);
+        }
+        deployment.note("DELETE " + other + ": " + std::to_string(deployment.ask(1, "DELETE", "/jobs/" + other).status));
+        std::size_t most = 0;
+        const long long end = steadyMs() + freezeMs;
+        const auto countRuns = [&deployment, &moved]() {
+            const std::vector<RunRecord> runs = deployment.runs();
+            return static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(), [&moved](const RunRecord& run) { return ofJob(run.task, moved) && run.how.empty(); }));
+        };
+        while (steadyMs() < end + settleMs) {
+            most = std::max(most, countRuns());
+            if (trouble && steadyMs() >= end) {
+                deployment.signalAgent(0, SIGCONT);
+                trouble = false;
+            }
+            sleepMs(5);
+        }
+        deployment.note("at most " + std::to_string(most) + " runs of the task of " + moved + " at the same time");
+        const std::vector<RunRecord> runs = deployment.runs();
+        for (const RunRecord& run : runs)
+            deployment.note("  " + run.task + " run " + std::to_string(run.number) + " on " + run.worker + " from " + std::to_string(run.startedAt - runs.front().startedAt) + " ms to " + (run.how.empty() ? "now" : std::to_string(run.endedAt - runs.front().startedAt) + " ms, " + run.how));
+        return most > 1 ? broken : held;
+    }
+
     int play(const std::string& name, const std::string& root, const std::string& folder, const std::string& recordFile)
     {
         const char* const setting = std::getenv("TROUBLE");
@@ -275,6 +339,7 @@
             { "large-job", { playLargeJob, 1 } },
             { "fill-restart", { playFillRestart, 1 } },
             { "moves", { playMoves, 1 } },
+            { "long-lease", { playLongLease, 1 } },
         };
         if (!cases.contains(name))
             return notRun;
--- a/review/standins/Worker.cpp
+++ b/review/standins/Worker.cpp
@@ -38,7 +38,7 @@
     , label(std::move(label))
     , server([this](const HttpRequest& request) { return this->respond(request); })
 {
-    std::thread([this]() { this->sendHeartbeats(); }).detach();
+    std::thread([this]() { this->sendHeartbeats(0); }).detach();
 }
 
 void Worker::crash()
@@ -53,6 +53,23 @@
     this->current.clear();
 }
 
+void Worker::restart(long long firstBeatMs)
+{
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        ++this->incarnation;
+        this->token = 0;
+        this->leaseUntil = 0;
+        this->highestEnded.clear();
+        this->finished.clear();
+        this->lastEnd = 0;
+        this->born = unixMs();
+        this->bornSteady = steadyMs();
+        this->down = false;
+    }
+    std::thread([this, firstBeatMs]() { this->sendHeartbeats(firstBeatMs); }).detach();
+}
+
 std::vector<RunRecord> Worker::runs()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -155,14 +172,15 @@
     const std::uint64_t acknowledged = call.value("ack-seq", std::uint64_t { 0 });
     std::erase_if(this->finished, [acknowledged](const End& item) { return item.number <= acknowledged; });
     this->leaseUntil = std::max(this->leaseUntil, std::min(call.value("deadline-ms", 0LL), this->clockMs() + maximumHoldMs));
+    const std::uint64_t asked = this->incarnation;
     const long long waitEnd = steadyMs() + call.value("wait-ms", 0LL);
-    while (this->finished.empty() && steadyMs() < waitEnd && !this->down) {
+    while (this->finished.empty() && steadyMs() < waitEnd && !this->down && asked == this->incarnation) {
         lock.unlock();
         sleepMs(checkMs);
         lock.lock();
         this->advance();
     }
-    if (this->down)
+    if (this->down || asked != this->incarnation)
         return {};
     Json running = Json::array();
     for (const std::map<std::string, Run>::value_type& item : this->current)
@@ -212,10 +230,12 @@
     return { 409, Json { { "clock-ms", this->clockMs() }, { "born", this->born }, { "reason", reason } }.dump() };
 }
 
-void Worker::sendHeartbeats()
+void Worker::sendHeartbeats(long long firstBeatMs)
 {
     std::uint64_t sequence = 0;
-    while (!this->down) {
+    const std::uint64_t own = this->incarnation;
+    sleepMs(firstBeatMs);
+    while (!this->down && own == this->incarnation) {
         const Json capacity { { "cpu", this->milliCores }, { "mem-mb", 64000 }, { "gpus", 0 } };
         const Json body { { "service", "service" }, { "address", this->address() }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold-remaining-ms", 0 }, { "capacity", capacity },
             { "labels", { this->label, "r1-1" } }, { "clock-ms", this->clockMs() }, { "seq", ++sequence }, { "born", this->born } };
--- a/review/standins/Worker.h
+++ b/review/standins/Worker.h
@@ -43,9 +43,13 @@
     /// @return its address
     [[nodiscard]] const std::string& address() const { return this->server.address(); }
 
-    /// @brief Crashes for good: all runs end, and from now on it neither answers nor sends heartbeats.
+    /// @brief Crashes: all runs end, and from now on it neither answers nor sends heartbeats.
     void crash();
 
+    /// @brief Starts again under the same identifier after a crash: it knows nothing of before, and its clock starts anew.
+    /// @param firstBeatMs when it sends its first heartbeat
+    void restart(long long firstBeatMs);
+
     /// @brief Multiplies the figure that it reports for its tasks from now on.
     void setLoad(std::uint64_t factor) { this->load = factor; }
 
@@ -80,7 +84,7 @@
     void end(const std::string& task, const std::string& how, long long at);
     [[nodiscard]] HttpReply refuse(const std::string& reason) const;
     [[nodiscard]] long long clockMs() const { return steadyMs() - this->bornSteady; }
-    void sendHeartbeats();
+    void sendHeartbeats(long long firstBeatMs);
 
     std::string id;
     std::string registry;
@@ -96,6 +100,7 @@
     std::uint64_t lastEnd = 0;
     std::vector<RunRecord> records;
     std::atomic<bool> down { false };
+    std::atomic<std::uint64_t> incarnation { 1 };
     std::atomic<std::uint64_t> load { 1 };
     std::string label;
     HttpServer server;
