Review case 4: failures of long-running tasks keep all workers excluded, so tasks wait without a run

A worker is excluded once three jobs have failed there since the last run that ended done; where only long-running tasks run, none does, and each failure renews the exclusion.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,7 +5,7 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 [ -x "$root/target/review/review-case" ] || exit 2
-timeout -k 5 115 "$root/target/review/review-case" fill-restart "$root" "$folder" "$here/record.txt"
+timeout -k 5 115 "$root/target/review/review-case" failures "$root" "$folder" "$here/record.txt"
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/standins/ReviewMain.cpp
+++ b/review/standins/ReviewMain.cpp
@@ -325,6 +325,50 @@
         return most > 1 ? broken : held;
     }
 
+    /// Tasks that last fail now and then; each has to run again soon.
+    int playFailures(Deployment& deployment, bool trouble, std::mt19937_64& random)
+    {
+        constexpr std::size_t jobCount = 80;
+        constexpr long long meanLifeMs = 30000;
+        constexpr long long startLimitMs = 10000;
+        constexpr long long playMs = 60000;
+        /// 3 s without a run, from 6 s after the last run.
+        constexpr long long longestAwayMs = 9000;
+        if (!deployment.start(3, 2, 16000))
+            return notRun;
+        const Json step { { "count", 1 }, { "cpu", 100 }, { "mem-mb", 128 }, { "long-running", true } };
+        const std::string spec = trouble ? "0 10 " + std::to_string(meanLifeMs) : "0 10";
+        std::vector<ClientJob> jobs;
+        for (std::size_t index = 0; index < jobCount; ++index)
+            jobs.push_back({ randomId(random), Json { { "spec", spec }, { "phases", { step } } }.dump() });
+        playTraffic(deployment, jobs, 50);
+        const long long startEnd = steadyMs() + startLimitMs;
+        while (steadyMs() < startEnd && deployment.runs().size() < jobCount)
+            sleepMs(20);
+        const long long end = steadyMs() + playMs;
+        std::map<std::string, long long> lastRunning;
+        std::size_t violations = 0;
+        while (steadyMs() < end) {
+            const std::set<std::string> running = deployment.running();
+            for (const ClientJob& job : jobs) {
+                const std::string task = job.id + ".0.0.0";
+                long long& last = lastRunning.try_emplace(task, steadyMs()).first->second;
+                if (running.contains(task))
+                    last = steadyMs();
+                if (steadyMs() <= last + longestAwayMs)
+                    continue;
+                ++violations;
+                deployment.note("LOST: nothing of " + task + " has run for 9 s; " + std::to_string(running.size()) + " of " + std::to_string(jobCount) + " tasks run, and each of the two workers of 16000 milli-cores has room for all");
+                last = end;
+            }
+            sleepMs(20);
+        }
+        const std::vector<RunRecord> runs = deployment.runs();
+        deployment.note(std::to_string(violations) + " tasks did not run for 9 s; " + std::to_string(std::count_if(runs.begin(), runs.end(), [](const RunRecord& run) { return run.how == "failed"; })) + " of " + std::to_string(runs.size()) + " runs failed");
+        recordRuns(deployment, 400);
+        return violations > 0 ? broken : held;
+    }
+
     int play(const std::string& name, const std::string& root, const std::string& folder, const std::string& recordFile)
     {
         const char* const setting = std::getenv("TROUBLE");
@@ -340,6 +384,7 @@
             { "fill-restart", { playFillRestart, 1 } },
             { "moves", { playMoves, 1 } },
             { "long-lease", { playLongLease, 1 } },
+            { "failures", { playFailures, 1 } },
         };
         if (!cases.contains(name))
             return notRun;
--- a/review/standins/Worker.cpp
+++ b/review/standins/Worker.cpp
@@ -36,6 +36,7 @@
     , born(unixMs())
     , bornSteady(steadyMs() - 1000)
     , label(std::move(label))
+    , random(std::random_device {}())
     , server([this](const HttpRequest& request) { return this->respond(request); })
 {
     std::thread([this]() { this->sendHeartbeats(0); }).detach();
@@ -129,11 +130,13 @@
     std::istringstream spec(call.at("spec").get<std::string>());
     long long duration = 0;
     std::uint64_t inUse = 0;
-    spec >> duration >> inUse;
+    long long meanLifeMs = 0;
+    spec >> duration >> inUse >> meanLifeMs;
     const bool lasts = duration == 0;
     if (lasts)
         this->records.back().atWorkAt = steadyMs() + startupMs + (call.value("checkpoint", "").empty() ? 0 : restoreMs);
-    this->current[task] = { this->records.size() - 1, lasts ? std::numeric_limits<long long>::max() : steadyMs() + duration, lasts, inUse };
+    const long long life = meanLifeMs == 0 ? std::numeric_limits<long long>::max() / 2 : static_cast<long long>(std::exponential_distribution<double>(1.0 / static_cast<double>(meanLifeMs))(this->random));
+    this->current[task] = { this->records.size() - 1, steadyMs() + (lasts ? life : duration), lasts, inUse, lasts && meanLifeMs != 0 };
     return { 200, Json { { "clock-ms", now }, { "born", this->born } }.dump() };
 }
 
@@ -211,7 +214,7 @@
     std::sort(due.begin(), due.end());
     for (const std::pair<long long, std::string>& item : due) {
         if (item.first <= now)
-            this->end(item.second, this->current.at(item.second).endsAt <= lapse ? "done" : "lapsed", item.first);
+            this->end(item.second, this->current.at(item.second).endsAt <= lapse ? (this->current.at(item.second).fails ? "failed" : "done") : "lapsed", item.first);
     }
 }
 
--- a/review/standins/Worker.h
+++ b/review/standins/Worker.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstdint>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,7 +32,7 @@
 
 /// @brief Worker that runs each task as its specification states: for a number of milliseconds, or until it is stopped if
 /// that is zero; a second number is the figure that it reports for the task: tail latency or processor time in use. A task
-/// that lasts is at work after a startup.
+/// that lasts is at work after a startup; a third number is the mean time after which its runs fail, in milliseconds.
 class Worker {
 public:
     /// @param id its identifier
@@ -65,6 +66,7 @@
         long long endsAt = 0;
         bool lasts = false;
         std::uint64_t inUse = 0;
+        bool fails = false;
     };
     struct End {
         std::uint64_t number = 0;
@@ -103,6 +105,7 @@
     std::atomic<std::uint64_t> incarnation { 1 };
     std::atomic<std::uint64_t> load { 1 };
     std::string label;
+    std::mt19937_64 random;
     HttpServer server;
 };
 
