Jobs: a job stored in a new part while a leader reads the table is not lost

Cause: a new leader listed the parts of the job table, read the listed parts, and followed the feed from the lowest version of these reads. A job that was stored between the listing and the first read, in a part without a row before, is in no read and not above that version, so no feed delivers it. TableFeed::readWhole, after a 410, had the same order.

Ruled out: a lost answer of the store or an unread cancellation; the row is there, and GET reads it.

Evidence: test 'table feed: a row that is stored in a new part after the parts were listed is delivered' failed on the untouched code (the late row was never delivered).

Why this works: the version to follow from is read before the listing. A row at or below it is in a listed part, a row above it comes by the feed; some rows come twice, which the state machine accepts. Both readers use the one function. It costs one read of no rows for each table at a takeover.

--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -115,7 +115,7 @@
     asio::awaitable<void> submit(Transaction transaction);
     asio::awaitable<void> readTables(std::shared_ptr<TableFollower> follower);
     asio::awaitable<RowPage> readTableUntilDone(std::shared_ptr<TableFollower> follower, std::string table);
-    asio::awaitable<std::vector<std::string>> listPartsUntilDone(std::shared_ptr<TableFollower> follower, std::string table);
+    asio::awaitable<TableParts> listPartsUntilDone(std::shared_ptr<TableFollower> follower, std::string table);
     asio::awaitable<void> readPartInto(std::shared_ptr<TableFollower> follower, RowRange part, Mailbox<RowPage> pages);
     asio::awaitable<RowPage> readPartUntilDone(std::shared_ptr<TableFollower> follower, RowRange part);
     void followJobs(const std::shared_ptr<TableFollower>& follower, RowVersion after);
--- a/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
+++ b/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
@@ -14,18 +14,30 @@
 
 namespace cowslipdoor::runtime {
 
+/// @brief Parts of a table.
+struct TableParts {
+    std::vector<std::string> names {};
+    /// Version of the store from before the listing. A part that gets its first row later is not listed, so a feed must deliver
+    /// all changes after this version.
+    RowVersion version = 0;
+
+    bool operator==(const TableParts&) const = default;
+};
+
+/// @brief Result of listing the parts of a table together with a version to follow it from.
+using TablePartsResult = std::variant<TableParts, StoreRefused>;
+
 /// @brief Lists the parts of a table.
-/// @return the names of the parts; just the unnamed part for a table without rows
-[[nodiscard]] asio::awaitable<PartsResult> listPartsToRead(const StorePort& store, std::string table);
+/// @return the parts, and a version from before the listing, or why a call failed
+[[nodiscard]] asio::awaitable<TablePartsResult> listTableParts(const StorePort& store, std::string table);
 
-/// @brief Adds the rows of a part to those of a table. The version of the table is the lowest of its parts.
+/// @brief Adds the rows of a part to those of a table.
 /// @param whole rows of the parts before
 /// @param page rows of the part
-/// @param first whether the part is the first one
-void appendPage(RowPage& whole, const RowPage& page, bool first);
+void appendPage(RowPage& whole, const RowPage& page);
 
 /// @brief Reads the rows of all parts of a table.
-/// @return the rows with the lowest version of the parts, or why the read failed
+/// @return the rows with the version from before the parts were listed, or why a call failed
 [[nodiscard]] asio::awaitable<ReadResult> readTable(const StorePort& store, std::string table);
 
 /// @brief Logs and counts a row that cannot be decoded and is ignored.
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -217,34 +217,36 @@
 
 asio::awaitable<RowPage> SchedulerTask::readTableUntilDone(std::shared_ptr<TableFollower> follower, std::string table)
 {
-    const std::vector<std::string> parts = co_await this->listPartsUntilDone(follower, table);
-    const Mailbox<RowPage> pages = makeMailbox<RowPage>(this->executor, parts.size());
-    for (const std::string& part : parts) {
+    const TableParts parts = co_await this->listPartsUntilDone(follower, table);
+    const SchedulerEvent listed = TablesProgress { follower->epoch };
+    co_await this->post(listed);
+    const Mailbox<RowPage> pages = makeMailbox<RowPage>(this->executor, parts.names.size());
+    for (const std::string& part : parts.names) {
         const RowRange range { table, part, "", "" };
         asio::co_spawn(
             this->executor, [this, follower, range, pages]() { return this->readPartInto(follower, range, pages); }, asio::detached);
     }
-    RowPage whole;
-    for (std::size_t received = 0; received < parts.size(); ++received) {
+    RowPage whole { .rows = {}, .version = parts.version };
+    for (std::size_t received = 0; received < parts.names.size(); ++received) {
         const std::tuple<error_code, RowPage> page = co_await pages->async_receive(asTuple);
-        appendPage(whole, std::get<1>(page), received == 0);
+        appendPage(whole, std::get<1>(page));
         const SchedulerEvent progress = TablesProgress { follower->epoch };
         co_await this->post(progress);
     }
     co_return whole;
 }
 
-asio::awaitable<std::vector<std::string>> SchedulerTask::listPartsUntilDone(std::shared_ptr<TableFollower> follower, std::string table)
+asio::awaitable<TableParts> SchedulerTask::listPartsUntilDone(std::shared_ptr<TableFollower> follower, std::string table)
 {
     while (!follower->stopped) {
-        const PartsResult result = co_await listPartsToRead(this->store, table);
-        const std::vector<std::string>* const parts = std::get_if<std::vector<std::string>>(&result);
+        const TablePartsResult result = co_await listTableParts(this->store, table);
+        const TableParts* const parts = std::get_if<TableParts>(&result);
         if (parts)
             co_return *parts;
         this->log.record(EventId::StoreLost, "the parts of " + table + " could not be listed: " + std::get<StoreRefused>(result).reason + "; retrying");
         co_await pauseFor(tableRetryDelay);
     }
-    co_return std::vector<std::string> {};
+    co_return TableParts {};
 }
 
 asio::awaitable<void> SchedulerTask::readPartInto(std::shared_ptr<TableFollower> follower, RowRange part, Mailbox<RowPage> pages)
--- a/libs/runtime/src/TableFeed.cpp
+++ b/libs/runtime/src/TableFeed.cpp
@@ -6,39 +6,41 @@
 
 namespace cowslipdoor::runtime {
 
-asio::awaitable<PartsResult> listPartsToRead(const StorePort& store, std::string table)
+asio::awaitable<TablePartsResult> listTableParts(const StorePort& store, std::string table)
 {
-    PartsResult parts = co_await store.parts(table);
-    std::vector<std::string>* const names = std::get_if<std::vector<std::string>>(&parts);
-    // A table without rows has no parts; reading the unnamed part returns the version of the table.
-    if (names && names->empty())
-        names->emplace_back();
-    co_return parts;
+    // Reading a row that does not exist returns the version of the store and no rows.
+    const RowRange none = rangeOf({ table, "", "" });
+    const ReadResult before = co_await store.read(none);
+    const RowPage* const versioned = std::get_if<RowPage>(&before);
+    if (!versioned)
+        co_return std::get<StoreRefused>(before);
+    const PartsResult listed = co_await store.parts(table);
+    const std::vector<std::string>* const names = std::get_if<std::vector<std::string>>(&listed);
+    if (!names)
+        co_return std::get<StoreRefused>(listed);
+    co_return TableParts { *names, versioned->version };
 }
 
-void appendPage(RowPage& whole, const RowPage& page, bool first)
+void appendPage(RowPage& whole, const RowPage& page)
 {
-    whole.version = first ? page.version : std::min(whole.version, page.version);
     whole.rows.insert(whole.rows.end(), page.rows.begin(), page.rows.end());
     whole.unreadable.insert(whole.unreadable.end(), page.unreadable.begin(), page.unreadable.end());
 }
 
 asio::awaitable<ReadResult> readTable(const StorePort& store, std::string table)
 {
-    const PartsResult parts = co_await listPartsToRead(store, table);
-    const StoreRefused* const refused = std::get_if<StoreRefused>(&parts);
-    if (refused)
-        co_return *refused;
-    RowPage whole;
-    bool first = true;
-    for (const std::string& part : std::get<std::vector<std::string>>(parts)) {
+    const TablePartsResult listed = co_await listTableParts(store, table);
+    const TableParts* const parts = std::get_if<TableParts>(&listed);
+    if (!parts)
+        co_return std::get<StoreRefused>(listed);
+    RowPage whole { .rows = {}, .version = parts->version };
+    for (const std::string& part : parts->names) {
         const RowRange range { table, part, "", "" };
         const ReadResult page = co_await store.read(range);
         const RowPage* const rows = std::get_if<RowPage>(&page);
         if (!rows)
             co_return page;
-        appendPage(whole, *rows, first);
-        first = false;
+        appendPage(whole, *rows);
     }
     co_return whole;
 }
--- a/libs/runtime/tests/TableFeedTests.cpp
+++ b/libs/runtime/tests/TableFeedTests.cpp
@@ -2,6 +2,7 @@
 #include <cowslipdoor/runtime/Clock.h>
 #include <cowslipdoor/runtime/Process.h>
 #include <cowslipdoor/runtime/TableFeed.h>
+#include <set>
 
 using namespace cowslipdoor;
 using namespace cowslipdoor::runtime;
@@ -59,3 +60,33 @@
     CHECK(complete[1] >= begin + milliseconds(40));
     CHECK(complete[2] >= begin + milliseconds(80));
 }
+
+// Guards against the loss of an accepted job whose part gets its first row while a table is being read.
+TEST_CASE("table feed: a row that is stored in a new part after the parts were listed is delivered", "[jobs]")
+{
+    asio::io_context context { 1 };
+    const Log log { "test", LogForm::Text, EventLevel::Error };
+    Metrics metrics;
+    const Row early { { "t", "p0", "early" }, "x", 10, false };
+    const Row late { { "t", "p1", "late" }, "x", 11, false };
+    RowVersion version = early.version;
+    StorePort store;
+    store.parts = [&version, &late](std::string) -> asio::awaitable<PartsResult> {
+        version = late.version;
+        co_return std::vector<std::string> { "p0" };
+    };
+    store.read = [&version, &early](RowRange range) -> asio::awaitable<ReadResult> {
+        co_return RowPage { range.part == "p0" ? std::vector<Row> { early } : std::vector<Row> {}, version };
+    };
+    store.follow = [&late](std::string, RowVersion after, Duration) -> asio::awaitable<FeedResult> {
+        co_await pauseFor(milliseconds(1));
+        co_return RowPage { after < late.version ? std::vector<Row> { late } : std::vector<Row> {}, late.version };
+    };
+    std::set<std::string> keys;
+    TableFeed feed(
+        store, { .table = "t" }, [&keys](Row row) -> asio::awaitable<void> { keys.insert(row.key.key); co_return; }, TableFeed::ContactHandler(), log, metrics);
+    asio::co_spawn(
+        context, [&feed]() { return feed.run(std::nullopt); }, asio::detached);
+    context.run_for(milliseconds(50));
+    CHECK(keys == std::set<std::string> { "early", "late" });
+}
