Agent: no lease by the clock of an earlier incarnation of the worker

Cause: a lease is a time on the worker's clock, which starts anew with each incarnation. The agent renewed by the clock that it knew also after a call without an answer. When such a poll was the first to reach the restarted worker, the worker held a lease of max-hold-ms, 6 s. The agent noted that for itself, but new runs were sent there, and the leader releases the runs of a silent agent after 4.9 s.

Ruled out: the leader's count of silence (4.9 s from the last grant covers each lease of 3 s).

Evidence: 'agent: after a call without an answer, no lease is granted until a poll shows which incarnation answers' asserts what 'agent: leases are renewed only while the leader's grant is valid' asserted to the contrary: that test renewed in the first poll after an unanswered one. It now demands that poll without a lease and the next one with a lease, and keeps its other checks.

Why this works: after any call without an answer the next poll has no wait and no lease; its answer shows the incarnation and its clock. Where a new incarnation has still received such a lease (a poll that overtakes the end of its connection, or one that is carried out late), its agent reports it, stops what it lists, refuses starts, and the leader places nothing there until the lease is as long as any other, 3 s later (E639 long_lease_held, a new field of the report; an earlier leader gets a refusal instead).

Open: an agent that restarts within 3 s of such a lease does not know of it.

--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -81,6 +81,7 @@
     BeatRefused = 636,
     PaceChanged = 637,
     BeatPassedOver = 638,
+    LongLeaseHeld = 639,
 };
 
 /// @brief Effect: write a log event.
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -69,6 +69,7 @@
         EventDescription { EventId::BeatRefused, "beat_refused", EventLevel::Warning, "A heartbeat of a worker cannot be parsed or names another service." },
         EventDescription { EventId::PaceChanged, "pace_changed", EventLevel::Info, "The pace of best-effort runs was changed because of the tail latency of serving runs." },
         EventDescription { EventId::BeatPassedOver, "beat_passed_over", EventLevel::Warning, "A heartbeat or sign-off was ignored: it names an incarnation of the worker other than the current one, or one that still answers; the detail says why." },
+        EventDescription { EventId::LongLeaseHeld, "long_lease_held", EventLevel::Warning, "A worker may hold a lease that an agent computed by the clock of an earlier incarnation; until it is as short as usual, its runs are stopped and it gets no new ones." },
     };
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
@@ -28,6 +28,8 @@
     bool draining = false;
     /// Minimum time until a draining worker leaves.
     Duration remaining {};
+    /// Whether the worker may hold a lease that outlives the time after which the leader releases the runs of a silent agent.
+    bool longLease = false;
 
     bool operator==(const WorkerInfo&) const = default;
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -183,6 +183,10 @@
 /// has accepted before. A new incarnation of the agent may have the same token as its predecessor, so it raises the first
 /// token that is accepted once more.
 ///
+/// A lease is a time on the worker's clock, which starts anew with each incarnation. So a call without an answer is followed by a
+/// poll without a lease, which shows whether the same incarnation still answers. A new incarnation that has received a lease by
+/// the clock of the earlier one gets no run until that lease is no longer than usual.
+///
 /// Heartbeats are hints: one that names another incarnation of the worker than the current one causes a poll, and the answer
 /// decides which incarnation is alive.
 /// @code
@@ -257,6 +261,9 @@
         TimePoint lastContact {};
         /// Whether the worker has answered as this incarnation.
         bool answered = false;
+        /// Whether all calls since the last answer to a poll were answered. After an unanswered one the worker may have restarted
+        /// under its identifier, with another clock.
+        bool clockConfirmed = true;
         /// Whether no heartbeat of this incarnation has stated its capacity, labels and service.
         bool attributesAssumed = false;
         /// Whether heartbeats report that the worker is draining; two in a row that do not are needed to clear it.
@@ -320,6 +327,9 @@
     void switchIncarnation(std::int64_t startedAtMs, bool renewed, TimePoint now, Effects& effects);
     void dropCandidate(const std::string& reason, Effects& effects);
     void pollSoon(TimePoint now);
+    /// Returns whether the worker now counts as holding a long lease and did not before, or the other way round.
+    [[nodiscard]] bool updateLongLease(TimePoint now, Effects& effects);
+    void stopAll(const std::vector<RunStatus>& runs);
     void voidSignOff(Effects& effects);
     [[nodiscard]] TimePoint nextPollTime(TimePoint now, bool raised) const;
     void beginIncarnation(const WorkerInfo& info, TimePoint now, Effects& effects);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -47,6 +47,7 @@
     NoWorker,
     NotSettled,
     Draining,
+    LongLease,
     Excluded,
     RefusesStarts,
     Stalled,
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -48,6 +48,8 @@
         consider(this->nextPollAt);
     if (this->incarnation)
         consider(std::max(this->leaseEnd, this->incarnation->lastContact + this->config.contactValidity));
+    if (this->incarnation && this->incarnation->info.longLease)
+        consider(this->leaseEnd - this->config.lease - this->config.leaseMargin);
     if (!this->incarnationAnswered() && !this->knownEmpty)
         consider(this->leaseEnd);
     return next;
@@ -120,7 +122,10 @@
     this->incarnation->clockMs = event.clockMs;
     this->incarnation->clockReadAt = now;
     this->incarnation->lastContact = now;
+    this->incarnation->clockConfirmed = true;
     this->incarnation->running = event.running;
+    if (this->incarnation->info.longLease)
+        this->stopAll(event.running);
     this->incarnation->ended.clear();
     for (const RunEnd& end : event.ended) {
         if (end.number > this->incarnation->acknowledged)
@@ -158,6 +163,7 @@
 void WorkerMachine::on(const CallUnanswered& event, TimePoint now, Effects& effects)
 {
     if (this->pollInFlight && this->pollInFlight->call == event.call) {
+        this->incarnation->clockConfirmed = false;
         this->pollInFlight.reset();
         this->nextPollAt = now + this->config.retryDelay;
         return;
@@ -166,6 +172,7 @@
         return;
     const Order order = std::exchange(this->orderInFlight, std::nullopt)->order;
     std::visit([this](const auto& alternative) { this->onOrderUnanswered(alternative); }, order);
+    this->incarnation->clockConfirmed = false;
     ++this->tokenRaises;
     // The poll in flight shows nothing about the order; another one is sent at once.
     this->pollInFlight.reset();
@@ -284,6 +291,10 @@
         this->reject(message.run, "the worker is draining", effects);
         return;
     }
+    if (this->incarnation->info.longLease) {
+        this->reject(message.run, "the worker may hold a long lease", effects);
+        return;
+    }
     this->paceControl.describe(message.run, message.traits);
     this->orders.emplace_back(StartOrder { message });
 }
@@ -331,6 +342,8 @@
     }
     if (this->incarnation)
         this->advanceIncarnation(now, effects);
+    if (this->incarnation && this->updateLongLease(now, effects))
+        this->sendSnapshot(effects);
     if (this->leader && this->settled() && now >= this->snapshotAt) {
         this->snapshotAt = now + this->config.snapshotInterval;
         this->sendSnapshot(effects);
@@ -353,12 +366,29 @@
     if (!this->generation)
         return;
     const bool unsettled = this->incarnation->settledToken != this->token();
+    const bool answerSoon = unsettled || !this->incarnation->clockConfirmed || this->candidate || this->signedOffAt || !this->incarnation->ended.empty();
     if (!this->pollInFlight && now >= this->nextPollAt)
-        this->poll(now, unsettled || this->candidate || this->signedOffAt || !this->incarnation->ended.empty() ? Duration {} : this->config.pollWait, effects);
+        this->poll(now, answerSoon ? Duration {} : this->config.pollWait, effects);
     if (!unsettled && !this->orderInFlight && !this->orders.empty())
         this->sendOrder(now, effects);
 }
 
+bool WorkerMachine::updateLongLease(TimePoint now, Effects& effects)
+{
+    const bool mayHold = this->leaseEnd > now + this->config.lease + this->config.leaseMargin;
+    if (std::exchange(this->incarnation->info.longLease, mayHold) == mayHold)
+        return false;
+    if (mayHold)
+        effects.emplace_back(RecordEvent { EventId::LongLeaseHeld, describeIncarnation(this->incarnation->info.identity) + ": for " + std::to_string(toMilliseconds(this->leaseEnd - now)) + " ms at most" });
+    return true;
+}
+
+void WorkerMachine::stopAll(const std::vector<RunStatus>& runs)
+{
+    for (const RunStatus& status : runs)
+        this->incarnation->toStop.insert(status.run);
+}
+
 void WorkerMachine::considerIncarnation(const WorkerInfo& info, TimePoint now)
 {
     this->candidate = Candidate { info, CallNumber { this->lastCall + 1 } };
@@ -458,6 +488,7 @@
     this->incarnation = WorkerIncarnation { .info = info };
     this->incarnation->lastContact = now;
     this->incarnation->drainingReported = info.draining;
+    static_cast<void>(this->updateLongLease(now, effects));
     this->candidate.reset();
     this->nextPollAt = now;
     effects.emplace_back(RecordEvent { EventId::WorkerSeen, describeIncarnation(info.identity) + ", " + std::to_string(info.capacity.milliCores) + " milli-cores, " + std::to_string(info.capacity.memoryMb) + " MB" });
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -158,7 +158,7 @@
     const bool hasGrant = this->lastGrantAt && now <= *this->lastGrantAt + this->config.grantValidity;
     // A worker that may be gone gets no renewal: its runs are known to have ended sooner, and its clock says nothing about
     // that of a successor.
-    return hasGrant && !this->signedOffAt && !this->candidate && this->incarnation->clockMs != 0 && now <= this->incarnation->lastContact + this->config.contactValidity;
+    return hasGrant && !this->signedOffAt && !this->candidate && this->incarnation->clockConfirmed && this->incarnation->clockMs != 0 && now <= this->incarnation->lastContact + this->config.contactValidity;
 }
 
 std::int64_t WorkerMachine::leaseUntil(TimePoint now)
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -34,6 +34,8 @@
         return "not settled";
     case UnfitReason::Draining:
         return "draining";
+    case UnfitReason::LongLease:
+        return "that may hold a long lease";
     case UnfitReason::Excluded:
         return "excluded after failures";
     case UnfitReason::RefusesStarts:
@@ -64,6 +66,8 @@
         return UnfitReason::NotSettled;
     if (this->info->draining)
         return UnfitReason::Draining;
+    if (this->info->longLease)
+        return UnfitReason::LongLease;
     if (now < this->refusingUntil)
         return UnfitReason::RefusesStarts;
     if (!this->hasFreshGrant(now))
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -117,6 +117,9 @@
     workers.at("a").allocate({ { "y" }, 0, 0 }, apart, firstIncarnation);
     CHECK(chosen(job, workers, InterferenceModel()).empty());
     workers.at("b").info->draining = false;
+    workers.at("b").info->longLease = true;
+    CHECK(chosen(job, workers, InterferenceModel()).empty());
+    workers.at("b").info->longLease = false;
     CHECK(chosen(job, workers, InterferenceModel()) == "b");
     workers.at("b").excludedUntil = start + milliseconds(1);
     CHECK(chosen(job, workers, InterferenceModel()).empty());
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -164,8 +164,10 @@
     agent.now += milliseconds(200);
     agent.step(TimePassed {});
     REQUIRE(agent.find<CallPoll>());
-    CHECK(agent.find<CallPoll>()->leaseUntilMs);
+    CHECK_FALSE(agent.find<CallPoll>()->leaseUntilMs);
     agent.step(agent.answerTo(*agent.find<CallPoll>()));
+    REQUIRE(agent.find<CallPoll>());
+    CHECK(agent.find<CallPoll>()->leaseUntilMs);
     agent.now += milliseconds(900);
     agent.step(agent.answerTo(*agent.find<CallPoll>()));
     CHECK_FALSE(agent.find<CallPoll>()->leaseUntilMs);
@@ -706,3 +708,66 @@
     CHECK_FALSE(agent.reportsNoWorker(milliseconds(6000), unanswered, noHeartbeats));
     CHECK(agent.reportsNoWorker(milliseconds(400), unanswered, noHeartbeats));
 }
+
+// Guards against two runs of a task: a lease by the clock of an earlier incarnation outlives the release of the worker's runs.
+TEST_CASE("agent: after a call without an answer, no lease is granted until a poll shows which incarnation answers", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(PollAnswered { agent.lastPoll, firstIncarnation.startedAtMs, 5000, {}, {} });
+    REQUIRE(agent.find<CallPoll>()->leaseUntilMs);
+    agent.step(CallUnanswered { agent.lastPoll });
+    agent.step(LeaderMessageReceived { leaderLink, agent.order() });
+    CHECK_FALSE(agent.find<CallStart>());
+    agent.now += milliseconds(100);
+    agent.step(TimePassed {});
+    REQUIRE(agent.find<CallPoll>());
+    CHECK_FALSE(agent.find<CallPoll>()->leaseUntilMs);
+    CHECK(agent.find<CallPoll>()->wait == Duration {});
+    SECTION("the same incarnation is renewed again at once")
+    {
+        agent.step(PollAnswered { agent.lastPoll, firstIncarnation.startedAtMs, 5100, {}, {} });
+        CHECK(agent.find<CallStart>());
+        REQUIRE(agent.find<CallPoll>());
+        CHECK(agent.find<CallPoll>()->leaseUntilMs);
+    }
+    SECTION("a new incarnation holds no lease and may be used")
+    {
+        agent.step(PollAnswered { agent.lastPoll, firstIncarnation.startedAtMs + 5, 100, {}, {} });
+        REQUIRE(agent.reported<WorkerSnapshot>());
+        CHECK_FALSE(agent.reported<WorkerSnapshot>()->worker->longLease);
+    }
+}
+
+// Guards against the same failure where the new incarnation has already received such a lease.
+TEST_CASE("agent: a worker that may hold a lease by the clock of its earlier incarnation runs nothing until the lease is short", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(PollAnswered { agent.lastPoll, firstIncarnation.startedAtMs, 5000, {}, {} });
+    REQUIRE(agent.find<CallPoll>()->leaseUntilMs);
+    const WorkerIdentity restarted { firstIncarnation.id, firstIncarnation.startedAtMs + 5 };
+    const TimePoint renewedAt = agent.now;
+    const auto answer = [&agent, &restarted](std::vector<RunStatus> running) {
+        agent.step(LeaderMessageReceived { leaderLink, Pong { agent.now.time_since_epoch().count() } });
+        agent.step(PollAnswered { agent.lastPoll, restarted.startedAtMs, 100, std::move(running), {} });
+    };
+    answer({});
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK(agent.reported<WorkerSnapshot>()->worker->longLease);
+    CHECK(agent.recorded(EventId::LongLeaseHeld));
+    // A start that the worker has carried out late is stopped.
+    answer({ { run, "", 0, 0 } });
+    answer({ { run, "", 0, 0 } });
+    REQUIRE(agent.find<CallStop>());
+    CHECK(agent.find<CallStop>()->run == run);
+    StartRun order { { run.task, 2 }, restarted, "text", "", {}, 2, agent.lastPing };
+    agent.step(LeaderMessageReceived { leaderLink, order });
+    CHECK(agent.reported<RunRejected>());
+    const WorkerMachineConfig config;
+    agent.now = renewedAt + config.maximumLease - config.lease - config.leaseMargin;
+    CHECK(agent.machine.nextWakeup() <= agent.now);
+    agent.step(TimePassed {});
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK_FALSE(agent.reported<WorkerSnapshot>()->worker->longLease);
+}
--- a/libs/wire/src/JobCodec.cpp
+++ b/libs/wire/src/JobCodec.cpp
@@ -76,12 +76,13 @@
         table->labels = worker.labels;
         table->draining = worker.draining;
         table->remaining_us = worker.remaining.count();
+        table->long_lease = worker.longLease;
         return table;
     }
 
     WorkerInfo unpack(const jobs::WorkerT& table)
     {
-        return { unpack(required(table.identity)), table.service, { table.milli_cores, table.memory_mb, table.accelerators }, table.labels, table.draining, Duration(table.remaining_us) };
+        return { unpack(required(table.identity)), table.service, { table.milli_cores, table.memory_mb, table.accelerators }, table.labels, table.draining, Duration(table.remaining_us), table.long_lease };
     }
 
     std::unique_ptr<jobs::StatusT> pack(const RunStatus& status)
