Placement: each long-running best-effort task runs, also beside others of its step

Cause: a worker takes a best-effort task only while it has unused cores for it. The exception for waiting tasks asked that no task of the job is assigned. That is enough for a finite job, which goes on; the other tasks of a long-running step never end.

Evidence: 'scheduler: after the loss of a worker, a long-running best-effort task shares one with a task of its step' failed on the untouched code (no order within 2 s).

Why this works: for a long-running step the wait is that of the task, counted from its last listing. As tasks of a step now differ in what they accept, a pass tries a waiting task also after a more recent one found no worker. Ruled out as the same fault elsewhere: exclusions by stalls (they only rank for long-running tasks) and the limit of unwritten assignments (it does not hold for long-running jobs).

--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -29,6 +29,15 @@
 /// @return the pace, from zero to one, that serving tasks on the worker would leave to one more such task
 [[nodiscard]] double expectedPace(const TrackedWorker& worker, const StepSpec& step, const InterferenceModel& interference);
 
+/// @brief Tells whether a best-effort task has waited so long that it goes to any worker with headroom.
+///
+/// A finite job only has to make progress, so its tasks wait while one of them is assigned. Each long-running task has to run.
+/// @param job the job
+/// @param step number of the step
+/// @param task state of a task without assignment
+/// @param now current time
+[[nodiscard]] bool waitedTooLong(const TrackedJob& job, std::uint32_t step, const TaskState& task, TimePoint now);
+
 /// @brief Chooses a worker for one task.
 ///
 /// Long-running tasks go beside serving images that best-effort images affect in the same way, so that each best-effort
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -288,6 +288,8 @@
     void committed(TimePoint now, Effects& effects);
     void placeTasks(TimePoint now, Effects& effects);
     void placeJob(const TrackedJob& job, TimePoint now, Effects& effects);
+    void placeStep(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects);
+    void assignTask(const TrackedJob& job, const TaskId& id, const TrackedWorker& chosen, TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<RowWrite> takeWrites(TimePoint now);
     [[nodiscard]] std::vector<RowWrite> takeProgress();
     [[nodiscard]] std::optional<PendingCounts> duePendingCounts(TimePoint now) const;
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -17,8 +17,8 @@
     /// Share of its cores that a long-running task leaves unused at its peak load.
     constexpr double longRunningUnusedShare = 0.4;
 
-    /// How long a job may have no assigned task before its tasks go to any worker with headroom: a third of the 3 s that the
-    /// platform permits.
+    /// How long a finite job may have no assigned task, or a long-running task no run, before a best-effort task goes to any
+    /// worker with headroom: a third of the 3 s that the platform permits.
     constexpr Duration maximumPlacementWait = std::chrono::milliseconds(1000);
 
     bool hasNoValueLeft(const TrackedJob& job, TimePoint now)
@@ -59,7 +59,7 @@
     }
 
     /// Whether a job with tasks to place has had none assigned for so long that any worker with headroom will do.
-    bool waitedTooLong(const TrackedJob& job, TimePoint now)
+    bool jobWaitedTooLong(const TrackedJob& job, TimePoint now)
     {
         return job.assigned == 0 && now > job.waitingSince + maximumPlacementWait;
     }
@@ -68,7 +68,7 @@
     /// worker last for long-running tasks and for jobs that have waited too long. Failed runs would renew the exclusion.
     bool keepsAway(UnfitReason exclusion, const TrackedJob& job, const StepSpec& step, TimePoint now)
     {
-        return exclusion == UnfitReason::Excluded || !(step.longRunning || waitedTooLong(job, now));
+        return exclusion == UnfitReason::Excluded || !(step.longRunning || jobWaitedTooLong(job, now));
     }
 
     /// Reason why a task cannot be placed on a worker: the worker's state, service, labels, free resources or tasks of the step.
@@ -115,7 +115,7 @@
         const bool elsewhere = worker.agent != task.avoidedAgent;
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
         const double pace = step.bestEffort ? expectedPace(worker, step, interference) : 1;
-        if (step.bestEffort && !waitedTooLong(job, now) && !canAddBestEffort(worker, step, pace))
+        if (step.bestEffort && !waitedTooLong(job, number, task, now) && !canAddBestEffort(worker, step, pace))
             return std::nullopt;
         if (step.longRunning)
             return Score { notExcluded, preferred, elsewhere, nearData, -weightedDistance(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
@@ -148,6 +148,11 @@
     return pace;
 }
 
+bool waitedTooLong(const TrackedJob& job, std::uint32_t step, const TaskState& task, TimePoint now)
+{
+    return job.spec->steps[step].longRunning ? now > task.listedAt + maximumPlacementWait : jobWaitedTooLong(job, now);
+}
+
 std::vector<const TrackedJob*> placementOrder(const std::set<JobId>& jobs, const JobRegistry& jobRegistry, TimePoint now)
 {
     std::vector<const TrackedJob*> order;
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -36,28 +36,44 @@
 void Scheduler::placeJob(const TrackedJob& job, TimePoint now, Effects& effects)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        if (!job.stepReady(step) || job.remaining[step] == 0)
+        if (job.stepReady(step) && job.remaining[step] > 0)
+            this->placeStep(job, step, now, effects);
+    }
+}
+
+void Scheduler::placeStep(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects)
+{
+    bool recentTasksWait = false;
+    for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
+        const TaskState& task = job.steps[step][index];
+        if (!task.unplaced())
+            continue;
+        if (now < task.notBefore) {
+            this->passAt = this->passAt ? std::min(*this->passAt, task.notBefore) : task.notBefore;
             continue;
-        for (std::uint32_t index = 0; index < job.steps[step].size(); ++index) {
-            const TaskState& task = job.steps[step][index];
-            if (!task.unplaced())
-                continue;
-            if (now < task.notBefore) {
-                this->passAt = this->passAt ? std::min(*this->passAt, task.notBefore) : task.notBefore;
-                continue;
-            }
-            const TrackedWorker* const chosen = chooseWorker(job, step, task, this->knownWorkers, this->interference, now);
-            if (!chosen)
-                break;
-            TrackedWorker& worker = this->knownWorkers[chosen->agent];
-            const TaskId id { job.spec->id, step, index };
-            const RunId run = this->jobRegistry.assign(id, { worker.agent, worker.info->identity }, now);
-            worker.allocate(id, job.spec->steps[step], worker.info->identity);
-            effects.emplace_back(RecordEvent { EventId::RunAssigned, describe(run) + " to " + worker.agent + "; " + describeUrgency(job, now) + "; free there " + std::to_string(worker.free().milliCores) + " milli-cores, " + std::to_string(worker.free().memoryMb) + " MB" });
         }
+        // Tasks that have waited too long accept more workers than the others.
+        const bool waited = waitedTooLong(job, step, task, now);
+        if (recentTasksWait && !waited)
+            continue;
+        const TrackedWorker* const chosen = chooseWorker(job, step, task, this->knownWorkers, this->interference, now);
+        if (chosen)
+            this->assignTask(job, { job.spec->id, step, index }, *chosen, now, effects);
+        else if (waited)
+            return;
+        else
+            recentTasksWait = true;
     }
 }
 
+void Scheduler::assignTask(const TrackedJob& job, const TaskId& id, const TrackedWorker& chosen, TimePoint now, Effects& effects)
+{
+    TrackedWorker& worker = this->knownWorkers[chosen.agent];
+    const RunId run = this->jobRegistry.assign(id, { worker.agent, worker.info->identity }, now);
+    worker.allocate(id, job.spec->steps[id.step], worker.info->identity);
+    effects.emplace_back(RecordEvent { EventId::RunAssigned, describe(run) + " to " + worker.agent + "; " + describeUrgency(job, now) + "; free there " + std::to_string(worker.free().milliCores) + " milli-cores, " + std::to_string(worker.free().memoryMb) + " MB" });
+}
+
 std::vector<RowWrite> Scheduler::takeWrites(TimePoint now)
 {
     ++this->writes;
--- a/libs/scheduling/tests/PlacementTests.cpp
+++ b/libs/scheduling/tests/PlacementTests.cpp
@@ -302,3 +302,27 @@
     workers.at("a").pacedDownMilliCores = 2000;
     CHECK(chosen(job, workers, interference) == "a");
 }
+
+TEST_CASE("placement: a long-running best-effort task that waits for a second takes any worker, whether others of its job run or not", "[jobs]")
+{
+    Workers workers { { "a", workerOf("a", 16000) } };
+    StepSpec indexers = stepOf(2, 12000);
+    indexers.longRunning = true;
+    indexers.bestEffort = true;
+    TrackedJob job = trackedJobOf(jobOf("index", { indexers }));
+    job.assigned = 1;
+    workers.at("a").allocate({ { "index" }, 0, 0 }, indexers, firstIncarnation);
+    const TimePoint soon = start + milliseconds(900);
+    const TimePoint later = start + milliseconds(1100);
+    const TaskState& waiting = job.steps[0][1];
+    const auto takes = [&job, &waiting, &workers](TimePoint now) {
+        workers.at("a").lastGrantAt = now;
+        return chooseWorker(job, 0, waiting, workers, InterferenceModel(), now) != nullptr;
+    };
+    CHECK_FALSE(takes(soon));
+    CHECK(takes(later));
+    // The tasks of a finite job wait while one of them runs.
+    indexers.longRunning = false;
+    job.spec = jobOf("index", { indexers });
+    CHECK_FALSE(takes(later));
+}
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -971,3 +971,24 @@
     CHECK(test.machine.jobs().find({ "a" })->assigned == 0);
     CHECK(test.machine.jobs().pendingCounts() == PendingCounts { { "queue", 1 } });
 }
+
+// Guards against a long-running best-effort task that is never started again while other tasks of its step run.
+TEST_CASE("scheduler: after the loss of a worker, a long-running best-effort task shares one with a task of its step", "[jobs]")
+{
+    StepSpec indexers = stepOf(2, 6000);
+    indexers.longRunning = true;
+    indexers.bestEffort = true;
+    SchedulerUnderTest test;
+    test.becomeLeader({});
+    test.addWorker("other", LinkId { 2 }, 8000);
+    test.step(JobStored { jobOf("index", { indexers }) });
+    REQUIRE(test.awaitStart(milliseconds(100)));
+    REQUIRE(test.machine.workers().at("agent").tasks.size() == 1);
+    REQUIRE(test.machine.workers().at("other").tasks.size() == 1);
+    const RunId lost { test.machine.workers().at("other").tasks.begin()->first, 1 };
+    test.step(AgentReportReceived { "other", LinkId { 2 }, WorkerSnapshot { "other", 1, std::nullopt, true, {}, {}, {}, 10 } });
+    const std::optional<StartRun> again = test.awaitStart(std::chrono::seconds(2));
+    REQUIRE(again);
+    CHECK(again->run.task == lost.task);
+    CHECK(test.machine.workers().at("agent").tasks.size() == 2);
+}
