--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -64,6 +64,7 @@
     JobStateUnavailable = 615,
     JobsLearnedLate = 616,
     IntakeLimited = 617,
+    WriteRefused = 618,
     RunAssigned = 620,
     RunStarted = 621,
     RunEndTaken = 622,
--- a/libs/runtime/src/JobIntake.cpp
+++ b/libs/runtime/src/JobIntake.cpp
@@ -33,6 +33,11 @@
     const std::string id = spec.id.text;
     const std::string queue = spec.queue;
     const RowWrite row { jobRowKey(spec.id), print(spec) };
+    if (row.value.size() > maximumRowBytes) {
+        const FailureReason tooLarge { ErrorKind::BadRequest, "the job takes " + std::to_string(row.value.size()) + " bytes of at most " + std::to_string(maximumRowBytes) };
+        this->record(EventId::JobRefused, id + " of queue " + queue + ": " + reasonOf(tooLarge));
+        co_return tooLarge;
+    }
     IntakeResult result = co_await this->insertUnlessBehind(row, spec.id, deadline);
     const FailureReason* const failure = std::get_if<FailureReason>(&result);
     if (failure) {
--- a/libs/runtime/tests/JobIntakeTests.cpp
+++ b/libs/runtime/tests/JobIntakeTests.cpp
@@ -87,6 +87,16 @@
     CHECK(test.transactions == 1);
 }
 
+TEST_CASE("intake: a job whose row the store would refuse is refused at once", "[jobs]")
+{
+    IntakeUnderTest test;
+    JobSpec spec;
+    spec.id = IntakeUnderTest::job;
+    spec.payload = std::string(maximumRowBytes, 'x');
+    CHECK(kindOf(test.run(test.intake.submit(spec, bootTimeNow() + std::chrono::seconds(3)))) == ErrorKind::BadRequest);
+    CHECK(test.transactions == 0);
+}
+
 TEST_CASE("intake: a busy store is asked again within half of the caller's time", "[jobs]")
 {
     IntakeUnderTest test;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Job.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Job.h
@@ -129,6 +129,9 @@
     /// @return estimated time of the longest chain of dependent steps
     [[nodiscard]] Duration longestChain() const;
 
+    /// @return the number of tasks of all steps
+    [[nodiscard]] std::size_t taskCount() const noexcept;
+
     /// @return whether any step is long-running
     [[nodiscard]] bool isLongRunning() const noexcept;
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/JobRegistry.h
@@ -66,11 +66,16 @@
     std::uint32_t assigned = 0;
     /// Whether a worker has begun a run of it, as a listing or an end of a run shows; an order may come to nothing.
     bool begun = false;
+    /// Whether the stored progress states this.
+    bool begunStored = false;
 
     /// @param step number of a step
     /// @return whether all steps that it depends on are done
     [[nodiscard]] bool stepReady(std::size_t step) const;
 
+    /// @return whether all tasks of all steps are done
+    [[nodiscard]] bool allDone() const;
+
     /// @return expected time of the longest chain of steps that are not done
     [[nodiscard]] Duration remainingChain() const;
 
@@ -169,6 +174,10 @@
     /// @return its tasks that have an assignment
     [[nodiscard]] std::vector<TaskId> placedTasks(const JobId& job) const;
 
+    /// @param segment a segment of a known job
+    /// @return its tasks that have an assignment
+    [[nodiscard]] std::vector<TaskId> placedTasksIn(const ProgressSegment& segment) const;
+
     /// @param run the run
     /// @return the state of its task if this run is the assigned one, else nullptr
     [[nodiscard]] TaskState* openRun(const RunId& run);
@@ -179,32 +188,40 @@
     /// @return jobs with a task to place in a step that is ready
     [[nodiscard]] const std::set<JobId>& waiting() const noexcept { return this->waitingJobs; }
 
-    /// @param job a known job
-    /// @return its progress as the store should hold it
-    [[nodiscard]] ProgressRecord record(const JobId& job) const;
+    /// @param segment a segment of a known job
+    /// @return the progress of its tasks as the store should hold it
+    [[nodiscard]] ProgressRecord record(const ProgressSegment& segment) const;
 
     /// @return the number of jobs that have not ended and of which no worker has begun a run, by queue
     [[nodiscard]] PendingCounts pendingCounts() const;
 
-    /// @brief Takes jobs whose stored progress is out of date, in the order of their first change since it was stored.
-    /// @return the jobs, which count as stored from now on
-    /// @param most maximum number of jobs
-    [[nodiscard]] std::vector<JobId> takeChanged(std::size_t most);
+    /// @brief Takes segments whose stored progress is out of date, in the order of their first change since it was stored.
+    /// @return the segments, which count as stored from now on
+    /// @param most maximum number of segments
+    [[nodiscard]] std::vector<ProgressSegment> takeChanged(std::size_t most);
+
+    /// @brief Notes that the progress of a segment was taken but could not be stored.
+    /// @param segment a segment of a known job
+    void noteNotStored(const ProgressSegment& segment);
 
     /// @brief Removes jobs that ended long ago and whose progress is stored.
     /// @param before time before which a job must have ended
     /// @param most maximum number of jobs
     /// @return the removed jobs
-    [[nodiscard]] std::vector<JobId> takeExpired(TimePoint before, std::size_t most);
+    [[nodiscard]] std::vector<JobSpecHandle> takeExpired(TimePoint before, std::size_t most);
 
-    /// @return whether the stored progress of any job is out of date
-    [[nodiscard]] bool changed() const noexcept { return !this->changedJobs.empty(); }
+    /// @return whether any stored progress is out of date
+    [[nodiscard]] bool changed() const noexcept { return !this->changedSegments.empty(); }
 
-    /// @return the number of jobs whose stored progress is out of date
-    [[nodiscard]] std::size_t changedCount() const noexcept { return this->changedJobs.size(); }
+    /// @return the number of segments whose stored progress is out of date
+    [[nodiscard]] std::size_t changedCount() const noexcept { return this->changedSegments.size(); }
 
-    /// @return finite jobs that have been assigned a task since their progress was taken last
-    [[nodiscard]] const std::set<JobId>& unwrittenAssignments() const noexcept { return this->newlyAssignedJobs; }
+    /// @return the number of segments in which a task of a finite job has been assigned since their progress was taken last
+    [[nodiscard]] std::size_t unwrittenAssignments() const noexcept { return this->newlyAssigned.size(); }
+
+    /// @param job the job
+    /// @return whether it has such a segment
+    [[nodiscard]] bool hasUnwrittenAssignment(const JobId& job) const;
 
 private:
     TrackedJob& trackedJob(const JobId& job);
@@ -214,16 +231,20 @@
     static void delayLongRunningRestart(TaskState& task, TimePoint now);
     void unassign(TrackedJob& job, TaskState& task);
     void refresh(TrackedJob& job, TimePoint now);
-    void noteChange(const JobId& job);
+    void finishIfDecided(TrackedJob& job, TimePoint now);
+    void noteStateChange(const JobId& job);
+    void noteTaskChange(const TrackedJob& job, const TaskId& task);
+    void noteChange(const ProgressSegment& segment);
+    [[nodiscard]] std::vector<TaskId> tasksOf(const ProgressSegment& segment) const;
 
     std::map<JobId, TrackedJob> trackedJobs;
     std::set<JobId> waitingJobs;
     std::set<JobId> pendingJobs;
-    /// Jobs whose stored progress is out of date, also in the order of their changes, so that none waits while others change
+    /// Segments whose stored progress is out of date, also in the order of their changes, so that none waits while others change
     /// again and again.
-    std::set<JobId> changedJobs;
-    std::deque<JobId> changeOrder;
-    std::set<JobId> newlyAssignedJobs;
+    std::set<ProgressSegment> changedSegments;
+    std::deque<ProgressSegment> changeOrder;
+    std::set<ProgressSegment> newlyAssigned;
 };
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
@@ -45,6 +45,8 @@
     TookOver,
     /// The same transaction must be sent again.
     Repeat,
+    /// The store refuses the rows that were written or removed with the leader's row; nothing was changed.
+    Refused,
     /// This process does not lead: another one leads, or leadership has been released.
     LostLeadership,
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/Limits.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Limits.h
@@ -9,10 +9,10 @@
 
 namespace cowslipdoor {
 
-/// @brief Maximum number of steps of a job; the progress of a job must fit into one row of the store.
+/// @brief Maximum number of steps of a job.
 constexpr std::size_t maximumSteps = 64;
 
-/// @brief Maximum number of tasks of a step; the progress of a job must fit into one row of the store.
+/// @brief Maximum number of tasks of a step.
 constexpr std::uint32_t maximumTasks = 1000;
 
 /// @brief Maximum milli-cores, megabytes or accelerators of a worker or task; sums over 200 tasks fit into 32 bits.
@@ -35,6 +35,9 @@
 /// @brief Maximum number of a run.
 constexpr std::uint32_t maximumRunNumber = 1U << 31U;
 
+/// @brief Maximum size of a checkpoint that is kept; a row holds the checkpoints of 64 tasks.
+constexpr std::size_t maximumCheckpointBytes = 512;
+
 /// @brief Maximum length of a worker name in bytes, equal to the maximum length of a store key.
 constexpr std::size_t maximumNameBytes = 200;
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
@@ -76,17 +76,37 @@
     bool operator==(const TaskRecord&) const = default;
 };
 
-/// @brief Stored progress of one job.
+/// @brief Number of tasks whose progress one row holds, with 1 KiB for each.
+constexpr std::size_t tasksPerSegment = 64;
+
+/// @brief Identifies the part of a job's progress that one row holds.
+///
+/// The tasks of all steps, ordered by step and index, are divided into segments of equal size. The first segment also holds
+/// the state of the job.
+struct ProgressSegment {
+    JobId job;
+    std::uint32_t number = 0;
+
+    std::strong_ordering operator<=>(const ProgressSegment&) const = default;
+};
+
+/// @brief Stored progress of one job, or of the tasks of one of its segments.
 struct ProgressRecord {
     JobState state = JobState::Queued;
     /// Tasks of all steps, ordered by step and index; empty once the job has ended and none of its runs is left.
     std::vector<TaskRecord> tasks;
     /// Whether a worker is known to have begun a run of the job; rows of earlier versions do not state it.
     bool begun = false;
+    /// Whether the first row holds tasks of other segments, as rows of earlier versions do.
+    bool undivided = false;
 
     bool operator==(const ProgressRecord&) const = default;
 };
 
+/// @param spec a job
+/// @return the number of segments of its progress
+[[nodiscard]] std::size_t segmentCount(const JobSpec& spec);
+
 /// @brief Number of jobs that have not ended and of which no worker has begun a run, by queue.
 using PendingCounts = std::map<std::string, std::uint32_t>;
 
@@ -102,9 +122,17 @@
 [[nodiscard]] RowKey cancelRowKey(const JobId& job);
 
 /// @param job the job
-/// @return the key of its progress, in the same part as the leader's row
+/// @return the key of the first segment of its progress, in the same part as the leader's row
 [[nodiscard]] RowKey progressRowKey(const JobId& job);
 
+/// @param segment a segment of the progress of a job
+/// @return the key of its row, in the same part as the leader's row
+[[nodiscard]] RowKey segmentRowKey(const ProgressSegment& segment);
+
+/// @param key key of a row of the table of progress
+/// @return the segment that the row holds, or std::nullopt if the key names none
+[[nodiscard]] std::optional<ProgressSegment> progressSegmentOf(const RowKey& key);
+
 /// @param agent name of the agent
 /// @return the key of its row
 [[nodiscard]] RowKey agentRowKey(const std::string& agent);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -12,6 +12,7 @@
 #include <cowslipdoor/core/BurnTracker.h>
 #include <cowslipdoor/core/EventCatalogue.h>
 #include <cowslipdoor/core/Ids.h>
+#include <deque>
 #include <optional>
 #include <string>
 #include <variant>
@@ -48,6 +49,8 @@
     Duration loggedKnowledgeAge = std::chrono::seconds(1);
     /// Delay before a refused run is placed again.
     Duration rejectionDelay = std::chrono::milliseconds(100);
+    /// Delay before a run is placed again whose assignment the store refuses for its content.
+    Duration unstorableDelay = std::chrono::seconds(1);
     /// How long an ended job can be queried: the 120 s that the platform requires, and time for late duplicates of its request.
     Duration retention = std::chrono::seconds(180);
     /// How long no worker may list a long-running task before this is logged: a third of the 6 s that the platform permits.
@@ -56,11 +59,13 @@
     Duration idleCheckInterval = std::chrono::seconds(1);
     /// Interval at which expired jobs are removed.
     Duration sweepInterval = std::chrono::seconds(5);
-    /// Maximum number of jobs removed at once: three rows each, in a transaction over several parts.
+    /// Maximum number of jobs that expire at once.
     std::size_t removedAtOnce = 20;
-    /// Maximum number of job rows in one write; the rest of the store's limit is left to rows of the leader.
+    /// Maximum number of rows removed in one write, in a transaction over several parts.
+    std::size_t removalsPerWrite = 60;
+    /// Maximum number of progress rows in one write; the rest of the store's limit is left to rows of the leader.
     std::size_t rowsPerWrite = maximumTransactionEntries - 4;
-    /// Size of job rows from which a write takes no further one; base64 adds a third, and names, the last row and rows of the
+    /// Size of progress rows from which a write takes no further one; base64 adds a third, and names, the last row and rows of the
     /// leader come on top.
     std::size_t bytesPerWrite = maximumTransactionBytes / 2;
 
@@ -290,11 +295,16 @@
     void placeJob(const TrackedJob& job, TimePoint now, Effects& effects);
     void placeStep(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects);
     void assignTask(const TrackedJob& job, const TaskId& id, const TrackedWorker& chosen, TimePoint now, Effects& effects);
+    void writeRefused(const std::string& reason, TimePoint now, Effects& effects);
+    void releaseUnstorable(const ProgressSegment& segment, TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<RowWrite> takeWrites(TimePoint now);
-    [[nodiscard]] std::vector<RowWrite> takeProgress();
+    [[nodiscard]] std::vector<RowWrite> takeProgress(std::size_t most);
+    void addPendingRow(std::vector<RowWrite>& rows, TimePoint now);
     [[nodiscard]] std::optional<PendingCounts> duePendingCounts(TimePoint now) const;
     void collectAcknowledgements();
     void releaseAcknowledgements();
+    void withdrawAcknowledgements();
+    void queueRemovals(const JobSpec& spec);
     void addModelRow(std::vector<RowWrite>& rows, TimePoint now);
     [[nodiscard]] std::vector<RowKey> takeRemovals(TimePoint now);
     void orderStored(const JobId& job, TimePoint now, Effects& effects);
@@ -350,7 +360,13 @@
     std::uint64_t writes = 0;
     /// Number of start orders that this leader has sent.
     std::uint64_t orders = 0;
-    std::vector<JobId> jobsInWrite;
+    std::vector<ProgressSegment> segmentsInWrite;
+    /// Number of rows in the current write beside the leader's.
+    std::size_t rowsInWrite = 0;
+    /// Number of writes that hold a single row each, after the store has refused a write of several.
+    std::size_t singleRowWrites = 0;
+    /// Rows of expired jobs; those of one group are removed together.
+    std::deque<std::vector<RowKey>> removalQueue;
     /// Number of the last write that has been stored.
     std::uint64_t storedWrites = 0;
     /// Jobs whose stored assignments wait for current knowledge before their orders are sent.
@@ -367,7 +383,7 @@
     bool placementHeldBack = false;
     /// Acknowledgements by agent for ends that were processed since the last ones were collected.
     std::map<std::string, AcknowledgeEnds> acknowledgeNext;
-    /// Collected acknowledgements, and the number of changed jobs that must be written before they may be sent.
+    /// Collected acknowledgements, and the number of changed segments that must be written before they may be sent.
     std::map<std::string, AcknowledgeEnds> acknowledgeCollected;
     std::size_t changesBeforeAcknowledge = 0;
     std::map<std::string, AcknowledgeEnds> acknowledgeAfterWrite;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Store.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Store.h
@@ -79,6 +79,8 @@
     std::string reason;
     /// Whether the store was busy rather than unavailable.
     bool busy = false;
+    /// Whether the store refuses this transaction for what it contains, so that each repetition would be refused.
+    bool invalid = false;
 
     bool operator==(const StoreRefused&) const = default;
 };
@@ -93,6 +95,9 @@
 /// @brief Result of a transaction.
 using TransactionResult = std::variant<Applied, Conflict, StoreRefused, OutcomeAmbiguous>;
 
+/// @brief Maximum size of a value of the store.
+constexpr std::size_t maximumRowBytes = 65'536;
+
 /// @brief Maximum number of writes, conditions and removals together in one transaction of the store.
 constexpr std::size_t maximumTransactionEntries = 100;
 
--- a/libs/scheduling/src/Job.cpp
+++ b/libs/scheduling/src/Job.cpp
@@ -1,6 +1,7 @@
 #include "cowslipdoor/scheduling/Job.h"
 #include "cowslipdoor/scheduling/Worker.h"
 #include <algorithm>
+#include <numeric>
 
 namespace cowslipdoor {
 
@@ -18,6 +19,11 @@
     return longest;
 }
 
+std::size_t JobSpec::taskCount() const noexcept
+{
+    return std::accumulate(this->steps.begin(), this->steps.end(), std::size_t { 0 }, [](std::size_t sum, const StepSpec& step) { return sum + step.count; });
+}
+
 bool JobSpec::isLongRunning() const noexcept
 {
     return std::any_of(this->steps.begin(), this->steps.end(), [](const StepSpec& step) { return step.longRunning; });
--- a/libs/scheduling/src/JobRegistry.cpp
+++ b/libs/scheduling/src/JobRegistry.cpp
@@ -16,6 +16,14 @@
     /// that fails everything it starts is detected within this time.
     constexpr Duration quickFailure = std::chrono::seconds(2);
 
+    ProgressSegment segmentOf(const JobSpec& spec, const TaskId& task)
+    {
+        std::size_t number = task.index;
+        for (std::uint32_t step = 0; step < task.step; ++step)
+            number += spec.steps[step].count;
+        return { spec.id, static_cast<std::uint32_t>(number / tasksPerSegment) };
+    }
+
     TrackedJob makeTrackedJob(const JobSpecHandle& spec, TimePoint now, Duration age)
     {
         TrackedJob trackedJob;
@@ -43,6 +51,11 @@
     return std::all_of(after.begin(), after.end(), [this](std::uint32_t earlier) { return this->remaining[earlier] == 0; });
 }
 
+bool TrackedJob::allDone() const
+{
+    return std::all_of(this->remaining.begin(), this->remaining.end(), [](std::uint32_t left) { return left == 0; });
+}
+
 Duration TrackedJob::remainingChain() const
 {
     std::vector<Duration> until;
@@ -73,6 +86,7 @@
     TrackedJob& job = this->trackedJob(spec->id);
     job.state = record.state;
     job.begun = record.begun;
+    job.begunStored = record.begun;
     job.endedAt = now;
     std::size_t next = 0;
     for (std::size_t step = 0; step < job.steps.size(); ++step) {
@@ -89,9 +103,29 @@
             job.begun = job.begun || task.record.done || !task.record.failedRuns.empty();
         }
     }
+    // The first row loses the tasks of the other segments once it is written again, so the others are written before it.
+    if (record.undivided) {
+        for (std::size_t number = segmentCount(*spec); number-- > 0;)
+            this->noteChange({ spec->id, static_cast<std::uint32_t>(number) });
+    }
+    this->finishIfDecided(job, now);
     this->refresh(job, now);
 }
 
+void JobRegistry::finishIfDecided(TrackedJob& job, TimePoint now)
+{
+    if (isTerminal(job.state))
+        return;
+    // The row of the last end may have been stored before the row that holds the state.
+    const std::size_t attempts = std::max(1U, job.spec->attempts);
+    const auto failedTooOften = [attempts](const TaskState& task) { return task.record.failedRuns.size() >= attempts; };
+    const auto hasFailed = [&failedTooOften](const std::vector<TaskState>& step) { return std::any_of(step.begin(), step.end(), failedTooOften); };
+    if (std::any_of(job.steps.begin(), job.steps.end(), hasFailed))
+        this->finishJob(job, JobState::Failed, now);
+    else if (job.allDone())
+        this->finishJob(job, JobState::Done, now);
+}
+
 bool JobRegistry::cancel(const JobId& job, TimePoint now)
 {
     const std::map<JobId, TrackedJob>::iterator it = this->trackedJobs.find(job);
@@ -117,11 +151,11 @@
     state.stalledSince.reset();
     ++job.assigned;
     job.waitingSince = now;
-    if (job.state == JobState::Queued)
-        job.state = JobState::Running;
     if (!job.spec->isLongRunning())
-        this->newlyAssignedJobs.insert(task.job);
-    this->noteChange(task.job);
+        this->newlyAssigned.insert(segmentOf(*job.spec, task));
+    if (std::exchange(job.state, JobState::Running) != JobState::Running)
+        this->noteStateChange(task.job);
+    this->noteTaskChange(job, task);
     this->refresh(job, now);
     return { task, state.record.run };
 }
@@ -135,7 +169,7 @@
         return;
     // No agent reports an abandoned run to the next leader once it has ended.
     if (!this->openRun(run))
-        this->noteChange(run.task.job);
+        this->noteStateChange(run.task.job);
     this->refresh(job, now);
 }
 
@@ -163,7 +197,7 @@
         if (kind == RunEndKind::Failed && step.longRunning)
             this->delayLongRunningRestart(*state, now);
     }
-    this->noteChange(run.task.job);
+    this->noteTaskChange(job, run.task);
     if (!checkpoint.empty())
         state->record.checkpoint = checkpoint;
     const RunVerdict verdict = finished || state->record.done ? this->finishTask(job, *state, run.task.step, now) : this->requeueTask(job, *state, freshFailure, now);
@@ -178,8 +212,7 @@
     task.record.done = true;
     task.record.checkpoint.clear();
     --job.remaining[step];
-    const bool allDone = std::all_of(job.remaining.begin(), job.remaining.end(), [](std::uint32_t left) { return left == 0; });
-    if (!allDone || isTerminal(job.state))
+    if (!job.allDone() || isTerminal(job.state))
         return RunVerdict::TaskDone;
     this->finishJob(job, JobState::Done, now);
     return RunVerdict::JobEnded;
@@ -210,7 +243,7 @@
     TrackedJob& job = this->trackedJob(run.task.job);
     this->unassign(job, *state);
     state->notBefore = notBefore;
-    this->noteChange(run.task.job);
+    this->noteTaskChange(job, run.task);
     this->refresh(job, now);
     return true;
 }
@@ -218,7 +251,7 @@
 void JobRegistry::moveToIncarnation(const RunId& run, const WorkerIdentity& incarnation)
 {
     this->openRun(run)->record.assignment->worker = incarnation;
-    this->noteChange(run.task.job);
+    this->noteTaskChange(this->trackedJob(run.task.job), run.task);
 }
 
 const TrackedJob* JobRegistry::find(const JobId& job) const
@@ -254,16 +287,37 @@
     return state && state->record.assignment && state->record.run == run.number ? state : nullptr;
 }
 
-ProgressRecord JobRegistry::record(const JobId& job) const
+std::vector<TaskId> JobRegistry::tasksOf(const ProgressSegment& segment) const
 {
-    const TrackedJob& trackedJob = this->trackedJobs.at(job);
+    const TrackedJob& trackedJob = this->trackedJobs.at(segment.job);
+    const std::size_t first = segment.number * tasksPerSegment;
+    std::vector<TaskId> tasks;
+    std::size_t number = 0;
+    for (std::uint32_t step = 0; step < trackedJob.steps.size(); ++step) {
+        const std::size_t count = trackedJob.steps[step].size();
+        for (std::size_t index = first > number ? first - number : 0; index < count && number + index < first + tasksPerSegment; ++index)
+            tasks.push_back({ segment.job, step, static_cast<std::uint32_t>(index) });
+        number += count;
+    }
+    return tasks;
+}
+
+std::vector<TaskId> JobRegistry::placedTasksIn(const ProgressSegment& segment) const
+{
+    std::vector<TaskId> placed = this->tasksOf(segment);
+    const TrackedJob& trackedJob = this->trackedJobs.at(segment.job);
+    std::erase_if(placed, [&trackedJob](const TaskId& id) { return !trackedJob.steps[id.step][id.index].record.assignment; });
+    return placed;
+}
+
+ProgressRecord JobRegistry::record(const ProgressSegment& segment) const
+{
+    const TrackedJob& trackedJob = this->trackedJobs.at(segment.job);
     ProgressRecord record { trackedJob.state, {}, trackedJob.begun };
     if (isTerminal(trackedJob.state) && trackedJob.assigned == 0)
         return record;
-    for (const std::vector<TaskState>& step : trackedJob.steps) {
-        for (const TaskState& task : step)
-            record.tasks.push_back(task.record);
-    }
+    for (const TaskId& id : this->tasksOf(segment))
+        record.tasks.push_back(trackedJob.steps[id.step][id.index].record);
     return record;
 }
 
@@ -275,31 +329,52 @@
     return counts;
 }
 
-std::vector<JobId> JobRegistry::takeChanged(std::size_t most)
+std::vector<ProgressSegment> JobRegistry::takeChanged(std::size_t most)
 {
-    std::vector<JobId> taken;
+    std::vector<ProgressSegment> taken;
     while (taken.size() < most && !this->changeOrder.empty()) {
         taken.push_back(std::move(this->changeOrder.front()));
         this->changeOrder.pop_front();
-        this->changedJobs.erase(taken.back());
-        this->newlyAssignedJobs.erase(taken.back());
+        this->changedSegments.erase(taken.back());
+        this->newlyAssigned.erase(taken.back());
+        if (taken.back().number == 0)
+            this->trackedJob(taken.back().job).begunStored = this->trackedJob(taken.back().job).begun;
     }
     return taken;
 }
 
-std::vector<JobId> JobRegistry::takeExpired(TimePoint before, std::size_t most)
+void JobRegistry::noteNotStored(const ProgressSegment& segment)
 {
-    std::vector<JobId> expired;
+    TrackedJob& job = this->trackedJob(segment.job);
+    job.begunStored = job.begunStored && segment.number > 0;
+    for (const TaskId& id : this->placedTasksIn(segment)) {
+        TaskState& task = job.steps[id.step][id.index];
+        task.storedBy = task.ordered ? task.storedBy : 0;
+    }
+    this->noteChange(segment);
+}
+
+std::vector<JobSpecHandle> JobRegistry::takeExpired(TimePoint before, std::size_t most)
+{
+    std::vector<JobSpecHandle> expired;
     for (const std::map<JobId, TrackedJob>::value_type& item : this->trackedJobs) {
-        const bool over = isTerminal(item.second.state) && item.second.assigned == 0 && item.second.endedAt < before && !this->changedJobs.contains(item.first);
+        const std::set<ProgressSegment>::const_iterator changed = this->changedSegments.lower_bound({ item.first, 0 });
+        const bool stored = changed == this->changedSegments.end() || changed->job != item.first;
+        const bool over = isTerminal(item.second.state) && item.second.assigned == 0 && item.second.endedAt < before && stored;
         if (over && expired.size() < most)
-            expired.push_back(item.first);
+            expired.push_back(item.second.spec);
     }
-    for (const JobId& job : expired)
-        this->trackedJobs.erase(job);
+    for (const JobSpecHandle& spec : expired)
+        this->trackedJobs.erase(spec->id);
     return expired;
 }
 
+bool JobRegistry::hasUnwrittenAssignment(const JobId& job) const
+{
+    const std::set<ProgressSegment>::const_iterator first = this->newlyAssigned.lower_bound({ job, 0 });
+    return first != this->newlyAssigned.end() && first->job == job;
+}
+
 TrackedJob& JobRegistry::trackedJob(const JobId& job)
 {
     return this->trackedJobs.at(job);
@@ -309,7 +384,7 @@
 {
     job.state = state;
     job.endedAt = now;
-    this->noteChange(job.spec->id);
+    this->noteStateChange(job.spec->id);
     this->refresh(job, now);
 }
 
@@ -319,10 +394,22 @@
     --job.assigned;
 }
 
-void JobRegistry::noteChange(const JobId& job)
+void JobRegistry::noteStateChange(const JobId& job)
+{
+    this->noteChange({ job, 0 });
+}
+
+void JobRegistry::noteTaskChange(const TrackedJob& job, const TaskId& task)
+{
+    this->noteChange(segmentOf(*job.spec, task));
+    if (job.begun != job.begunStored)
+        this->noteStateChange(task.job);
+}
+
+void JobRegistry::noteChange(const ProgressSegment& segment)
 {
-    if (this->changedJobs.insert(job).second)
-        this->changeOrder.push_back(job);
+    if (this->changedSegments.insert(segment).second)
+        this->changeOrder.push_back(segment);
 }
 
 void JobRegistry::refresh(TrackedJob& job, TimePoint now)
--- a/libs/scheduling/src/LeaderLease.cpp
+++ b/libs/scheduling/src/LeaderLease.cpp
@@ -99,6 +99,12 @@
     const Conflict* const conflict = std::get_if<Conflict>(&result);
     if (conflict)
         return this->conflicted(*conflict, now);
+    const StoreRefused* const refused = std::get_if<StoreRefused>(&result);
+    const bool hasOtherRows = this->inFlight->transaction.writes.size() > 1 || !this->inFlight->transaction.removals.empty();
+    if (refused && refused->invalid && hasOtherRows) {
+        this->inFlight.reset();
+        return CommitVerdict::Refused;
+    }
     this->inFlight->repeatAt = now + this->config.retryDelay;
     return CommitVerdict::Repeat;
 }
--- a/libs/scheduling/src/Rows.cpp
+++ b/libs/scheduling/src/Rows.cpp
@@ -2,6 +2,7 @@
 #include "cowslipdoor/scheduling/CheckedJson.h"
 #include "cowslipdoor/scheduling/Limits.h"
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/core/Rendezvous.h>
@@ -19,6 +20,9 @@
 
     constexpr const char* cancelSuffix = ".cancel";
 
+    /// Separates a job's identifier from the number of a segment.
+    constexpr char segmentSeparator = '.';
+
     std::string jobPart(const JobId& job)
     {
         return "p" + std::to_string(rendezvousWeight(job.text, "part") % jobParts);
@@ -39,6 +43,9 @@
         return json.dump(-1, ' ', false, Json::error_handler_t::replace);
     }
 
+    /// Number of segments of the largest job.
+    constexpr std::size_t maximumSegments = (maximumSteps * maximumTasks + tasksPerSegment - 1) / tasksPerSegment;
+
     /// Maximum duration in a row, in microseconds.
     constexpr Duration::rep maximumRowDuration = Duration(maximumDuration).count();
 
@@ -140,6 +147,11 @@
 
 }
 
+std::size_t segmentCount(const JobSpec& spec)
+{
+    return (spec.taskCount() + tasksPerSegment - 1) / tasksPerSegment;
+}
+
 RowKey leaderRowKey()
 {
     return { leaderTable, "", "leader" };
@@ -160,6 +172,27 @@
     return { progressTable, "", job.text };
 }
 
+RowKey segmentRowKey(const ProgressSegment& segment)
+{
+    RowKey key = progressRowKey(segment.job);
+    if (segment.number > 0)
+        key.key += segmentSeparator + std::to_string(segment.number);
+    return key;
+}
+
+std::optional<ProgressSegment> progressSegmentOf(const RowKey& key)
+{
+    const std::size_t separator = key.key.find(segmentSeparator);
+    if (separator == std::string::npos)
+        return ProgressSegment { { key.key }, 0 };
+    const char* const first = key.key.data() + separator + 1;
+    const char* const last = key.key.data() + key.key.size();
+    ProgressSegment segment { { key.key.substr(0, separator) }, 0 };
+    const std::from_chars_result read = std::from_chars(first, last, segment.number);
+    const bool valid = read.ec == std::errc {} && read.ptr == last && segment.number > 0 && segment.number < maximumSegments;
+    return valid ? std::optional<ProgressSegment>(std::move(segment)) : std::nullopt;
+}
+
 RowKey agentRowKey(const std::string& agent)
 {
     return { agentTable, "", agent };
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -71,6 +71,9 @@
         break;
     case CommitVerdict::Repeat:
         break;
+    case CommitVerdict::Refused:
+        this->writeRefused(std::get<StoreRefused>(event.result).reason, now, effects);
+        break;
     case CommitVerdict::LostLeadership:
         this->leadershipLost(effects);
         break;
@@ -249,6 +252,7 @@
     // A write that contains rows leaves removals to a later write.
     std::vector<RowWrite> rows = this->takeWrites(now);
     std::vector<RowKey> removals = rows.empty() ? this->takeRemovals(now) : std::vector<RowKey> {};
+    this->rowsInWrite = rows.size();
     effects.emplace_back(SubmitCommit { this->leaderLease.begin(std::move(rows), std::move(removals), now) });
 }
 
@@ -267,7 +271,9 @@
     this->acknowledgeNext.clear();
     this->acknowledgeCollected.clear();
     this->acknowledgeAfterWrite.clear();
-    this->jobsInWrite.clear();
+    this->segmentsInWrite.clear();
+    this->singleRowWrites = 0;
+    this->removalQueue.clear();
     this->heldOrders.clear();
     this->cancelledBeforeKnown.clear();
     this->jobsKnownVersion = 0;
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -12,7 +12,10 @@
         effects.emplace_back(ReportLearned { this->jobsKnownVersion });
     for (const std::map<std::string, AcknowledgeEnds>::value_type& item : std::exchange(this->acknowledgeAfterWrite, {}))
         this->send(this->knownWorkers[item.first], item.second, effects);
-    for (const JobId& job : std::exchange(this->jobsInWrite, {}))
+    std::set<JobId> stored;
+    for (const ProgressSegment& segment : std::exchange(this->segmentsInWrite, {}))
+        stored.insert(segment.job);
+    for (const JobId& job : stored)
         this->orderStored(job, now, effects);
     if (this->jobRegistry.changed() || !this->acknowledgeNext.empty() || this->placementHeldBack)
         this->schedulePass(now);
@@ -23,10 +26,9 @@
     this->placementHeldBack = !this->knowledgeCurrent(now);
     if (this->placementHeldBack)
         return;
-    const std::set<JobId>& unwritten = this->jobRegistry.unwrittenAssignments();
     for (const TrackedJob* const job : placementOrder(this->jobRegistry.waiting(), this->jobRegistry, now)) {
         // An assignment reserves room, but its order is sent only once it is stored.
-        if (job->spec->isLongRunning() || unwritten.size() < this->config.rowsPerWrite || unwritten.contains(job->spec->id))
+        if (job->spec->isLongRunning() || this->jobRegistry.unwrittenAssignments() < this->config.rowsPerWrite || this->jobRegistry.hasUnwrittenAssignment(job->spec->id))
             this->placeJob(*job, now, effects);
         else
             this->placementHeldBack = true;
@@ -78,29 +80,28 @@
 {
     ++this->writes;
     this->collectAcknowledgements();
-    std::vector<RowWrite> rows = this->takeProgress();
+    const bool single = this->singleRowWrites > 0;
+    this->singleRowWrites -= single ? 1 : 0;
+    std::vector<RowWrite> rows = this->takeProgress(single ? 1 : this->config.rowsPerWrite);
     this->releaseAcknowledgements();
-    std::optional<PendingCounts> counts = this->duePendingCounts(now);
-    if (counts) {
-        rows.push_back({ pendingRowKey(), print(*counts) });
-        this->pendingWritten = std::move(*counts);
-        this->pendingWrittenAt = now;
-    }
-    this->addModelRow(rows, now);
+    if (!single || rows.empty())
+        this->addPendingRow(rows, now);
+    if (!single || rows.empty())
+        this->addModelRow(rows, now);
     return rows;
 }
 
-std::vector<RowWrite> Scheduler::takeProgress()
+std::vector<RowWrite> Scheduler::takeProgress(std::size_t most)
 {
     std::vector<RowWrite> rows;
     std::size_t bytes = 0;
-    this->jobsInWrite.clear();
-    while (this->jobRegistry.changed() && rows.size() < this->config.rowsPerWrite && bytes < this->config.bytesPerWrite) {
-        const JobId job = this->jobRegistry.takeChanged(1).front();
-        this->jobsInWrite.push_back(job);
-        rows.push_back({ progressRowKey(job), print(this->jobRegistry.record(job)) });
+    this->segmentsInWrite.clear();
+    while (this->jobRegistry.changed() && rows.size() < most && bytes < this->config.bytesPerWrite) {
+        const ProgressSegment segment = this->jobRegistry.takeChanged(1).front();
+        this->segmentsInWrite.push_back(segment);
+        rows.push_back({ segmentRowKey(segment), print(this->jobRegistry.record(segment)) });
         bytes += rows.back().value.size();
-        for (const TaskId& id : this->jobRegistry.placedTasks(job)) {
+        for (const TaskId& id : this->jobRegistry.placedTasksIn(segment)) {
             TaskState& task = *this->jobRegistry.task(id);
             if (task.storedBy == 0)
                 task.storedBy = this->writes;
@@ -109,6 +110,59 @@
     return rows;
 }
 
+void Scheduler::addPendingRow(std::vector<RowWrite>& rows, TimePoint now)
+{
+    std::optional<PendingCounts> counts = this->duePendingCounts(now);
+    if (!counts)
+        return;
+    rows.push_back({ pendingRowKey(), print(*counts) });
+    this->pendingWritten = std::move(*counts);
+    this->pendingWrittenAt = now;
+}
+
+void Scheduler::writeRefused(const std::string& reason, TimePoint now, Effects& effects)
+{
+    this->withdrawAcknowledgements();
+    const std::vector<ProgressSegment> segments = std::exchange(this->segmentsInWrite, {});
+    const std::string first = segments.empty() ? std::string("no progress") : segmentRowKey(segments.front()).key;
+    effects.emplace_back(RecordEvent { EventId::WriteRefused, std::to_string(this->rowsInWrite) + " rows, from " + first + ": " + reason });
+    this->schedulePass(now);
+    if (this->rowsInWrite <= 1) {
+        for (const ProgressSegment& segment : segments)
+            this->releaseUnstorable(segment, now, effects);
+        return;
+    }
+    for (const ProgressSegment& segment : segments)
+        this->jobRegistry.noteNotStored(segment);
+    this->singleRowWrites = this->rowsInWrite;
+    this->pendingWritten.reset();
+    this->pendingWrittenAt = {};
+    this->modelWritten.clear();
+    this->modelWrittenAt = {};
+}
+
+void Scheduler::releaseUnstorable(const ProgressSegment& segment, TimePoint now, Effects& effects)
+{
+    // Without a stored assignment no order may be sent, and the reserved room serves others meanwhile.
+    for (const TaskId& id : this->jobRegistry.placedTasksIn(segment)) {
+        const TaskState& task = *this->jobRegistry.task(id);
+        if (!task.ordered)
+            this->markRunLost(this->knownWorkers[task.record.assignment->agent], id, "the store refuses its assignment", now + this->config.unstorableDelay, now, effects);
+    }
+}
+
+void Scheduler::withdrawAcknowledgements()
+{
+    for (std::map<std::string, AcknowledgeEnds>* const held : { &this->acknowledgeAfterWrite, &this->acknowledgeCollected }) {
+        for (const std::map<std::string, AcknowledgeEnds>::value_type& item : std::exchange(*held, {})) {
+            AcknowledgeEnds& next = this->acknowledgeNext.try_emplace(item.first, item.second).first->second;
+            if (next.worker == item.second.worker)
+                next = { next.worker, std::max(next.upTo, item.second.upTo) };
+        }
+    }
+    this->changesBeforeAcknowledge = 0;
+}
+
 void Scheduler::collectAcknowledgements()
 {
     if (!this->acknowledgeCollected.empty())
@@ -120,7 +174,7 @@
 
 void Scheduler::releaseAcknowledgements()
 {
-    this->changesBeforeAcknowledge -= std::min(this->changesBeforeAcknowledge, this->jobsInWrite.size());
+    this->changesBeforeAcknowledge -= std::min(this->changesBeforeAcknowledge, this->segmentsInWrite.size());
     if (this->changesBeforeAcknowledge == 0)
         this->acknowledgeAfterWrite = std::exchange(this->acknowledgeCollected, {});
 }
@@ -130,8 +184,10 @@
     if (now < this->modelWrittenAt + this->config.modelInterval)
         return;
     this->modelWrittenAt = now;
-    const std::vector<LearntLoss> known = this->interference.learnt(this->config.pairsPerRow);
+    std::vector<LearntLoss> known = this->interference.learnt(this->config.pairsPerRow);
     std::string text = print(known);
+    for (; text.size() > maximumRowBytes; text = print(known))
+        known.resize(known.size() / 2);
     if (known.empty() || text == this->modelWritten)
         return;
     rows.push_back({ interferenceRowKey(), text });
@@ -148,19 +204,30 @@
 
 std::vector<RowKey> Scheduler::takeRemovals(TimePoint now)
 {
+    if (now >= this->sweptAt + this->config.sweepInterval) {
+        this->sweptAt = now;
+        for (const JobSpecHandle& spec : this->jobRegistry.takeExpired(now - this->config.retention, this->config.removedAtOnce)) {
+            this->interference.forget(spec->id);
+            this->queueRemovals(*spec);
+        }
+    }
     std::vector<RowKey> removals;
-    if (now < this->sweptAt + this->config.sweepInterval)
-        return removals;
-    this->sweptAt = now;
-    for (const JobId& job : this->jobRegistry.takeExpired(now - this->config.retention, this->config.removedAtOnce)) {
-        this->interference.forget(job);
-        removals.push_back(progressRowKey(job));
-        removals.push_back(jobRowKey(job));
-        removals.push_back(cancelRowKey(job));
+    while (!this->removalQueue.empty() && removals.size() + this->removalQueue.front().size() <= this->config.removalsPerWrite) {
+        const std::vector<RowKey>& group = this->removalQueue.front();
+        removals.insert(removals.end(), group.begin(), group.end());
+        this->removalQueue.pop_front();
     }
     return removals;
 }
 
+void Scheduler::queueRemovals(const JobSpec& spec)
+{
+    for (std::size_t number = segmentCount(spec); number-- > 1;)
+        this->removalQueue.push_back({ segmentRowKey({ spec.id, static_cast<std::uint32_t>(number) }) });
+    // Without the state in the first segment, the job would count as not started.
+    this->removalQueue.push_back({ progressRowKey(spec.id), jobRowKey(spec.id), cancelRowKey(spec.id) });
+}
+
 void Scheduler::sendHeldOrders(TimePoint now, Effects& effects)
 {
     if (!this->knowledgeCurrent(now))
--- a/libs/scheduling/tests/JobRegistryTests.cpp
+++ b/libs/scheduling/tests/JobRegistryTests.cpp
@@ -30,7 +30,7 @@
     CHECK(job.stepReady(1));
     CHECK(jobRegistry.end(jobRegistry.assign(taskOf("a", 1, 0), place, start), RunEndKind::Done, "", start) == RunVerdict::JobEnded);
     CHECK(job.state == JobState::Done);
-    CHECK(jobRegistry.record({ "a" }).tasks.empty());
+    CHECK(jobRegistry.record({ { "a" }, 0 }).tasks.empty());
 }
 
 TEST_CASE("job registry: only failed runs count as attempts, each once, also when reported late", "[jobs]")
@@ -109,11 +109,11 @@
     jobRegistry.end(jobRegistry.assign(taskOf("a", 0, 0), place, start), RunEndKind::Done, "", start);
     jobRegistry.end(jobRegistry.assign(taskOf("a", 0, 1), place, start), RunEndKind::Failed, "saved", start);
     jobRegistry.assign(taskOf("a", 0, 2), place, start);
-    const std::optional<ProgressRecord> stored = parseProgressRecord(print(jobRegistry.record({ "a" })));
+    const std::optional<ProgressRecord> stored = parseProgressRecord(print(jobRegistry.record({ { "a" }, 0 })));
     REQUIRE(stored);
     JobRegistry next;
     next.restore(spec, *stored, start);
-    CHECK(next.record({ "a" }) == jobRegistry.record({ "a" }));
+    CHECK(next.record({ { "a" }, 0 }) == jobRegistry.record({ { "a" }, 0 }));
     CHECK(next.find({ "a" })->assigned == 1);
     CHECK(next.task(taskOf("a", 0, 1))->record.checkpoint == "saved");
     CHECK(next.task(taskOf("a", 0, 2))->ordered);
@@ -148,7 +148,7 @@
     const RunId run = jobRegistry.assign(taskOf("a", 0, 0), place, start);
     const auto next = [&jobRegistry, &spec]() {
         JobRegistry restored;
-        restored.restore(spec, *parseProgressRecord(print(jobRegistry.record({ "a" }))), start);
+        restored.restore(spec, *parseProgressRecord(print(jobRegistry.record({ { "a" }, 0 }))), start);
         return restored;
     };
     JobRegistry beforeListing = next();
@@ -164,8 +164,8 @@
     abandoning.release(abandoning.assign(taskOf("a", 0, 0), place, start), start, start);
     static_cast<void>(abandoning.takeChanged(1));
     CHECK(abandoning.end(run, RunEndKind::Stopped, "", start) == RunVerdict::Unknown);
-    CHECK(abandoning.takeChanged(1) == std::vector<JobId> { spec->id });
-    CHECK(abandoning.record({ "a" }).begun);
+    CHECK(abandoning.takeChanged(1) == std::vector<ProgressSegment> { { spec->id, 0 } });
+    CHECK(abandoning.record({ { "a" }, 0 }).begun);
     // Rows of earlier versions tell it by their tasks only.
     for (const TaskRecord& task : { TaskRecord { true, 1, {}, std::nullopt, "" }, TaskRecord { false, 1, { 1 }, std::nullopt, "" } }) {
         JobRegistry restored;
@@ -178,16 +178,54 @@
 {
     JobRegistry jobRegistry;
     for (const char* const id : { "a", "b", "z" })
-        jobRegistry.add(jobOf(id, { stepOf(100, 100) }), start);
+        jobRegistry.add(jobOf(id, { stepOf(50, 100) }), start);
     static_cast<void>(jobRegistry.assign(taskOf("z", 0, 0), place, start));
     for (std::uint32_t index = 0; index < 10; ++index) {
         static_cast<void>(jobRegistry.assign(taskOf("a", 0, index), place, start));
         static_cast<void>(jobRegistry.assign(taskOf("b", 0, index), place, start));
-        const std::vector<JobId> taken = jobRegistry.takeChanged(1);
+        const std::vector<ProgressSegment> taken = jobRegistry.takeChanged(1);
         REQUIRE(taken.size() == 1);
-        CHECK(taken.front() == JobId { index == 0 ? "z" : index % 2 == 1 ? "a"
+        CHECK(taken.front().job == JobId { index == 0 ? "z" : index % 2 == 1 ? "a"
                                                                          : "b" });
     }
     CHECK(jobRegistry.takeChanged(5).size() == 1);
     CHECK_FALSE(jobRegistry.changed());
 }
+
+TEST_CASE("job registry: a change is written with its segment, and the state of the job with the first one", "[jobs]")
+{
+    const JobSpecHandle spec = jobOf("a", { stepOf(tasksPerSegment, 100), stepOf(3 * tasksPerSegment, 100) });
+    JobRegistry jobRegistry;
+    jobRegistry.add(spec, start);
+    const RunId run = jobRegistry.assign(taskOf("a", 1, tasksPerSegment + 5), place, start);
+    CHECK(jobRegistry.takeChanged(10) == std::vector<ProgressSegment> { { spec->id, 0 }, { spec->id, 2 } });
+    CHECK(jobRegistry.record({ spec->id, 0 }).state == JobState::Running);
+    CHECK(jobRegistry.record({ spec->id, 2 }).tasks.size() == tasksPerSegment);
+    CHECK(jobRegistry.record({ spec->id, 2 }).tasks.at(5).assignment == place);
+    CHECK(jobRegistry.placedTasksIn({ spec->id, 2 }) == std::vector<TaskId> { run.task });
+    CHECK(jobRegistry.placedTasksIn({ spec->id, 1 }).empty());
+    // An abandoned run of which only this leader knows that it had begun changes the first segment, too.
+    jobRegistry.noteBegun(run, start);
+    jobRegistry.release(run, start, start);
+    CHECK(jobRegistry.takeChanged(10) == std::vector<ProgressSegment> { { spec->id, 2 }, { spec->id, 0 } });
+    jobRegistry.noteNotStored({ spec->id, 2 });
+    CHECK(jobRegistry.takeChanged(10) == std::vector<ProgressSegment> { { spec->id, 2 } });
+    CHECK_FALSE(jobRegistry.changed());
+}
+
+TEST_CASE("job registry: a restored job ends where its last end was stored and its state was not", "[jobs]")
+{
+    const JobSpecHandle spec = jobOf("a", { stepOf(2, 100) });
+    const TaskRecord done { true, 1, {}, std::nullopt, "" };
+    JobRegistry jobRegistry;
+    jobRegistry.restore(spec, { JobState::Running, { done, done }, true }, start);
+    CHECK(jobRegistry.find(spec->id)->state == JobState::Done);
+    CHECK(jobRegistry.changed());
+    JobRegistry failing;
+    failing.restore(spec, { JobState::Running, { done, { false, 2, { 1, 2 }, std::nullopt, "" } }, true }, start);
+    CHECK(failing.find(spec->id)->state == JobState::Failed);
+    JobRegistry going;
+    going.restore(spec, { JobState::Running, { done, { false, 1, { 1 }, std::nullopt, "" } }, true }, start);
+    CHECK(going.find(spec->id)->state == JobState::Running);
+    CHECK_FALSE(going.changed());
+}
--- a/libs/scheduling/tests/LeaderLeaseTests.cpp
+++ b/libs/scheduling/tests/LeaderLeaseTests.cpp
@@ -147,6 +147,20 @@
     CHECK_FALSE(lease.valid(start + leaseTime));
 }
 
+TEST_CASE("lease: a write that the store refuses for its other rows is given up, one of the leader's row alone is repeated", "[jobs]")
+{
+    LeaderLease lease = leadingLease();
+    const StoreRefused invalid { "status 400", false, true };
+    static_cast<void>(lease.begin({ { progressRowKey({ "a" }), "" } }, {}, start + milliseconds(500)));
+    CHECK(lease.finished(invalid, start + milliseconds(510)) == CommitVerdict::Refused);
+    CHECK(lease.leading());
+    REQUIRE(lease.idle());
+    CHECK(lease.wantsRenewal(start + milliseconds(510)));
+    static_cast<void>(lease.begin({}, {}, start + milliseconds(510)));
+    CHECK(lease.finished(invalid, start + milliseconds(520)) == CommitVerdict::Repeat);
+    CHECK(lease.repeat(start + milliseconds(1000)));
+}
+
 TEST_CASE("lease: a retired leader releases the lease and does not contend again", "[jobs]")
 {
     LeaderLease lease = leadingLease();
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -185,3 +185,36 @@
     CHECK(std::holds_alternative<RowStored>(unsure.decide(Conflict {}, start)));
     CHECK(std::holds_alternative<RowStored>(plain.decide(Applied { 3 }, start)));
 }
+
+TEST_CASE("rows: the segments of a job's progress are joined, also where an earlier version wrote one row", "[jobs]")
+{
+    const JobSpecHandle spec = jobOf("00ff00ff00ff00ff", { stepOf(200, 100) });
+    for (const std::uint32_t number : { 0U, 1U, 3U })
+        CHECK(progressSegmentOf(segmentRowKey({ spec->id, number })) == ProgressSegment { spec->id, number });
+    CHECK(segmentRowKey({ spec->id, 0 }) == progressRowKey(spec->id));
+    for (const char* const suffix : { ".", ".0", ".x", ".1x", ".99999999999", ".70000" })
+        CHECK_FALSE(progressSegmentOf({ progressTable, "", spec->id.text + suffix }));
+    CHECK(segmentCount(*spec) == 4);
+    const TaskRecord done { true, 1, {}, std::nullopt, "" };
+    const TaskRecord started { false, 1, {}, std::nullopt, "" };
+    const auto joined = [&spec](const std::vector<Row>& rows) { return decodeTables(4, rows).read.progress.at(spec->id); };
+    const Row first { segmentRowKey({ spec->id, 0 }), print(ProgressRecord { JobState::Running, { tasksPerSegment, done }, true }), 1, false };
+    const Row third { segmentRowKey({ spec->id, 2 }), print(ProgressRecord { JobState::Queued, { tasksPerSegment, started } }), 2, false };
+    const ProgressRecord whole = joined({ third, first });
+    CHECK(whole.state == JobState::Running);
+    CHECK(whole.begun);
+    CHECK_FALSE(whole.undivided);
+    REQUIRE(whole.tasks.size() == 3 * tasksPerSegment);
+    CHECK(whole.tasks[tasksPerSegment - 1] == done);
+    CHECK(whole.tasks[tasksPerSegment] == TaskRecord {});
+    CHECK(whole.tasks.back() == started);
+    const Row undivided { progressRowKey(spec->id), print(ProgressRecord { JobState::Running, { 200, done } }), 1, false };
+    const ProgressRecord earlier = joined({ undivided, third });
+    CHECK(earlier.undivided);
+    CHECK(earlier.tasks[2 * tasksPerSegment] == started);
+    CHECK(earlier.tasks.back() == done);
+    // The first row loses the other tasks when it is written again, so their segments are written before it.
+    JobRegistry jobRegistry;
+    jobRegistry.restore(spec, earlier, start);
+    CHECK(jobRegistry.takeChanged(10) == std::vector<ProgressSegment> { { spec->id, 3 }, { spec->id, 2 }, { spec->id, 1 }, { spec->id, 0 } });
+}
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -1,7 +1,9 @@
 #include "Values.h"
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cowslipdoor/scheduling/Limits.h>
 #include <cowslipdoor/scheduling/Scheduler.h>
+#include <cowslipdoor/scheduling/TableEvents.h>
 
 using namespace cowslipdoor;
 using namespace cowslipdoor::tests;
@@ -539,21 +541,91 @@
     for (int number = 100; number < 196; ++number)
         jobs.push_back(jobOf(std::to_string(number), { wide }));
     test.becomeLeader(jobs);
-    std::set<std::string> written;
-    for (int count = 0; count < 5; ++count) {
+    std::set<RowKey> written;
+    const std::size_t segments = jobs.size() * segmentCount(*jobs.front());
+    for (std::size_t count = 0; count < 20 && written.size() < segments; ++count) {
         const Transaction write = test.awaitWrite();
         std::size_t bytes = 0;
         for (const RowWrite& row : write.writes) {
             bytes += (row.value.size() + 2) / 3 * 4 + row.key.table.size() + row.key.part.size() + row.key.key.size();
+            CHECK(row.value.size() <= maximumRowBytes);
             if (row.key.table == progressTable)
-                written.insert(row.key.key);
+                written.insert(row.key);
         }
         CHECK(bytes < maximumTransactionBytes);
+        CHECK(write.writes.size() + write.conditions.size() <= maximumTransactionEntries);
         test.commit();
-        if (written.size() == jobs.size())
-            break;
     }
-    CHECK(written.size() == jobs.size());
+    CHECK(written.size() == segments);
+}
+
+// Guards against one accepted job of some thousand tasks that ends all scheduling, as the store refuses the row of its progress.
+TEST_CASE("scheduler: the progress of a job of 6,000 tasks is stored in rows that the store takes, and a new leader restores it", "[jobs]")
+{
+    SchedulerUnderTest test;
+    StepSpec step = stepOf(1000, 0);
+    step.demand = {};
+    test.becomeLeader({ jobOf("large", std::vector<StepSpec>(6, step)) });
+    std::map<RowKey, std::string> stored;
+    const auto commitAll = [&test, &stored]() {
+        for (int count = 0; count < 4 && (count == 0 || test.machine.jobs().changed()); ++count) {
+            const Transaction write = test.awaitWrite();
+            for (const RowWrite& row : write.writes) {
+                CHECK(row.value.size() <= maximumRowBytes);
+                stored[row.key] = row.value;
+            }
+            test.commit();
+        }
+        CHECK_FALSE(test.machine.jobs().changed());
+    };
+    commitAll();
+    const std::string longest(maximumCheckpointBytes, 'c');
+    std::vector<RunEnd> ends;
+    for (std::uint32_t index = 0; index < 1000; ++index)
+        ends.push_back({ index + 1, { { { "large" }, index % 6, index }, 1 }, index % 2 == 0 ? RunEndKind::Done : RunEndKind::Stopped, longest });
+    test.step(AgentReportReceived { "agent", LinkId { 1 }, RunsEnded { firstIncarnation, ends } });
+    commitAll();
+    std::vector<Row> rows;
+    for (const std::map<RowKey, std::string>::value_type& item : stored) {
+        if (item.first.table == progressTable)
+            rows.push_back({ item.first, item.second, 1, false });
+    }
+    JobRegistry restored;
+    restored.restore(jobOf("large", std::vector<StepSpec>(6, step)), decodeTables(2, rows).read.progress.at({ "large" }), test.now);
+    const TrackedJob& before = *test.machine.jobs().find({ "large" });
+    const TrackedJob& after = *restored.find({ "large" });
+    CHECK(after.remaining == before.remaining);
+    CHECK(after.assigned == before.assigned);
+    CHECK(after.assigned > 0);
+}
+
+// Guards against a row that the store refuses and that is repeated for ever with the renewals of the lease in it.
+TEST_CASE("scheduler: a write that the store refuses for its content ends neither leadership nor other jobs", "[jobs]")
+{
+    SchedulerUnderTest test;
+    test.becomeLeader({ jobOf("a", { stepOf(1, 100) }), jobOf("b", { stepOf(1, 100) }), jobOf("c", { stepOf(1, 100) }) });
+    std::set<JobId> started;
+    std::size_t refusals = 0;
+    const auto finish = [&test, &refusals](const Transaction& write) {
+        const bool refused = std::any_of(write.writes.begin(), write.writes.end(), [](const RowWrite& row) { return row.key == progressRowKey({ "b" }); });
+        refusals += refused ? 1 : 0;
+        test.step(refused ? CommitFinished { StoreRefused { "status 400", false, true } } : CommitFinished { Applied { ++test.version } });
+    };
+    for (int count = 0; count < 40; ++count) {
+        while (test.find<SubmitCommit>()) {
+            const Transaction write = test.find<SubmitCommit>()->transaction;
+            finish(write);
+            const std::optional<StartRun> order = test.sent<StartRun>();
+            if (order)
+                started.insert(order->run.task.job);
+        }
+        test.now += milliseconds(10);
+        test.step(AgentReportReceived { "agent", LinkId { 1 }, Ping { 1 } });
+    }
+    CHECK(started == std::set<JobId> { { "a" }, { "c" } });
+    CHECK(test.machine.lease().leading());
+    CHECK(refusals >= 2);
+    CHECK(refusals <= 4);
 }
 
 TEST_CASE("scheduler: the interference model is written with other rows and only when it has changed", "[jobs]")
