Leader: the silence of an agent counts on over takeovers

Cause: runs of a silent agent are released 4.9 s after the last grant that any leader may have given. A new leader did not know how long the agent had been silent, and counted from its own takeover. Kills at shorter intervals put the release off without end. Class: a time that is right for one holder and starts anew with each successor.

Ruled out: workers that die under a live agent (the agent reports it after 3.2 s, whoever leads); a lost end or order (all tasks ran again once the kills were over).

Why this works: after 1 s of silence the leader's row names the agent and for how long it has had no grant. The row is replaced by each write of a leader, so a new leader knows it from the row on whose version its takeover depends, and counts from the time at which it first read that row, which is no earlier than the write. While a stored row, or one in flight, names an agent, no leader grants it anything; its ping is answered once a row without it is stored, one write later. So no grant can be later than a successor assumes.

Evidence: 'scheduler: a new leader goes on counting the silence of an agent where the earlier leader's row left it' fails without the inherited names (run with LeaderLease::keepSilence emptied), 'scheduler: an agent that the row names as silent gets no grant until a row without it is stored' guards the other side.

--- a/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/LeaderLease.h
@@ -7,8 +7,10 @@
 #include "Store.h"
 #include <algorithm>
 #include <cowslipdoor/core/Time.h>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -99,6 +101,14 @@
     /// @param version version of the store up to which it knows all jobs
     void noteLearned(RowVersion version) noexcept { this->learnedVersion = version; }
 
+    /// @brief Sets which agents the following writes name as silent; a takeover keeps those of the earlier leader.
+    /// @param agents the agents, with the time since their last grant as of the next write
+    void noteSilent(std::vector<SilentAgent> agents) { this->silent = std::move(agents); }
+
+    /// @return the agents that the row at the takeover named as silent, and a time after which no earlier leader gave any of them
+    ///         a grant
+    [[nodiscard]] const std::map<std::string, TimePoint>& earlierSilence() const noexcept { return this->silentSince; }
+
     /// @return whether no write is in flight
     [[nodiscard]] bool idle() const noexcept { return !this->inFlight; }
 
@@ -169,6 +179,7 @@
     };
 
     [[nodiscard]] Duration takeoverDelay() const noexcept;
+    void keepSilence(TimePoint now);
     [[nodiscard]] Transaction send(LeaderRecord record, std::vector<RowWrite> writes, std::vector<RowKey> removals, TimePoint now);
     [[nodiscard]] CommitVerdict conflicted(const Conflict& conflict, TimePoint now);
     [[nodiscard]] CommitVerdict applied(RowVersion version, TimePoint sentAt);
@@ -177,6 +188,8 @@
     LeaderRecord current;
     std::optional<RowVersion> version;
     RowVersion learnedVersion = 0;
+    std::vector<SilentAgent> silent;
+    std::map<std::string, TimePoint> silentSince;
     /// Since when all reads have succeeded and returned this version.
     TimePoint unchangedSince {};
     TimePoint readAt {};
--- a/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Rows.h
@@ -29,6 +29,15 @@
 /// @brief Table of agents.
 constexpr const char* agentTable = "cowslipdoor-agents";
 
+/// @brief Agent that has had no renewal grant for a while although its worker has runs.
+struct SilentAgent {
+    std::string agent;
+    /// Time since the last grant of any leader, as of the write; at least that long.
+    Duration silentFor {};
+
+    bool operator==(const SilentAgent&) const = default;
+};
+
 /// @brief Row of the current leader; each write of the leader replaces it.
 struct LeaderRecord {
     std::uint64_t epoch = 0;
@@ -42,6 +51,8 @@
     std::uint64_t maximumMilliCores = 0;
     /// Version of the store up to which the leader knows all jobs; zero while it reads the tables.
     RowVersion learnedVersion = 0;
+    /// Agents that get no grant while the row names them, so that a new leader can release their runs in time.
+    std::vector<SilentAgent> silent {};
 
     bool operator==(const LeaderRecord&) const = default;
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -28,6 +28,11 @@
     /// How long after the last renewal grant runs may still be active: the validity of a grant at the agent, the lease of the
     /// worker with 2% for its clock, and the time that a call may take to arrive.
     Duration silenceLimit = std::chrono::milliseconds(4900);
+    /// How long an agent with runs may be without a grant before the leader's row names it, so that a next leader counts on from
+    /// there: two pings of its agent, and a margin.
+    Duration silenceNoteTime = std::chrono::milliseconds(1000);
+    /// Maximum number of silent agents that the row names.
+    std::size_t silentAgentsPerRow = 100;
     /// How long a leader may read the tables without progress before it releases leadership: ten attempts of a call that
     /// has no answer.
     Duration tablesReadTimeout = std::chrono::seconds(8);
@@ -285,6 +290,14 @@
     void onReport(TrackedWorker& worker, const RunRejected& report, TimePoint now, Effects& effects);
     void onReport(TrackedWorker& worker, const RunProgress& report, TimePoint now, Effects& effects);
 
+    void grant(TrackedWorker& worker, std::int64_t sentAt, TimePoint now, Effects& effects);
+    [[nodiscard]] bool namedSilent(const std::string& agent) const { return this->silentSince.contains(agent) || this->silentInWrite.contains(agent); }
+    /// Returns the latest time at which a leader may have given an agent a grant.
+    [[nodiscard]] TimePoint lastPossibleGrant(const TrackedWorker& worker) const;
+    /// Sets which agents the next write names as silent.
+    void nameSilentAgents(TimePoint now);
+    void silenceWritten(TimePoint now, Effects& effects);
+    [[nodiscard]] Transaction beginWrite(std::vector<RowWrite> rows, std::vector<RowKey> removals, TimePoint now);
     void advance(TimePoint now, Effects& effects);
     void advanceLease(TimePoint now, Effects& effects);
     void advanceWrites(TimePoint now, Effects& effects);
@@ -352,6 +365,11 @@
     bool tablesRead = false;
     /// Latest time at which an earlier leader may have given a renewal grant.
     TimePoint earlierGrantsEnd {};
+    /// Agents that the stored row and the one in flight name as silent, and a time after which no leader has given them a grant.
+    std::map<std::string, TimePoint> silentSince;
+    std::map<std::string, TimePoint> silentInWrite;
+    /// Pings of such agents; they are answered once the row no longer names them.
+    std::map<std::string, std::int64_t> unansweredPings;
     /// When another part of the tables was read last.
     TimePoint tablesProgressAt {};
     /// When tasks are placed and changes are written next; std::nullopt if nothing requires it.
--- a/libs/scheduling/src/LeaderLease.cpp
+++ b/libs/scheduling/src/LeaderLease.cpp
@@ -75,11 +75,25 @@
         this->learnedVersion = 0;
         // The earlier leader sent its last write before the version of that write was first read.
         this->earlierLeaseEndLimit = this->unchangedSince + this->config.leaseTime;
+        this->keepSilence(now);
     }
     next.learnedVersion = this->learnedVersion;
+    next.silent = this->silent;
     return this->send(std::move(next), std::move(writes), std::move(removals), now);
 }
 
+void LeaderLease::keepSilence(TimePoint now)
+{
+    this->silent.clear();
+    this->silentSince.clear();
+    for (const SilentAgent& known : this->current.silent) {
+        // The row was written before it was first read.
+        const TimePoint since = this->unchangedSince - known.silentFor;
+        this->silentSince.emplace(known.agent, since);
+        this->silent.push_back({ known.agent, now - since });
+    }
+}
+
 Transaction LeaderLease::beginRelease(TimePoint now)
 {
     LeaderRecord next = this->current;
--- a/libs/scheduling/src/Rows.cpp
+++ b/libs/scheduling/src/Rows.cpp
@@ -117,6 +117,16 @@
         return task;
     }
 
+    std::vector<SilentAgent> silentAgentsFromJson(const std::optional<CheckedJson>& json)
+    {
+        std::vector<SilentAgent> silent;
+        if (!json)
+            return silent;
+        for (const CheckedJson& row : json->items())
+            silent.push_back({ row.item(0).text(), std::chrono::milliseconds(row.item(1).integer<std::int64_t>({ 0, maximumDuration.count() })) });
+        return silent;
+    }
+
     /// Rounds a loss to two decimals; it is known less precisely than that.
     double rounded(double value)
     {
@@ -218,7 +228,10 @@
 
 std::string print(const LeaderRecord& record)
 {
-    return dump({ { "epoch", record.epoch }, { "holder", record.holder }, { "incarnation", record.incarnation }, { "sequence", record.sequence }, { "most_milli_cores", record.maximumMilliCores }, { "learned", record.learnedVersion } });
+    Json row { { "epoch", record.epoch }, { "holder", record.holder }, { "incarnation", record.incarnation }, { "sequence", record.sequence }, { "most_milli_cores", record.maximumMilliCores }, { "learned", record.learnedVersion } };
+    for (const SilentAgent& silent : record.silent)
+        row["silent"].push_back({ silent.agent, toMilliseconds(silent.silentFor) });
+    return dump(row);
 }
 
 std::string print(const AgentRecord& record)
@@ -271,7 +284,7 @@
 {
     return parseRecord<LeaderRecord>(text, [](const CheckedJson& json) {
         return LeaderRecord { json.at("epoch").integer<std::uint64_t>({ 0, maximumCount }), json.at("holder").text(), json.at("incarnation").integer<std::uint64_t>(),
-            json.at("sequence").integer<std::uint64_t>({ 0, maximumCount }), json.integerOr<std::uint64_t>("most_milli_cores", 0, { 0, maximumCount }), json.integerOr<RowVersion>("learned", 0, { 0, maximumCount }) };
+            json.at("sequence").integer<std::uint64_t>({ 0, maximumCount }), json.integerOr<std::uint64_t>("most_milli_cores", 0, { 0, maximumCount }), json.integerOr<RowVersion>("learned", 0, { 0, maximumCount }), silentAgentsFromJson(json.find("silent")) };
     });
 }
 
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -64,6 +64,7 @@
 {
     switch (this->leaderLease.finished(event.result, now)) {
     case CommitVerdict::Applied:
+        this->silenceWritten(now, effects);
         this->committed(now, effects);
         break;
     case CommitVerdict::TookOver:
@@ -217,8 +218,8 @@
         return;
     if (this->isActiveLeader())
         this->advanceWrites(now, effects);
-    else if (this->leaderLease.wantsRenewal(now))
-        effects.emplace_back(SubmitCommit { this->leaderLease.begin({}, {}, now) });
+    else if (this->leaderLease.wantsRenewal(now) || !this->unansweredPings.empty())
+        effects.emplace_back(SubmitCommit { this->beginWrite({}, {}, now) });
 }
 
 void Scheduler::advanceLease(TimePoint now, Effects& effects)
@@ -247,13 +248,13 @@
     this->passAt.reset();
     this->placeTasks(now, effects);
     this->watchLongRunningTasks(now, effects);
-    if (!this->jobRegistry.changed() && this->acknowledgeNext.empty() && !countsDue && !this->leaderLease.wantsRenewal(now))
+    if (!this->jobRegistry.changed() && this->acknowledgeNext.empty() && !countsDue && this->unansweredPings.empty() && !this->leaderLease.wantsRenewal(now))
         return;
     // A write that contains rows leaves removals to a later write.
     std::vector<RowWrite> rows = this->takeWrites(now);
     std::vector<RowKey> removals = rows.empty() ? this->takeRemovals(now) : std::vector<RowKey> {};
     this->rowsInWrite = rows.size();
-    effects.emplace_back(SubmitCommit { this->leaderLease.begin(std::move(rows), std::move(removals), now) });
+    effects.emplace_back(SubmitCommit { this->beginWrite(std::move(rows), std::move(removals), now) });
 }
 
 void Scheduler::leadershipTaken(TimePoint now, Effects& effects)
@@ -263,6 +264,9 @@
     this->interference = InterferenceModel();
     this->tablesRead = false;
     this->earlierGrantsEnd = this->leaderLease.earlierLeaseEnd(now);
+    this->silentSince = this->leaderLease.earlierSilence();
+    this->silentInWrite = this->silentSince;
+    this->unansweredPings.clear();
     this->tablesProgressAt = now;
     this->pendingWritten.reset();
     this->modelWritten.clear();
@@ -278,7 +282,7 @@
     this->cancelledBeforeKnown.clear();
     this->jobsKnownVersion = 0;
     this->jobsKnownAsOf = {};
-    effects.emplace_back(RecordEvent { EventId::LeadershipTaken, "epoch " + std::to_string(this->leaderLease.epoch()) + "; earlier leaders gave their last grants " + std::to_string(toMilliseconds(now - this->earlierGrantsEnd)) + " ms ago or before" });
+    effects.emplace_back(RecordEvent { EventId::LeadershipTaken, "epoch " + std::to_string(this->leaderLease.epoch()) + "; earlier leaders gave their last grants " + std::to_string(toMilliseconds(now - this->earlierGrantsEnd)) + " ms ago or before; " + std::to_string(this->silentSince.size()) + " agents were silent" });
     effects.emplace_back(ReadTables { this->leaderLease.epoch() });
 }
 
@@ -288,6 +292,7 @@
     effects.emplace_back(StopLeading {});
     this->jobRegistry = JobRegistry();
     this->knownWorkers.clear();
+    this->unansweredPings.clear();
     this->tablesRead = false;
     this->passAt.reset();
 }
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -19,19 +19,6 @@
 
 }
 
-void Scheduler::onReport(TrackedWorker& worker, const Ping& report, TimePoint now, Effects& effects)
-{
-    // A renewal grant after the end of the lease could keep runs alive that a new leader considers expired.
-    if (!this->leaderLease.valid(now))
-        return;
-    const bool regained = !worker.hasFreshGrant(now);
-    worker.lastGrantAt = now;
-    worker.lastPing = report.sentAt;
-    this->send(worker, Pong { report.sentAt }, effects);
-    if (regained && !this->jobRegistry.waiting().empty())
-        this->schedulePass(now);
-}
-
 void Scheduler::onReport(TrackedWorker& worker, const WorkerSnapshot& report, TimePoint now, Effects& effects)
 {
     if (report.agent != worker.agent) {
@@ -275,27 +262,4 @@
     this->sendRunTraits(worker, effects);
 }
 
-void Scheduler::markSilentWorkersLost(TimePoint now, Effects& effects)
-{
-    if (now < this->silenceCheckAt)
-        return;
-    this->silenceCheckAt = now + this->config.silenceCheckInterval;
-    for (Workers::value_type& item : this->knownWorkers) {
-        TrackedWorker& worker = item.second;
-        if (worker.tasks.empty())
-            continue;
-        // Only renewal grants allow renewals; an open link does not show that leases are renewed.
-        const TimePoint deadline = std::max(worker.lastGrantAt, this->earlierGrantsEnd) + this->config.silenceLimit;
-        if (now < deadline) {
-            this->silenceCheckAt = std::min(this->silenceCheckAt, deadline);
-            continue;
-        }
-        worker.info.reset();
-        const std::map<TaskId, WorkerIdentity> tasks = worker.tasks;
-        for (const std::map<TaskId, WorkerIdentity>::value_type& task : tasks)
-            this->markRunLost(worker, task.first, "the agent is silent and its leases have expired", now, now, effects);
-        this->sendHello(worker, effects);
-    }
-}
-
 }
--- a/libs/scheduling/tests/LeaderLeaseTests.cpp
+++ b/libs/scheduling/tests/LeaderLeaseTests.cpp
@@ -185,3 +185,17 @@
     // A process may take over from an earlier incarnation of itself before the lease has expired; that lease ends at the takeover.
     CHECK(lease.earlierLeaseEnd(start + milliseconds(10)) == start + milliseconds(10));
 }
+
+TEST_CASE("lease: a takeover keeps the agents that the row names as silent, and counts on", "[jobs]")
+{
+    LeaderLease lease = leaseOf("me");
+    lease.rowRead(LeaderRecord { 3, "me", 1, 9, 500, 7, { { "agent", milliseconds(2000) } } }, 40, start);
+    const TimePoint later = start + milliseconds(100);
+    const std::optional<LeaderRecord> written = parseLeaderRecord(lease.begin({}, {}, later).writes.back().value);
+    REQUIRE(written);
+    CHECK(written->silent == std::vector<SilentAgent> { { "agent", milliseconds(2100) } });
+    REQUIRE(lease.finished(Applied { 41 }, later) == CommitVerdict::TookOver);
+    CHECK(lease.earlierSilence() == std::map<std::string, TimePoint> { { "agent", start - milliseconds(2000) } });
+    lease.noteSilent({});
+    CHECK(parseLeaderRecord(lease.begin({}, {}, later).writes.back().value)->silent.empty());
+}
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -10,7 +10,7 @@
 
 TEST_CASE("rows: every printed record is parsed back to an equal one", "[jobs]")
 {
-    const LeaderRecord leader { 3, "entry", 17, 4, 500 };
+    const LeaderRecord leader { 3, "entry", 17, 4, 500, 9, { { "agent", std::chrono::milliseconds(1500) } } };
     CHECK(parseLeaderRecord(print(leader)) == leader);
     const AgentRecord agent { "10.0.0.1:7720", 9 };
     CHECK(parseAgentRecord(print(agent)) == agent);
@@ -69,6 +69,7 @@
         INFO(odd);
         for (const char* const field : { "71", "72", "73" })
             CHECK_FALSE(parseLeaderRecord(replaced(leader, field, odd)));
+        CHECK_FALSE(parseLeaderRecord(replaced(print(LeaderRecord { 1, "entry", 1, 1, 1, 1, { { "agent", std::chrono::milliseconds(71) } } }), "71", odd)));
         CHECK_FALSE(parseAgentRecord(replaced(agent, "71", odd)));
         CHECK_FALSE(parseProgressRecord(replaced(progress, "71", odd)));
         CHECK_FALSE(parseProgressRecord(replaced(progress, "72", odd)));
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -1064,3 +1064,84 @@
     CHECK(again->run.task == lost.task);
     CHECK(test.machine.workers().at("agent").tasks.size() == 2);
 }
+
+namespace {
+
+/// Leader whose agent has a run and falls silent.
+struct SilenceUnderTest {
+    SchedulerUnderTest test {};
+    TimePoint lastGrantAt {};
+
+    SilenceUnderTest()
+    {
+        this->test.becomeLeader({ this->job });
+        static_cast<void>(this->test.awaitWrite());
+        this->test.commit();
+        this->test.step(AgentReportReceived { "agent", LinkId { 1 }, Ping { 2 } });
+        this->lastGrantAt = this->test.now;
+    }
+
+    /// Renews the lease until a time and returns the leader's row as last written.
+    LeaderRecord renewUntil(TimePoint end)
+    {
+        std::optional<LeaderRecord> record;
+        while (this->test.now < end) {
+            this->test.now += milliseconds(20);
+            this->test.step(TimePassed {});
+            const std::optional<SubmitCommit> write = this->test.find<SubmitCommit>();
+            if (!write)
+                continue;
+            record.emplace(*parseLeaderRecord(write->transaction.writes.back().value));
+            this->test.commit();
+        }
+        REQUIRE(record);
+        return *record;
+    }
+
+    JobSpecHandle job = jobOf("a", { stepOf(1, 100) });
+};
+
+}
+
+// Guards against a long-running task that never runs again because each of several takeovers counts the silence of its agent anew.
+TEST_CASE("scheduler: a new leader goes on counting the silence of an agent where the earlier leader's row left it", "[jobs]")
+{
+    SilenceUnderTest silence;
+    const LeaderRecord row = silence.renewUntil(silence.lastGrantAt + milliseconds(4300));
+    const SchedulerEvent restored = TablesRead { 2, { silence.job }, { { { "a" }, silence.test.machine.jobs().record({ { "a" }, 0 }) } }, {}, { { "agent", { "address", 3 } } } };
+    SchedulerUnderTest next { .config = SchedulerConfig { .lease = { .holder = "me", .incarnation = 2 } } };
+    next.now = silence.test.now + milliseconds(600);
+    next.step(LeaderRowRead { row, 50 });
+    next.commit();
+    next.step(restored);
+    REQUIRE(next.machine.jobs().find({ "a" })->assigned == 1);
+    // The row may be a renewal interval old, and nothing is known of the time until it is read.
+    next.now = silence.lastGrantAt + next.config.silenceLimit;
+    next.step(TimePassed {});
+    CHECK(next.machine.jobs().find({ "a" })->assigned == 1);
+    next.now = silence.lastGrantAt + next.config.silenceLimit + next.config.lease.renewInterval + milliseconds(700);
+    next.step(TimePassed {});
+    CHECK(next.machine.jobs().find({ "a" })->assigned == 0);
+}
+
+// Guards against a second run of a task whose agent is granted renewals while the next leader counts it as silent.
+TEST_CASE("scheduler: an agent that the row names as silent gets no grant until a row without it is stored", "[jobs]")
+{
+    SilenceUnderTest silence;
+    CHECK(silence.renewUntil(silence.lastGrantAt + milliseconds(900)).silent.empty());
+    const LeaderRecord row = silence.renewUntil(silence.lastGrantAt + milliseconds(2000));
+    REQUIRE(row.silent.size() == 1);
+    CHECK(row.silent.front().agent == "agent");
+    SchedulerUnderTest& test = silence.test;
+    test.step(AgentReportReceived { "agent", LinkId { 1 }, Ping { 9 } });
+    CHECK_FALSE(test.sent<Pong>());
+    const Transaction write = test.awaitWrite();
+    CHECK(parseLeaderRecord(write.writes.back().value)->silent.empty());
+    CHECK_FALSE(test.sent<Pong>());
+    test.commit();
+    REQUIRE(test.sent<Pong>());
+    CHECK(test.sent<Pong>()->sentAt == 9);
+    test.step(AgentReportReceived { "agent", LinkId { 1 }, Ping { 10 } });
+    CHECK(test.sent<Pong>());
+    CHECK(test.machine.jobs().find({ "a" })->assigned == 1);
+}
