Leader: long-running tasks that fail after a while do not exclude their worker

Cause: failures of three different jobs without a successful run between them exclude a worker, and where only long-running tasks run, none ever ends as done; each failure excluded the worker again.

Why this works: a long-running task may fail at any time. A run that fails after 2 s or more shows that the worker can run tasks, so it clears the failures as a successful run does. One that fails within 2 s counts as before, so a worker that fails all it starts is still excluded.

Evidence: 'scheduler: long-running tasks that fail after a while do not exclude their worker, those that fail at once do' failed before.

--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -109,7 +109,9 @@
     const bool failed = end.kind == RunEndKind::Failed;
     if (failed && holder == &worker && job->spec->steps[end.run.task.step].longRunning)
         worker.lastChoiceForLongRunningUntil = now + this->config.health.lastChoiceTime;
-    if ((failed || end.kind == RunEndKind::Done) && worker.noteRunEnd(end.run.task.job, failed, this->config.health, now))
+    // A long-running task may fail at any time; one that has run for a while shows that the worker can run tasks.
+    const bool ranForAWhile = job->spec->steps[end.run.task.step].longRunning && this->jobRegistry.task(end.run.task)->quickFailures == 0;
+    if ((failed || end.kind == RunEndKind::Done) && worker.noteRunEnd(end.run.task.job, failed && !ranForAWhile, this->config.health, now))
         effects.emplace_back(RecordEvent { EventId::WorkerExcluded, worker.agent + ": runs of " + std::to_string(worker.failedJobs.size()) + " jobs failed in a row" });
     if (verdict == RunVerdict::JobEnded) {
         this->observeEnd(end.run.task.job, now, effects);
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -1145,3 +1145,58 @@
     CHECK(test.sent<Pong>());
     CHECK(test.machine.jobs().find({ "a" })->assigned == 1);
 }
+
+// Guards against long-running tasks that wait while all workers are excluded because of failures of other long-running tasks.
+TEST_CASE("scheduler: long-running tasks that fail after a while do not exclude their worker, those that fail at once do", "[jobs]")
+{
+    StepSpec longRunning = stepOf(1, 100);
+    longRunning.longRunning = true;
+    SchedulerUnderTest test;
+    test.becomeLeader({ jobOf("a", { longRunning }), jobOf("b", { longRunning }), jobOf("c", { longRunning }), jobOf("d", { longRunning }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    std::uint64_t ends = 0;
+    const auto failAll = [&test, &ends]() {
+        for (const char* const job : { "a", "b", "c", "d" }) {
+            const RunId run { { { job }, 0, 0 }, test.machine.jobs().find({ job })->steps[0][0].record.run };
+            test.step(AgentReportReceived { "agent", LinkId { 1 }, RunsEnded { firstIncarnation, { { ++ends, run, RunEndKind::Failed, "" } } } });
+        }
+    };
+    test.now += std::chrono::seconds(3);
+    failAll();
+    CHECK_FALSE(test.machine.workers().at("agent").exclusionReason(test.now));
+    REQUIRE(test.awaitStart(std::chrono::seconds(1)));
+    failAll();
+    CHECK(test.machine.workers().at("agent").exclusionReason(test.now) == UnfitReason::Excluded);
+}
+
+TEST_CASE("scheduler: starving long-running runs of which one may be unavailable are moved one after another", "[jobs]")
+{
+    StepSpec step = stepOf(2, 2000);
+    step.longRunning = true;
+    step.bestEffort = true;
+    step.checkpointing = true;
+    step.mayMiss = 1;
+    SchedulerUnderTest test;
+    test.becomeLeader({ jobOf("a", { step }) });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    REQUIRE(test.machine.workers().at("agent").tasks.size() == 2);
+    const auto stopsAfterReport = [&test] {
+        while (!test.machine.lease().idle())
+            test.commit();
+        test.now += milliseconds(500);
+        test.step(AgentReportReceived { "other", LinkId { 2 }, Ping { 2 } });
+        test.step(AgentReportReceived { "agent", LinkId { 1 }, Ping { 2 } });
+        test.step(AgentReportReceived { "agent", LinkId { 1 }, RunProgress { firstIncarnation, { { { { { "a" }, 0, 0 }, 1 }, "saved", 100, 0, 0 }, { { { { "a" }, 0, 1 }, 1 }, "saved", 100, 0, 0 } } } });
+        return std::count_if(test.effects.begin(), test.effects.end(), [](const SchedulerEffect& effect) {
+            const RecordEvent* const record = std::get_if<RecordEvent>(&effect);
+            return record && record->event == EventId::RunStopOrdered;
+        });
+    };
+    test.addWorker("other", LinkId { 2 }, 8000);
+    std::ptrdiff_t stops = 0;
+    for (int report = 0; report < 6; ++report)
+        stops += stopsAfterReport();
+    CHECK(stops == 1);
+}
