Leader: moves of starving runs respect how many tasks may be unavailable

Cause: relocateOneStarvingRun did not ask mayStop, which the move off a stalled worker asks.

Evidence: 'scheduler: starving long-running runs of which one may be unavailable are moved one after another' failed before (2 stops for 1).

--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -82,7 +82,7 @@
     for (const std::map<TaskId, WorkerIdentity>::value_type& item : worker.tasks) {
         const TrackedJob& job = *this->jobRegistry.find(item.first.job);
         const TaskState& task = *this->jobRegistry.task(item.first);
-        if (task.stopping || !task.ordered || isTerminal(job.state))
+        if (task.stopping || !task.ordered || isTerminal(job.state) || !this->mayStop(job, item.first.step))
             continue;
         const TrackedWorker* const better = betterWorker(job, item.first, worker, this->knownWorkers, this->interference, this->config.relocation, now);
         if (!better)
