--- a/libs/scheduling/tests/JobRegistryTests.cpp
+++ b/libs/scheduling/tests/JobRegistryTests.cpp
@@ -186,7 +186,7 @@
         const std::vector<ProgressSegment> taken = jobRegistry.takeChanged(1);
         REQUIRE(taken.size() == 1);
         CHECK(taken.front().job == JobId { index == 0 ? "z" : index % 2 == 1 ? "a"
-                                                                         : "b" });
+                                                                             : "b" });
     }
     CHECK(jobRegistry.takeChanged(5).size() == 1);
     CHECK_FALSE(jobRegistry.changed());
