--- a/libs/scheduling/src/JobRegistry.cpp
+++ b/libs/scheduling/src/JobRegistry.cpp
@@ -118,7 +118,7 @@
         return;
     // The row of the last end may have been stored before the row that holds the state.
     const std::size_t attempts = std::max(1U, job.spec->attempts);
-    const auto failedTooOften = [attempts](const TaskState& task) { return task.record.failedRuns.size() >= attempts; };
+    const auto failedTooOften = [attempts](const TaskState& task) { return !task.record.done && task.record.failedRuns.size() >= attempts; };
     const auto hasFailed = [&failedTooOften](const std::vector<TaskState>& step) { return std::any_of(step.begin(), step.end(), failedTooOften); };
     if (std::any_of(job.steps.begin(), job.steps.end(), hasFailed))
         this->finishJob(job, JobState::Failed, now);
--- a/libs/scheduling/tests/JobRegistryTests.cpp
+++ b/libs/scheduling/tests/JobRegistryTests.cpp
@@ -224,6 +224,10 @@
     JobRegistry failing;
     failing.restore(spec, { JobState::Running, { done, { false, 2, { 1, 2 }, std::nullopt, "" } }, true }, start);
     CHECK(failing.find(spec->id)->state == JobState::Failed);
+    // A run that was abandoned may fail after its successor is done.
+    JobRegistry failedLate;
+    failedLate.restore(spec, { JobState::Running, { { true, 2, { 1, 2 }, std::nullopt, "" }, {} }, true }, start);
+    CHECK(failedLate.find(spec->id)->state == JobState::Running);
     JobRegistry going;
     going.restore(spec, { JobState::Running, { done, { false, 1, { 1 }, std::nullopt, "" } }, true }, start);
     CHECK(going.find(spec->id)->state == JobState::Running);
