--- a/review/standins-2/Cases.h
+++ b/review/standins-2/Cases.h
@@ -31,12 +31,24 @@
 /// @return the verdict
 [[nodiscard]] Verdict cancelDuringFreeze(const CaseInput& input, Record& record);
 
+/// @brief A start reaches a worker that has just restarted under its identifier, and the agent freezes.
+/// @param input folders, and whether the disruption takes place
+/// @param record record of the case
+/// @return the verdict
+[[nodiscard]] Verdict startAfterRestart(const CaseInput& input, Record& record);
+
 /// @brief Heartbeats from before a worker's draining arrive late.
 /// @param input folders, and whether the disruption takes place
 /// @param record record of the case
 /// @return the verdict
 [[nodiscard]] Verdict lateHeartbeats(const CaseInput& input, Record& record);
 
+/// @brief Some jobs of many tasks are accepted, which no leader can hold in its memory.
+/// @param input folders, and whether the disruption takes place
+/// @param record record of the case
+/// @return the verdict
+[[nodiscard]] Verdict largeJobs(const CaseInput& input, Record& record);
+
 /// @brief Another writer sends heartbeats with a field of another type, as large as a heartbeat may be.
 /// @param input folders, and whether the disruption takes place
 /// @param record record of the case
--- a/review/standins-2/Deployment.cpp
+++ b/review/standins-2/Deployment.cpp
@@ -123,8 +123,10 @@
         WorkerConfig worker { .id = "i-" + std::to_string(number), .port = this->workerPorts[number], .registry = this->registryPorts[number], .zone = zoneOf(number) };
         if (!this->config.heartbeatPorts.empty())
             worker.registry = this->config.heartbeatPorts.at(number);
-        if (number == 0 && !this->config.firstWorkerLabel.empty())
-            worker.labels.push_back(this->config.firstWorkerLabel);
+        if (this->config.extraLabels.contains(number)) {
+            const std::vector<std::string>& extra = this->config.extraLabels.at(number);
+            worker.labels.insert(worker.labels.end(), extra.begin(), extra.end());
+        }
         this->workers.push_back(std::make_unique<Worker>(worker, this->record));
     }
     for (std::size_t number = 0; number < this->config.entries; ++number)
@@ -204,9 +206,11 @@
     return all;
 }
 
-std::string jobBody(unsigned tasks, unsigned milliCores, long long workMs)
+std::string jobBody(unsigned tasks, unsigned milliCores, long long workMs, const std::string& label)
 {
-    const Json step { { "count", tasks }, { "cpu", milliCores }, { "mem-mb", 500 }, { "estimate-ms", workMs } };
+    Json step { { "count", tasks }, { "cpu", milliCores }, { "mem-mb", 500 }, { "estimate-ms", workMs } };
+    if (!label.empty())
+        step["requires"] = label;
     return Json { { "spec", "work-ms=" + std::to_string(workMs) + " cpu=" + std::to_string(milliCores) }, { "phases", { step } } }.dump();
 }
 
--- a/review/standins-2/Deployment.h
+++ b/review/standins-2/Deployment.h
@@ -6,6 +6,7 @@
 #include "Record.h"
 #include "Store.h"
 #include "Worker.h"
+#include <map>
 #include <memory>
 #include <string>
 #include <sys/types.h>
@@ -54,8 +55,8 @@
     std::vector<int> registryPorts {};
     /// Ports to which workers send their heartbeats, where these are not those of the agents.
     std::vector<int> heartbeatPorts {};
-    /// Further label of the first worker.
-    std::string firstWorkerLabel {};
+    /// Further labels by the number of the worker.
+    std::map<std::size_t, std::vector<std::string>> extraLabels {};
 
     bool operator==(const DeploymentConfig&) const = default;
 };
@@ -100,6 +101,10 @@
     /// @return its worker
     [[nodiscard]] Worker& worker(std::size_t number) { return *this->workers.at(number); }
 
+    /// @brief Starts the process of an entry, as the platform does after its end.
+    /// @param number number of the entry
+    void startEntry(std::size_t number);
+
     /// @brief Starts the process of an agent, as the platform does after its end.
     /// @param number number of the agent
     void startAgent(std::size_t number);
@@ -112,8 +117,6 @@
     [[nodiscard]] std::vector<WorkerRun> runs();
 
 private:
-    void startEntry(std::size_t number);
-
     DeploymentConfig config;
     Record& record;
     int storePort = 0;
@@ -134,7 +137,8 @@
 /// @param tasks number of tasks
 /// @param milliCores cores of each task
 /// @param workMs how long each task works
+/// @param label label that its workers must have; empty for none
 /// @return body of the request that hands it in
-[[nodiscard]] std::string jobBody(unsigned tasks, unsigned milliCores, long long workMs);
+[[nodiscard]] std::string jobBody(unsigned tasks, unsigned milliCores, long long workMs, const std::string& label = "");
 
 }
--- a/review/standins-2/Http.cpp
+++ b/review/standins-2/Http.cpp
@@ -189,26 +189,58 @@
     }
 }
 
-void HttpServer::serve(int socket)
+void HttpServer::loseConnections()
 {
-    constexpr long long idleLimit = 600'000;
-    std::string buffer;
+    const std::scoped_lock lock(this->mutex);
+    this->lost = this->sockets;
+}
+
+bool HttpServer::isLost(int socket)
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->lost.contains(socket);
+}
+
+void HttpServer::awaitReset(int socket)
+{
+    constexpr long long pauseMs = 20;
+    const linger reset { 1, 0 };
     while (!this->stopping) {
-        const std::optional<Message> message = readMessage(socket, buffer, nowMs() + idleLimit);
-        if (!message)
+        pollfd waited { socket, POLLIN, 0 };
+        if (poll(&waited, 1, pauseMs) > 0)
             break;
+    }
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+void HttpServer::serve(int socket)
+{
+    constexpr long long sliceMs = 20;
+    std::string buffer;
+    while (!this->stopping && !this->isLost(socket)) {
+        const std::optional<Message> message = readMessage(socket, buffer, nowMs() + sliceMs);
+        if (!message) {
+            char next = 0;
+            const ssize_t count = recv(socket, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+                break;
+            continue;
+        }
         const std::optional<HttpAnswer> answer = this->handler(toCall(*message));
-        if (!answer) {
-            while (!this->stopping && receiveMore(socket, buffer, nowMs() + idleLimit))
-                buffer.clear();
+        if (!answer || this->isLost(socket)) {
+            const std::scoped_lock lock(this->mutex);
+            this->lost.insert(socket);
             break;
         }
         const std::string head = "HTTP/1.1 " + std::to_string(answer->status) + " Status\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(answer->body.size()) + "\r\n\r\n";
         if (!sendAll(socket, head + answer->body))
             break;
     }
+    if (this->isLost(socket))
+        this->awaitReset(socket);
     const std::scoped_lock lock(this->mutex);
     this->sockets.erase(socket);
+    this->lost.erase(socket);
     close(socket);
 }
 
--- a/review/standins-2/Http.h
+++ b/review/standins-2/Http.h
@@ -46,15 +46,22 @@
     HttpServer& operator=(const HttpServer&) = delete;
     ~HttpServer();
 
+    /// @brief Silences all open connections, as after a loss of power: nothing more is sent on them, and what arrives resets them.
+    void loseConnections();
+
 private:
     void acceptAll();
     void serve(int socket);
+    [[nodiscard]] bool isLost(int socket);
+    /// Resets a lost connection once bytes arrive; returns when it has ended.
+    void awaitReset(int socket);
 
     Handler handler;
     int listener = -1;
     std::atomic<bool> stopping = false;
     std::mutex mutex;
     std::set<int> sockets;
+    std::set<int> lost;
     std::vector<std::thread> connections;
     std::thread acceptor;
 };
--- a/review/standins-2/LargeForeignHeartbeats.cpp
+++ b/review/standins-2/LargeForeignHeartbeats.cpp
@@ -1,11 +1,6 @@
 #include "Cases.h"
-#include "Deployment.h"
-#include <algorithm>
-#include <array>
-#include <atomic>
-#include <csignal>
-#include <thread>
-#include <vector>
+#include "MemoryLimit.h"
+#include <utility>
 
 namespace review {
 
@@ -25,9 +20,6 @@
     /// Pause between two heartbeats to a machine.
     constexpr long long pauseMs = 5000;
 
-    /// Time after which the platform starts a process again.
-    constexpr long long restartMs = 500;
-
     /// Heartbeat whose service is a list of empty objects.
     std::string foreignHeartbeat()
     {
@@ -52,28 +44,12 @@
         return Verdict::CouldNotRun;
     sleepMs(3000);
     const std::string body = foreignHeartbeat();
-    std::atomic<bool> stopping = false;
-    std::array<std::size_t, machinesHit> ends {};
-    std::array<long, machinesHit> peaks {};
-    // Stands for the platform, which kills a process that exceeds its memory, and starts it again.
-    const auto enforceLimit = [&deployment, &record, &stopping, &ends, &peaks](std::size_t number) {
-        while (!stopping) {
-            const long used = deployment.agent(number).memoryMb();
-            peaks[number] = std::max(peaks[number], used);
-            if (used > memoryLimitMb || !deployment.agent(number).runs()) {
-                ++ends[number];
-                record.line("agent " + std::to_string(number) + " uses " + std::to_string(used) + " MB of " + std::to_string(memoryLimitMb) + " MB and is killed");
-                deployment.agent(number).signal(SIGKILL);
-                static_cast<void>(deployment.agent(number).waitForEnd(2000));
-                sleepMs(restartMs);
-                deployment.startAgent(number);
-            }
-            sleepMs(1);
-        }
-    };
-    std::vector<std::thread> platform;
-    for (std::size_t number = 0; number < machinesHit; ++number)
-        platform.emplace_back(enforceLimit, number);
+    std::vector<WatchedProcess> watched;
+    for (std::size_t number = 0; number < machinesHit; ++number) {
+        watched.push_back({ "agent " + std::to_string(number), [&deployment, number]() -> Process& { return deployment.agent(number); },
+            [&deployment, number]() { deployment.startAgent(number); } });
+    }
+    const MemoryLimit platform(memoryLimitMb, std::move(watched), record);
     for (std::size_t round = 0; round < heartbeatsEach; ++round) {
         for (std::size_t number = 0; number < machinesHit && input.trouble; ++number) {
             record.line("another writer sends agent " + std::to_string(number) + " a heartbeat of " + std::to_string(body.size()) + " bytes whose service is a list");
@@ -82,13 +58,10 @@
         }
         sleepMs(pauseMs);
     }
-    stopping = true;
-    for (std::thread& watch : platform)
-        watch.join();
     std::size_t machines = 0;
     for (std::size_t number = 0; number < machinesHit; ++number) {
-        record.line("agent " + std::to_string(number) + " ended " + std::to_string(ends[number]) + " times; its peak was " + std::to_string(peaks[number]) + " MB");
-        machines += ends[number] >= heartbeatsEach ? 1 : 0;
+        record.line("agent " + std::to_string(number) + " ended " + std::to_string(platform.ends(number)) + " times; its peak was " + std::to_string(platform.peakMb(number)) + " MB");
+        machines += platform.ends(number) >= heartbeatsEach ? 1 : 0;
     }
     if (deployment.runs().size() < 4) {
         record.line("the job did not run");
--- a/review/standins-2/LateHeartbeats.cpp
+++ b/review/standins-2/LateHeartbeats.cpp
@@ -25,13 +25,6 @@
     /// the end of the cut.
     constexpr long long latenessMs = 3300;
 
-    std::string labelledJob(long long workMs)
-    {
-        nlohmann::json body = nlohmann::json::parse(jobBody(2, 500, workMs));
-        body["phases"][0]["requires"] = rareLabel;
-        return body.dump();
-    }
-
 }
 
 Verdict lateHeartbeats(const CaseInput& input, Record& record)
@@ -42,14 +35,14 @@
         config.registryPorts.push_back(freePort());
     config.heartbeatPorts = config.registryPorts;
     config.heartbeatPorts[0] = freePort();
-    config.firstWorkerLabel = rareLabel;
+    config.extraLabels[0] = { rareLabel };
     HeartbeatLink link(config.heartbeatPorts[0], config.registryPorts[0], record);
     Deployment deployment(config, record);
     if (!deployment.waitUntilReady(30000)) {
         record.line("the deployment is not ready in time");
         return Verdict::CouldNotRun;
     }
-    if (deployment.call(0, "POST", jobBefore, labelledJob(300), 3000).status != 200)
+    if (deployment.call(0, "POST", jobBefore, jobBody(2, 500, 300, rareLabel), 3000).status != 200)
         return Verdict::CouldNotRun;
     sleepMs(4000);
     if (input.trouble) {
@@ -66,7 +59,7 @@
     record.line("the worker begins to drain");
     const long long drainsAt = nowMs();
     sleepMs(latenessMs - 1000);
-    if (deployment.call(0, "POST", jobAfter, labelledJob(300), 3000).status != 200)
+    if (deployment.call(0, "POST", jobAfter, jobBody(2, 500, 300, rareLabel), 3000).status != 200)
         return Verdict::CouldNotRun;
     sleepMs(drainsAt + latenessMs - nowMs());
     if (input.trouble)
--- a/review/standins-2/ReviewMain.cpp
+++ b/review/standins-2/ReviewMain.cpp
@@ -13,7 +13,9 @@
 {
     static const std::map<std::string, CaseFunction> known {
         { "cancel-during-freeze", review::cancelDuringFreeze },
+        { "start-after-restart", review::startAfterRestart },
         { "late-heartbeats", review::lateHeartbeats },
+        { "large-jobs", review::largeJobs },
         { "large-foreign-heartbeats", review::largeForeignHeartbeats },
     };
     return known;
--- a/review/standins-2/Worker.cpp
+++ b/review/standins-2/Worker.cpp
@@ -24,6 +24,11 @@
         return found == std::string::npos ? 0 : std::stoll(spec.substr(found + name.size() + 1));
     }
 
+    long long unixMs()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    }
+
     /// Share of its work that a run has done; a run that lasts is at work at once.
     long long percentOf(const WorkerRun& run)
     {
@@ -37,7 +42,7 @@
     : config(std::move(config))
     , record(record)
     , startedAt(nowMs())
-    , bornMs(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+    , bornMs(unixMs())
     , server(this->config.port, [this](const HttpCall& call) { return this->respond(call); })
     , worker([this]() { this->work(); })
     , heart([this]() { this->beat(); })
@@ -61,10 +66,44 @@
     this->isCut = cut;
 }
 
+void Worker::losePower()
+{
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->hasPower = false;
+        ++this->life;
+        const std::map<std::string, std::size_t> present = this->running;
+        for (const std::map<std::string, std::size_t>::value_type& item : present)
+            this->end(item.second, "lost");
+        this->highestEnded.clear();
+        this->finished.clear();
+        this->paces.clear();
+        this->lastEnd = 0;
+        this->token = 0;
+        this->leaseUntil = 0;
+        this->heartbeats = 0;
+        this->record.line(this->config.id + " loses power");
+        this->changed.notify_all();
+    }
+    this->server.loseConnections();
+}
+
+void Worker::startAgain(long long heartbeatAfterMs)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->hasPower = true;
+    this->startedAt = nowMs();
+    this->bornMs = unixMs();
+    this->nextHeartbeat = nowMs() + heartbeatAfterMs;
+    this->record.line(this->config.id + " starts again under its identifier");
+    this->changed.notify_all();
+}
+
 void Worker::drain()
 {
     const std::scoped_lock lock(this->mutex);
     this->draining = true;
+    this->nextHeartbeat = nowMs();
     this->changed.notify_all();
 }
 
@@ -84,7 +123,7 @@
 {
     const Json body = Json::parse(call.body, nullptr, false);
     std::unique_lock lock(this->mutex);
-    if (this->isCut)
+    if (this->isCut || !this->hasPower)
         return std::nullopt;
     const std::map<std::string, std::string>::const_iterator target = call.headers.find("target-instance");
     if (target != call.headers.end() && target->second != this->config.id)
@@ -145,13 +184,16 @@
     return this->answer(200, Json::object());
 }
 
-HttpAnswer Worker::hold(const Json& body, std::unique_lock<std::mutex>& lock)
+std::optional<HttpAnswer> Worker::hold(const Json& body, std::unique_lock<std::mutex>& lock)
 {
     const unsigned long long acknowledged = body.value("ack-seq", 0ULL);
     std::erase_if(this->finished, [acknowledged](const Json& row) { return row.at(0).get<unsigned long long>() <= acknowledged; });
     this->leaseUntil = std::max(this->leaseUntil, std::min(body.value("deadline-ms", 0LL), this->clockMs() + longestLeaseMs));
     const std::chrono::steady_clock::time_point until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::min(body.value("wait-ms", 0LL), 2000LL));
-    this->changed.wait_until(lock, until, [this]() { return this->stopping || !this->finished.empty(); });
+    const unsigned asked = this->life;
+    this->changed.wait_until(lock, until, [this, asked]() { return this->stopping || this->life != asked || !this->finished.empty(); });
+    if (this->life != asked)
+        return std::nullopt;
     Json listed = Json::array();
     for (const std::map<std::string, std::size_t>::value_type& item : this->running)
         listed.push_back({ item.first, this->allRuns[item.second].number, "", percentOf(this->allRuns[item.second]), this->allRuns[item.second].milliCores });
@@ -183,8 +225,12 @@
 {
     std::vector<std::thread> calls;
     std::unique_lock lock(this->mutex);
-    long long next = nowMs();
+    this->nextHeartbeat = nowMs();
     while (!this->stopping) {
+        if (!this->hasPower || nowMs() < this->nextHeartbeat) {
+            this->changed.wait_for(lock, std::chrono::milliseconds(20));
+            continue;
+        }
         const bool leaves = this->draining;
         const unsigned long long number = ++this->heartbeats;
         Json body { { "service", "svc1" }, { "address", "127.0.0.1:" + std::to_string(this->config.port) }, { "zone", this->config.zone }, { "version", "v1" }, { "slots", 8 },
@@ -201,11 +247,7 @@
             if (leaves && got.status == 200 && this->drainingAcknowledged < 0)
                 this->drainingAcknowledged = nowMs();
         });
-        next += heartbeatMs;
-        while (!this->stopping && nowMs() < next && this->draining == leaves)
-            this->changed.wait_for(lock, std::chrono::milliseconds(20));
-        if (this->draining != leaves)
-            next = nowMs();
+        this->nextHeartbeat += heartbeatMs;
     }
     lock.unlock();
     for (std::thread& call : calls)
--- a/review/standins-2/Worker.h
+++ b/review/standins-2/Worker.h
@@ -61,6 +61,13 @@
     /// @param cut whether it is cut off
     void setCut(bool cut);
 
+    /// @brief Lets the worker lose power: all that runs ends, nothing is answered, and nothing is sent.
+    void losePower();
+
+    /// @brief Starts the worker again under its identifier; it knows nothing of before, and its clock starts anew.
+    /// @param heartbeatAfterMs when it sends its first heartbeat
+    void startAgain(long long heartbeatAfterMs);
+
     /// @brief From now on, the heartbeats say that the worker is draining.
     void drain();
 
@@ -74,7 +81,7 @@
     std::optional<HttpAnswer> respond(const HttpCall& call);
     HttpAnswer start(const nlohmann::json& body);
     HttpAnswer stop(const nlohmann::json& body);
-    HttpAnswer hold(const nlohmann::json& body, std::unique_lock<std::mutex>& lock);
+    std::optional<HttpAnswer> hold(const nlohmann::json& body, std::unique_lock<std::mutex>& lock);
     void work();
     void beat();
     void end(std::size_t run, const std::string& how);
@@ -88,6 +95,10 @@
     bool stopping = false;
     bool draining = false;
     bool isCut = false;
+    bool hasPower = true;
+    /// Incremented by each loss of power, so that calls of an earlier life have no effect.
+    unsigned life = 0;
+    long long nextHeartbeat = 0;
     long long drainingAcknowledged = -1;
     long long startedAt = 0;
     long long bornMs = 0;
