--- a/review/standins-2/Cases.h
+++ b/review/standins-2/Cases.h
@@ -31,6 +31,12 @@
 /// @return the verdict
 [[nodiscard]] Verdict cancelDuringFreeze(const CaseInput& input, Record& record);
 
+/// @brief A worker restarts under its identifier, and ends of its new life are acknowledged with a number of its earlier life.
+/// @param input folders, and whether the disruption takes place
+/// @param record record of the case
+/// @return the verdict
+[[nodiscard]] Verdict staleAcknowledgement(const CaseInput& input, Record& record);
+
 /// @brief A start reaches a worker that has just restarted under its identifier, and the agent freezes.
 /// @param input folders, and whether the disruption takes place
 /// @param record record of the case
--- a/review/standins-2/Deployment.cpp
+++ b/review/standins-2/Deployment.cpp
@@ -121,6 +121,7 @@
     for (std::size_t number = 0; number < this->config.agents; ++number) {
         this->startAgent(number);
         WorkerConfig worker { .id = "i-" + std::to_string(number), .port = this->workerPorts[number], .registry = this->registryPorts[number], .zone = zoneOf(number) };
+        worker.keepAlive = this->config.workersKeepAlive;
         if (!this->config.heartbeatPorts.empty())
             worker.registry = this->config.heartbeatPorts.at(number);
         if (this->config.extraLabels.contains(number)) {
--- a/review/standins-2/Deployment.h
+++ b/review/standins-2/Deployment.h
@@ -55,6 +55,8 @@
     std::vector<int> registryPorts {};
     /// Ports to which workers send their heartbeats, where these are not those of the agents.
     std::vector<int> heartbeatPorts {};
+    /// Whether workers leave connections open after an answer.
+    bool workersKeepAlive = true;
     /// Further labels by the number of the worker.
     std::map<std::size_t, std::vector<std::string>> extraLabels {};
 
--- a/review/standins-2/Http.cpp
+++ b/review/standins-2/Http.cpp
@@ -148,8 +148,9 @@
 
 }
 
-HttpServer::HttpServer(int port, Handler handler)
+HttpServer::HttpServer(int port, Handler handler, bool keepAlive)
     : handler(std::move(handler))
+    , keepAlive(keepAlive)
     , listener(openSocket())
 {
     const int on = 1;
@@ -232,8 +233,8 @@
             this->lost.insert(socket);
             break;
         }
-        const std::string head = "HTTP/1.1 " + std::to_string(answer->status) + " Status\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(answer->body.size()) + "\r\n\r\n";
-        if (!sendAll(socket, head + answer->body))
+        const std::string head = "HTTP/1.1 " + std::to_string(answer->status) + " Status\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(answer->body.size()) + (this->keepAlive ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
+        if (!sendAll(socket, head + answer->body) || !this->keepAlive)
             break;
     }
     if (this->isLost(socket))
--- a/review/standins-2/Http.h
+++ b/review/standins-2/Http.h
@@ -41,7 +41,8 @@
 
     /// @param port a free port on the loopback address
     /// @param handler answers calls, from several threads
-    HttpServer(int port, Handler handler);
+    /// @param keepAlive whether connections stay open after an answer
+    HttpServer(int port, Handler handler, bool keepAlive = true);
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
     ~HttpServer();
@@ -57,6 +58,7 @@
     void awaitReset(int socket);
 
     Handler handler;
+    bool keepAlive = true;
     int listener = -1;
     std::atomic<bool> stopping = false;
     std::mutex mutex;
--- a/review/standins-2/ReviewMain.cpp
+++ b/review/standins-2/ReviewMain.cpp
@@ -13,6 +13,7 @@
 {
     static const std::map<std::string, CaseFunction> known {
         { "cancel-during-freeze", review::cancelDuringFreeze },
+        { "stale-acknowledgement", review::staleAcknowledgement },
         { "start-after-restart", review::startAfterRestart },
         { "late-heartbeats", review::lateHeartbeats },
         { "large-jobs", review::largeJobs },
--- a/review/standins-2/Worker.cpp
+++ b/review/standins-2/Worker.cpp
@@ -43,7 +43,8 @@
     , record(record)
     , startedAt(nowMs())
     , bornMs(unixMs())
-    , server(this->config.port, [this](const HttpCall& call) { return this->respond(call); })
+    , server(
+          this->config.port, [this](const HttpCall& call) { return this->respond(call); }, this->config.keepAlive)
     , worker([this]() { this->work(); })
     , heart([this]() { this->beat(); })
 {
@@ -164,7 +165,7 @@
     const long long workMs = numberIn(spec, "work-ms");
     const long long now = nowMs();
     this->running[task] = this->allRuns.size();
-    this->allRuns.push_back({ this->config.id, task, number, static_cast<unsigned>(numberIn(spec, "cpu")), now, workMs > 0 ? now + workMs : -1, -1, "" });
+    this->allRuns.push_back({ this->config.id, task, number, static_cast<unsigned>(numberIn(spec, "cpu")), now, workMs > 0 ? now + workMs : -1, -1, "", 0, -1 });
     this->record.line(this->config.id + " starts " + task + " run " + std::to_string(number));
     this->changed.notify_all();
     return this->answer(200, Json::object());
@@ -186,8 +187,7 @@
 
 std::optional<HttpAnswer> Worker::hold(const Json& body, std::unique_lock<std::mutex>& lock)
 {
-    const unsigned long long acknowledged = body.value("ack-seq", 0ULL);
-    std::erase_if(this->finished, [acknowledged](const Json& row) { return row.at(0).get<unsigned long long>() <= acknowledged; });
+    this->acknowledge(body.value("ack-seq", 0ULL));
     this->leaseUntil = std::max(this->leaseUntil, std::min(body.value("deadline-ms", 0LL), this->clockMs() + longestLeaseMs));
     const std::chrono::steady_clock::time_point until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::min(body.value("wait-ms", 0LL), 2000LL));
     const unsigned asked = this->life;
@@ -203,12 +203,29 @@
     return this->answer(200, { { "running", listed }, { "finished", ends }, { "born", this->bornMs } });
 }
 
+void Worker::acknowledge(unsigned long long upTo)
+{
+    const auto reached = [upTo](const Json& row) { return row.at(0).get<unsigned long long>() <= upTo; };
+    for (const Json& row : this->finished) {
+        for (WorkerRun& run : this->allRuns) {
+            if (!reached(row) || run.task != row.at(1) || run.number != row.at(2).get<unsigned long long>() || run.endNumber != row.at(0).get<unsigned long long>())
+                continue;
+            if (this->lapsedAt < run.endedAt)
+                run.acknowledgedAt = nowMs();
+            this->record.line(this->config.id + " end " + std::to_string(run.endNumber) + " (" + run.task + " run " + std::to_string(run.number) + ": " + run.how + ") is reached by ack-seq " + std::to_string(upTo));
+        }
+    }
+    std::erase_if(this->finished, reached);
+}
+
 void Worker::work()
 {
     std::unique_lock lock(this->mutex);
     while (!this->stopping) {
         const long long now = nowMs();
         const bool lapsed = this->clockMs() >= this->leaseUntil;
+        if (lapsed)
+            this->lapsedAt = now;
         const std::map<std::string, std::size_t> present = this->running;
         for (const std::map<std::string, std::size_t>::value_type& item : present) {
             const WorkerRun& run = this->allRuns[item.second];
@@ -261,7 +278,8 @@
     run.how = how;
     this->running.erase(run.task);
     this->highestEnded[run.task] = run.number;
-    this->finished.push_back({ ++this->lastEnd, run.task, run.number, how, "" });
+    run.endNumber = ++this->lastEnd;
+    this->finished.push_back({ run.endNumber, run.task, run.number, how, "" });
     this->record.line(this->config.id + " ends " + run.task + " run " + std::to_string(run.number) + ": " + how);
     this->changed.notify_all();
 }
--- a/review/standins-2/Worker.h
+++ b/review/standins-2/Worker.h
@@ -27,6 +27,8 @@
     unsigned milliCores = 16000;
     unsigned memoryMb = 62500;
     std::vector<std::string> labels { "a", "r1-1" };
+    /// Whether connections stay open after an answer.
+    bool keepAlive = true;
 
     bool operator==(const WorkerConfig&) const = default;
 };
@@ -42,6 +44,9 @@
     /// Time of the end, or -1 while it runs.
     long long endedAt = -1;
     std::string how;
+    /// Number of the end, and when ack-seq reached it, or -1 if it did not or the worker's lease had lapsed in between.
+    unsigned long long endNumber = 0;
+    long long acknowledgedAt = -1;
 
     bool operator==(const WorkerRun&) const = default;
 };
@@ -82,6 +87,7 @@
     HttpAnswer start(const nlohmann::json& body);
     HttpAnswer stop(const nlohmann::json& body);
     std::optional<HttpAnswer> hold(const nlohmann::json& body, std::unique_lock<std::mutex>& lock);
+    void acknowledge(unsigned long long upTo);
     void work();
     void beat();
     void end(std::size_t run, const std::string& how);
@@ -104,6 +110,8 @@
     long long bornMs = 0;
     unsigned long long token = 0;
     long long leaseUntil = 0;
+    /// When the lease was last seen lapsed.
+    long long lapsedAt = -1;
     unsigned long long heartbeats = 0;
     std::vector<WorkerRun> allRuns;
     std::map<std::string, std::size_t> running;
