--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,7 +5,7 @@
 root=$(cd "$here/../.." && pwd)
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout 110 "$root/build/review-2/review-2" large-foreign-heartbeats "$root" "$folder" "$here/record.txt"
+timeout 110 "$root/build/review-2/review-2" cancel-during-freeze "$root" "$folder" "$here/record.txt"
 code=$?
 [ "$code" -eq 0 ] || [ "$code" -eq 1 ] || code=2
 exit "$code"
