--- a/review/standins-2/Deployment.cpp
+++ b/review/standins-2/Deployment.cpp
@@ -15,7 +15,7 @@
     using Json = nlohmann::json;
 
     constexpr const char* host = "jobs.example";
-    constexpr const char* prefix = "/work/";
+    constexpr const char* prefix = "/looms/";
 
     std::vector<int> freePorts(std::size_t count)
     {
