Memory of messages from other programs is bounded before it is taken

Cause: the only limit was one of bytes. The body was copied three times and parsed into values, which take many times their text, before a field was checked; nothing bounded how many bodies an agent held at once.

Ruled out: the copies alone (3 x 4 MiB of the 190 MB); memory that is kept after the request (the peak is within one call).

'jobs: an entry stays within the memory of its VM whatever bodies callers send' is a guard on a related path: 24 MB of 160 now.

Why this works: a SAX consumer counts the memory of each value before it stores it and drops fields that the reader does not name, so a text costs its bytes and a bounded tree, and parsing is synchronous, so there is one tree at a time. Large heartbeats with known fields stay accepted.

--- a/apps/agent/JobsAgentProcess.cpp
+++ b/apps/agent/JobsAgentProcess.cpp
@@ -42,7 +42,7 @@
     , task(this->context.get_executor(), machineConfig(settings), platform::makeWorkerPort(this->context.get_executor(), settings.text("worker"), this->log, this->metrics), this->log, this->metrics)
     , leaders(this->context.get_executor(), settings.text("link-listen"), this->task.inbox(), this->log, this->metrics)
     , registry(this->context.get_executor(), settings.text("registry-listen"), this->task.inbox(), this->log, this->metrics)
-    , admin(this->context.get_executor(), settings.text("admin-listen"), HttpLimits {})
+    , admin(this->context.get_executor(), settings.text("admin-listen"), pageLimits)
     , stop(this->context, this->log, { []() -> asio::awaitable<bool> { co_return true; }, []() -> asio::awaitable<std::string> { co_return "nothing"; } })
 {
     this->addAdminHandlers();
--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -54,8 +54,8 @@
           this->store, [this](ConfigurationHandle newer) { this->callers.apply(std::move(newer)); }, [this](bool answered) { this->onStoreContact(answered); }, this->log, this->metrics)
     , scheduler(
           this->context.get_executor(), schedulerConfig(settings), this->store, [this](RowVersion upTo) { this->intake.learned(upTo); }, this->log, this->metrics)
-    , readiness(this->context.get_executor(), settings.text("ready-listen"), HttpLimits {})
-    , admin(this->context.get_executor(), settings.text("admin-listen"), HttpLimits {})
+    , readiness(this->context.get_executor(), settings.text("ready-listen"), pageLimits)
+    , admin(this->context.get_executor(), settings.text("admin-listen"), pageLimits)
     , stop(this->context, this->log, { [this]() { return this->drain(); }, [this]() { return this->describeInFlight(); } })
 {
     this->addAdminHandlers();
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -67,7 +67,7 @@
         EventDescription { EventId::WorkerDraining, "worker_draining", EventLevel::Info, "The worker is draining and gets no new runs." },
         EventDescription { EventId::WorkerExcluded, "worker_excluded", EventLevel::Warning, "Consecutive runs of several jobs failed on a worker, or its runs stalled; it gets no new runs for a while." },
         EventDescription { EventId::GenerationTaken, "generation_taken", EventLevel::Info, "This incarnation of the agent has obtained its generation, from which its fencing tokens are derived." },
-        EventDescription { EventId::BeatRefused, "beat_refused", EventLevel::Warning, "A heartbeat of a worker cannot be parsed or names another service." },
+        EventDescription { EventId::BeatRefused, "beat_refused", EventLevel::Warning, "A heartbeat of a worker cannot be parsed, or a request or connection at the address for heartbeats is refused." },
         EventDescription { EventId::PaceChanged, "pace_changed", EventLevel::Info, "The pace of best-effort runs was changed because of the tail latency of serving runs." },
         EventDescription { EventId::BeatPassedOver, "beat_passed_over", EventLevel::Warning, "A heartbeat or sign-off was ignored: it names an incarnation of the worker other than the current one, or one that still answers; the detail says why." },
         EventDescription { EventId::LongLeaseHeld, "long_lease_held", EventLevel::Warning, "A worker may hold a lease that an agent computed by the clock of an earlier incarnation; until it is as short as usual, its runs are stopped and it gets no new ones." },
--- a/libs/runtime/include/cowslipdoor/runtime/AdminServer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/AdminServer.h
@@ -12,6 +12,9 @@
 
 namespace cowslipdoor::runtime {
 
+/// @brief Limits of servers whose pages take no body.
+constexpr HttpLimits pageLimits { .bodyBytes = 4096 };
+
 /// @brief Handles one request of an operator or upstream.
 using AdminHandler = std::function<asio::awaitable<Response>(const HttpRequest&)>;
 
--- a/libs/runtime/include/cowslipdoor/runtime/HttpServer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/HttpServer.h
@@ -4,6 +4,7 @@
 /// @brief Reading of HTTP/1.1 requests and writing of responses, within limits.
 
 #include "Asio.h"
+#include "BodyBudget.h"
 #include <cowslipdoor/core/Request.h>
 #include <cowslipdoor/core/Time.h>
 #include <optional>
@@ -56,6 +57,12 @@
 /// @return the request, or why none was read
 [[nodiscard]] asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits);
 
+/// @brief Reads one request within the limits and a budget for bodies.
+/// @param buffer bytes of the connection that are received but not parsed; keeps those of later requests
+/// @param reservation renewed for the body, which it must outlive
+/// @return the request, or why none was read: ErrorKind::Busy if the budget has too little left for the body
+[[nodiscard]] asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits, BodyReservation& reservation);
+
 /// @brief Writes one response.
 /// @param keepAlive whether the connection stays open after the response
 /// @return whether the whole response was written
--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cowslipdoor/core/Error.h>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace cowslipdoor::runtime {
 
@@ -22,12 +24,12 @@
         return { std::nullopt, error.message() };
     }
 
-    HttpRequest toRequest(const http::request<http::string_body>& message)
+    HttpRequest toRequest(http::request<http::string_body> message)
     {
         std::vector<Header> headers;
         for (const http::fields::value_type& field : message)
             headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        return { std::string(message.method_string()), std::string(message.target()), headers, Bytes(message.body()), message.keep_alive() };
+        return { std::string(message.method_string()), std::string(message.target()), headers, Bytes(std::move(message.body())), message.keep_alive() };
     }
 
 }
@@ -39,9 +41,18 @@
 
 asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits)
 {
+    BodyBudget unlimited(std::numeric_limits<std::size_t>::max());
+    BodyReservation reservation(unlimited);
+    const HttpReadResult result = co_await readHttpRequest(stream, buffer, limits, reservation);
+    co_return result;
+}
+
+asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits, BodyReservation& reservation)
+{
+    const std::size_t largestBody = std::min(limits.bodyBytes, reservation.source().bytes());
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-    parser.body_limit(limits.bodyBytes);
+    parser.body_limit(largestBody);
     if (buffer.size() == 0) {
         stream.expires_after(limits.idle);
         const std::tuple<error_code, std::size_t> first = co_await stream.async_read_some(buffer.prepare(limits.headerBytes), asTuple);
@@ -55,6 +66,12 @@
     if (std::get<0>(header))
         co_return failureOf(std::get<0>(header), headerDeadline.passed());
     headerDeadline.end();
+    // A chunked body may take all that one body may.
+    const std::size_t expected = parser.chunked() ? largestBody : static_cast<std::size_t>(parser.content_length().value_or(0));
+    if (!reservation.renew(expected))
+        co_return HttpReadFailure { ErrorKind::Busy, "a body of " + std::to_string(expected) + " bytes does not fit beside those of other requests" };
+    if (parser.chunked())
+        parser.get().body().reserve(expected);
     SocketDeadline bodyDeadline(stream.socket(), limits.bodyTimeout);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> continueResponse(http::status::continue_, parser.get().version());
@@ -65,7 +82,7 @@
     const std::tuple<error_code, std::size_t> body = co_await http::async_read(stream, buffer, parser, asTuple);
     if (std::get<0>(body))
         co_return failureOf(std::get<0>(body), bodyDeadline.passed());
-    co_return toRequest(parser.get());
+    co_return toRequest(parser.release());
 }
 
 asio::awaitable<bool> writeHttpResponse(beast::tcp_stream& stream, const Response& response, bool keepAlive, const HttpLimits& limits)
--- a/libs/runtime/tests/HttpServerTests.cpp
+++ b/libs/runtime/tests/HttpServerTests.cpp
@@ -90,6 +90,57 @@
     CHECK(std::get<HttpRequest>(results[0]).body.view() == "abcdef");
 }
 
+TEST_CASE("http: a body budget is shared by the requests in progress, and small bodies do not count", "[http]")
+{
+    constexpr std::size_t large = 2 * uncountedBodyBytes;
+    BodyBudget budget(large + 1);
+    BodyReservation first(budget);
+    BodyReservation second(budget);
+    CHECK(first.renew(large));
+    CHECK(budget.bytesLeft() == 1);
+    CHECK_FALSE(second.renew(large));
+    CHECK(second.renew(uncountedBodyBytes));
+    CHECK(first.renew(1));
+    CHECK(second.renew(large));
+    {
+        BodyReservation third(budget);
+        CHECK_FALSE(third.renew(large));
+    }
+    CHECK(budget.bytesLeft() == 1);
+}
+
+TEST_CASE("http: a body that does not fit into the budget is refused before it is read", "[http]")
+{
+    asio::io_context context(1);
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    BodyBudget budget(3 * uncountedBodyBytes);
+    const auto read = [&context, &acceptor, &budget](const std::string& head) {
+        tcp::socket peer(context);
+        peer.connect(acceptor.local_endpoint());
+        std::vector<HttpReadResult> results;
+        const auto serve = [&budget, &results](tcp::socket socket) -> asio::awaitable<void> {
+            beast::tcp_stream stream(std::move(socket));
+            beast::flat_buffer buffer;
+            BodyReservation reservation(budget);
+            const HttpReadResult result = co_await readHttpRequest(stream, buffer, HttpLimits { .bodyTimeout = std::chrono::milliseconds(50) }, reservation);
+            results.push_back(result);
+        };
+        asio::co_spawn(context, serve(acceptor.accept()), asio::detached);
+        asio::write(peer, asio::buffer("POST / HTTP/1.1\r\n" + head + "\r\n\r\n"));
+        context.restart();
+        context.run();
+        return answerIn(results.at(0));
+    };
+    BodyReservation other(budget);
+    REQUIRE(other.renew(2 * uncountedBodyBytes));
+    CHECK(read("Content-Length: " + std::to_string(2 * uncountedBodyBytes)) == ErrorKind::Busy);
+    CHECK(read("Transfer-Encoding: chunked") == ErrorKind::Busy);
+    CHECK(read("Content-Length: 100") == ErrorKind::BadRequest);
+    CHECK(read("Content-Length: " + std::to_string(4 * uncountedBodyBytes)) == ErrorKind::BodyTooLarge);
+    REQUIRE(other.renew(0));
+    CHECK(read("Content-Length: " + std::to_string(2 * uncountedBodyBytes)) == ErrorKind::BadRequest);
+}
+
 TEST_CASE("http: a truncated request gets no answer", "[http]")
 {
     CHECK(answerIn(readAll("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", small, true).back()) == std::nullopt);
--- a/libs/scheduling/include/cowslipdoor/scheduling/CheckedJson.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/CheckedJson.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -22,6 +23,14 @@
 /// recursively, so a deeply nested one would overflow the stack.
 constexpr std::size_t maximumNestingDepth = 64;
 
+/// @brief Limits of the values that are kept of a JSON text.
+struct JsonLimits {
+    /// Maximum memory of the values in bytes. A short value takes many times its text, so a limit of the text does not bound it.
+    std::size_t treeBytes = std::size_t { 16 } * 1024 * 1024;
+    /// Fields of the root object that are kept; all if empty. The values of other fields take no memory.
+    std::span<const std::string_view> fields {};
+};
+
 /// @brief Inclusive range of a number.
 template <std::integral Number>
 struct Bounds {
@@ -41,9 +50,11 @@
 public:
     /// @brief Parses a text.
     /// @param text JSON text
+    /// @param limits what is kept of it
     /// @return its root value
-    /// @throws Error if the text is not valid JSON, is nested too deeply, or has a number that a double cannot represent
-    [[nodiscard]] static CheckedJson parse(std::string_view text);
+    /// @throws Error if the text is not valid JSON, is nested too deeply, has a number that a double cannot represent, or exceeds
+    ///         the limits
+    [[nodiscard]] static CheckedJson parse(std::string_view text, const JsonLimits& limits = {});
 
     /// @param field name of a required field
     /// @return its value
--- a/libs/scheduling/include/cowslipdoor/scheduling/Limits.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Limits.h
@@ -38,7 +38,10 @@
 /// @brief Maximum size of a checkpoint that is kept; a row holds the checkpoints of 64 tasks.
 constexpr std::size_t maximumCheckpointBytes = 512;
 
-/// @brief Maximum length of a worker name in bytes, equal to the maximum length of a store key.
+/// @brief Maximum length of the name of a worker, service or label in bytes, equal to the maximum length of a store key.
 constexpr std::size_t maximumNameBytes = 200;
 
+/// @brief Maximum number of labels of a worker.
+constexpr std::size_t maximumLabels = 64;
+
 }
--- a/libs/scheduling/src/CheckedJson.cpp
+++ b/libs/scheduling/src/CheckedJson.cpp
@@ -14,25 +14,127 @@
     /// Greatest integer up to which a double represents every integer exactly.
     constexpr double maximumExactInteger = 9'007'199'254'740'992.0;
 
-    /// Maximum nesting depth of brackets outside of strings.
-    std::size_t nestingOf(std::string_view text)
-    {
-        std::size_t depth = 0;
-        std::size_t deepest = 0;
-        bool quoted = false;
-        for (std::size_t index = 0; index < text.size(); ++index) {
-            const char letter = text[index];
-            if (quoted && letter == '\\')
-                ++index;
-            else if (letter == '"')
-                quoted = !quoted;
-            else if (!quoted && (letter == '[' || letter == '{'))
-                deepest = std::max(deepest, ++depth);
-            else if (!quoted && (letter == ']' || letter == '}') && depth > 0)
-                --depth;
+    /// Memory of a value in a list or an object, in bytes: its 16 bytes, three times while a growing list is copied.
+    constexpr std::size_t bytesPerValue = 48;
+
+    /// Memory of an empty list or object, of a string, or of a field of an object, without their characters, in bytes.
+    constexpr std::size_t bytesPerContainer = 64;
+    constexpr std::size_t bytesPerString = 64;
+    constexpr std::size_t bytesPerField = 128;
+
+    /// Maximum length of a parser's message; it may quote the text.
+    constexpr std::size_t maximumMessageBytes = 200;
+
+    /// Builds the values of a text within the limits. Unlike Json::parse(), it counts memory before it allocates.
+    class TreeBuilder final : public nlohmann::json_sax<Json> {
+    public:
+        explicit TreeBuilder(const JsonLimits& limits)
+            : limits(limits)
+            , bytesLeft(limits.treeBytes)
+        {
         }
-        return deepest;
-    }
+
+        bool null() override { return this->add(nullptr, 0); }
+        bool boolean(bool value) override { return this->add(value, 0); }
+        bool number_integer(number_integer_t value) override { return this->add(value, 0); }
+        bool number_unsigned(number_unsigned_t value) override { return this->add(value, 0); }
+        bool number_float(number_float_t value, const string_t&) override { return this->add(value, 0); }
+        bool string(string_t& value) override { return this->add(std::move(value), bytesPerString + value.size()); }
+        bool binary(binary_t&) override { return false; }
+        bool start_object(std::size_t) override { return this->open(Json::value_t::object); }
+        bool end_object() override { return this->close(); }
+        bool start_array(std::size_t) override { return this->open(Json::value_t::array); }
+        bool end_array() override { return this->close(); }
+
+        bool key(string_t& name) override
+        {
+            if (this->skipping)
+                return true;
+            const bool ofRoot = this->depth == 1;
+            if (ofRoot && !this->limits.fields.empty() && std::find(this->limits.fields.begin(), this->limits.fields.end(), name) == this->limits.fields.end()) {
+                this->skipping = true;
+                return true;
+            }
+            this->spend(bytesPerField + name.size());
+            this->field = &(*this->containers.back())[name];
+            return true;
+        }
+
+        bool parse_error(std::size_t, const std::string&, const Json::exception& error) override
+        {
+            throw Error(ErrorKind::BadRequest, std::string(error.what()).substr(0, maximumMessageBytes));
+        }
+
+        [[nodiscard]] Json take() { return std::move(this->root); }
+
+    private:
+        template <typename Value>
+        bool add(Value&& value, std::size_t bytes)
+        {
+            if (!this->skipping) {
+                this->spend(bytesPerValue + bytes);
+                (void)this->store(std::forward<Value>(value));
+            }
+            this->endSkippedField();
+            return true;
+        }
+
+        bool open(Json::value_t type)
+        {
+            if (++this->depth > maximumNestingDepth)
+                throw Error(ErrorKind::BadRequest, "the text is nested more than " + std::to_string(maximumNestingDepth) + " levels deep");
+            if (this->skipping)
+                return true;
+            this->spend(bytesPerValue + bytesPerContainer);
+            this->containers.push_back(this->store(type));
+            return true;
+        }
+
+        bool close()
+        {
+            --this->depth;
+            if (!this->skipping)
+                this->containers.pop_back();
+            this->endSkippedField();
+            return true;
+        }
+
+        /// Stores a value where the text has it, and returns its place, which is valid until its list or object gets another.
+        template <typename Value>
+        Json* store(Value&& value)
+        {
+            if (this->containers.empty()) {
+                this->root = std::forward<Value>(value);
+                return &this->root;
+            }
+            if (this->containers.back()->is_array())
+                return &this->containers.back()->emplace_back(std::forward<Value>(value));
+            *this->field = std::forward<Value>(value);
+            return this->field;
+        }
+
+        void endSkippedField() noexcept
+        {
+            this->skipping = this->skipping && this->depth > 1;
+        }
+
+        void spend(std::size_t bytes)
+        {
+            if (bytes > this->bytesLeft)
+                throw Error(ErrorKind::BadRequest, "the values of the text take more than " + std::to_string(this->limits.treeBytes) + " bytes of memory");
+            this->bytesLeft -= bytes;
+        }
+
+        JsonLimits limits;
+        std::size_t bytesLeft;
+        Json root;
+        /// Open lists and objects, from the root inwards, without those of a skipped field.
+        std::vector<Json*> containers;
+        /// Place of the value that follows the last key.
+        Json* field = nullptr;
+        std::size_t depth = 0;
+        bool skipping = false;
+    };
 
     bool isExactInteger(const Json& value)
     {
@@ -57,16 +159,16 @@
 {
 }
 
-CheckedJson CheckedJson::parse(std::string_view text)
+CheckedJson CheckedJson::parse(std::string_view text, const JsonLimits& limits)
 {
-    if (nestingOf(text) > maximumNestingDepth)
-        throw Error(ErrorKind::BadRequest, "the text is nested more than " + std::to_string(maximumNestingDepth) + " levels deep");
+    TreeBuilder tree(limits);
     try {
-        const Document document = std::make_shared<const Json>(Json::parse(text));
-        return { document, *document, "body" };
+        static_cast<void>(Json::sax_parse(text, &tree));
     } catch (const Json::exception& error) {
-        throw Error(ErrorKind::BadRequest, error.what());
+        throw Error(ErrorKind::BadRequest, std::string(error.what()).substr(0, maximumMessageBytes));
     }
+    const Document document = std::make_shared<const Json>(tree.take());
+    return { document, *document, "body" };
 }
 
 CheckedJson CheckedJson::at(const char* field) const
--- a/libs/scheduling/tests/CheckedJsonTests.cpp
+++ b/libs/scheduling/tests/CheckedJsonTests.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <catch2/catch.hpp>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/scheduling/CheckedJson.h>
@@ -62,3 +63,47 @@
     CHECK(json.integerOr("other", 7U) == 7);
     CHECK(json.at("list").integers<int>() == std::vector<int> { 1 });
 }
+
+// Guards against: a text within the limit of its bytes takes the memory of the process.
+TEST_CASE("checked JSON: values that take more memory than permitted are refused, whatever they are", "[jobs]")
+{
+    const JsonLimits limits { .treeBytes = 10'000 };
+    const auto listOf = [](const std::string& item) {
+        std::string list = "[" + item;
+        for (int count = 0; count < 500; ++count)
+            list += "," + item;
+        return list + "]";
+    };
+    for (const char* const item : { "{}", "[]", "1", "null", "true", "\"\"", "1.5", "{\"\":0}" }) {
+        INFO(item);
+        CHECK_THROWS_WITH(CheckedJson::parse(listOf(item), limits), Catch::Contains("more than 10000 bytes"));
+        CHECK(CheckedJson::parse(listOf(item)).size() == 501);
+    }
+    CHECK_THROWS_AS(CheckedJson::parse("\"" + std::string(10'000, 'x') + "\"", limits), Error);
+    CHECK(CheckedJson::parse("\"" + std::string(9'000, 'x') + "\"", limits).text().size() == 9'000);
+}
+
+TEST_CASE("checked JSON: fields that are not read take no memory and change nothing", "[jobs]")
+{
+    constexpr std::array<std::string_view, 2> fields { "kept", "list" };
+    const JsonLimits limits { .treeBytes = 2'000, .fields = fields };
+    const std::string large = "[{\"kept\":[" + std::string(40, '[') + std::string(40, ']') + "]},\"" + std::string(5'000, 'x') + "\"]";
+    const CheckedJson json = CheckedJson::parse("{\"a\":" + large + ",\"kept\":{\"a\":7,\"kept\":8},\"b\":1,\"list\":[1,{\"a\":2}],\"c\":{}}", limits);
+    CHECK(json.fields().size() == 2);
+    CHECK(json.at("kept").at("a").integer<int>() == 7);
+    CHECK(json.at("kept").at("kept").integer<int>() == 8);
+    CHECK(json.at("list").item(1).at("a").integer<int>() == 2);
+    CHECK_THROWS_AS(CheckedJson::parse("{\"a\":" + std::string(100, '[') + std::string(100, ']') + "}", limits), Error);
+    CHECK_THROWS_AS(CheckedJson::parse("{\"a\":[1,}", limits), Error);
+    CHECK(CheckedJson::parse("{\"kept\":1,\"kept\":2}", limits).at("kept").integer<int>() == 2);
+}
+
+TEST_CASE("checked JSON: the error of a malformed text does not repeat the text", "[jobs]")
+{
+    try {
+        (void)CheckedJson::parse("{\"a\":\"" + std::string(100'000, 'x'));
+        FAIL("the text is malformed");
+    } catch (const Error& error) {
+        CHECK(std::string(error.what()).size() < 300);
+    }
+}
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -107,6 +107,61 @@
         CHECK(answer.get() == 200);
 }
 
+/// Largest heartbeat that an agent reads.
+constexpr std::size_t largestHeartbeat = 4 * 1024 * 1024;
+
+/// memory-mb of the VMs that run agents.
+constexpr std::size_t agentMemoryMb = 128;
+
+/// Repeats a text, and closes what it opens, up to the size of the largest heartbeat.
+std::string heartbeatOf(const std::string& head, const std::string& item, const std::string& tail)
+{
+    std::string body = head;
+    body.reserve(largestHeartbeat);
+    while (body.size() + item.size() + tail.size() <= largestHeartbeat)
+        body += item;
+    return body + tail;
+}
+
+/// Heartbeats of another writer whose values take many times their text.
+std::vector<std::string> largeHeartbeats()
+{
+    const std::string known = R"({"state":"ready","capacity":{"cpu":16000,"mem-mb":62500},"born":1,)";
+    return {
+        heartbeatOf(known + R"("service":[{})", ",{}", "]}"),
+        heartbeatOf(known + R"("service":"service","labels":["a")", R"(,"a")", "]}"),
+        heartbeatOf(known + R"("service":"service","future":[[])", ",[]", "]}"),
+        heartbeatOf(known + R"("service":[0)", ",1", "]}"),
+        heartbeatOf(R"({"a":{"x":0)", R"(,"x":{"":[]})", "}}"),
+        heartbeatOf(R"({"service":")", "x", "\x01"),
+        heartbeatOf(R"({"service":)", "7", "}"),
+        heartbeatOf("", "[", ""),
+    };
+}
+
+/// Sends a heartbeat of another writer.
+unsigned sendHeartbeat(const std::string& registry, const std::string& body)
+{
+    const runtime::HttpCall call { .address = registry, .method = "PUT", .target = "/v1/instances/other", .body = body, .timeout = std::chrono::seconds(5) };
+    try {
+        return runtime::fetch(call).status;
+    } catch (const Error&) {
+        // The agent may close the connection before it has read the whole body.
+        return 0;
+    }
+}
+
+/// Largest resident memory that a process has had.
+std::size_t peakMemoryMb(pid_t process)
+{
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    for (std::string word; status >> word;) {
+        std::size_t kilobytes = 0;
+        if (word == "VmHWM:" && status >> kilobytes)
+            return kilobytes / 1024;
+    }
+    return 0;
+}
 }
 
 TEST_CASE("jobs: a job runs to its end, and submitting it again refers to the same job", "[system][jobs]")
@@ -318,3 +373,59 @@
     deployment.store().setWriteTime({});
     CHECK(accepted == callers);
 }
+
+// Guards against: a refused heartbeat of another writer takes the agent over the memory of its VM.
+TEST_CASE("jobs: an agent stays within the memory of its VM whatever heartbeats another writer sends", "[system][jobs]")
+{
+    JobsDeployment deployment(configFor("large-heartbeats"));
+    const pid_t agent = deployment.agent(0).pid();
+    const std::size_t before = peakMemoryMb(agent);
+    REQUIRE(before > 0);
+    SECTION("one after the other")
+    {
+        for (const std::string& body : largeHeartbeats())
+            (void)sendHeartbeat(deployment.registryAddress(0), body);
+    }
+    SECTION("at the same time")
+    {
+        std::vector<std::future<unsigned>> answers;
+        for (int copy = 0; copy < 4; ++copy) {
+            for (const std::string& body : largeHeartbeats())
+                answers.push_back(std::async(std::launch::async, [&deployment, body]() { return sendHeartbeat(deployment.registryAddress(0), body); }));
+        }
+        for (const std::future<unsigned>& answer : answers)
+            answer.wait();
+    }
+    INFO("peak " << peakMemoryMb(agent) << " MB, " << before << " MB before");
+    CHECK(peakMemoryMb(agent) <= agentMemoryMb);
+    CHECK(deployment.agent(0).running());
+    REQUIRE(deployment.submit(jobId(0), 6));
+    expectAllDoneOnce(deployment, 1, 6);
+}
+
+// Guards against: refused bodies of callers take an entry over the memory of its VM.
+TEST_CASE("jobs: an entry stays within the memory of its VM whatever bodies callers send", "[system][jobs]")
+{
+    // The smallest memory-mb of the VMs that run entries.
+    constexpr std::size_t entryMemoryMb = 160;
+    constexpr std::size_t bodyBytes = 250 * 1024;
+    JobsDeployment deployment(configFor("large-bodies"));
+    std::vector<std::string> bodies { R"({"spec":"text","phases":[{})", R"({"spec":"text","phases":[{"count":1,"after":[0)", R"({"spec":"text","other":[[])" };
+    const std::vector<std::string> items { ",{}", ",0", ",[]" };
+    for (std::size_t index = 0; index < bodies.size(); ++index) {
+        while (bodies[index].size() + items[index].size() < bodyBytes)
+            bodies[index] += items[index];
+    }
+    std::vector<std::future<unsigned>> answers;
+    for (unsigned number = 0; number < 150; ++number) {
+        const auto send = [&deployment, &body = bodies[number % bodies.size()], number]() { return deployment.call(0, "POST", jobId(100 + number), body).first; };
+        answers.push_back(std::async(std::launch::async, send));
+    }
+    for (std::future<unsigned>& answer : answers)
+        CHECK(answer.get() != 200);
+    INFO("peak " << peakMemoryMb(deployment.entry(0).pid()) << " MB");
+    CHECK(peakMemoryMb(deployment.entry(0).pid()) <= entryMemoryMb);
+    CHECK(deployment.entry(0).running());
+    REQUIRE(deployment.submit(jobId(0), 6));
+    expectAllDoneOnce(deployment, 1, 6);
+}
