Agent: acknowledgements, leases and starts go to a confirmed incarnation only

Cause: the poll that followed an unanswered one carried the number up to which ends of the earlier incarnation had been acknowledged. The new one numbers its ends from 1 again, and forgot four that nobody had seen; its answer listed nothing, and the leader started the tasks again.

Ruled out: an acknowledgement by the leader (it names the incarnation); the order of events in the agent (the poll was sent as intended).

Evidence: 'agent: no end is acknowledged while the worker may be a new incarnation, ...' failed on for all three reasons of doubt (a call without an answer, a heartbeat that names another incarnation, a start in flight): 'acknowledgeUpTo == 0' was '4 == 0'.

Why this works: one function says whether the incarnation is confirmed, and leases, starts and acknowledgements depend on it. The clock in the answer to an order shows a restart at the first order that the new incarnation answers, 0.9 s before the waiting poll times out; such an order counts as unanswered, so a poll with a higher token and without lease and acknowledgement shows the worker's true lists, and the leader adopts or takes what they hold.

--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -59,7 +59,7 @@
         EventDescription { EventId::RunLost, "run_lost", EventLevel::Warning, "A run never started or can no longer act; its task is placed again." },
         EventDescription { EventId::RunRejectedByWorker, "run_rejected", EventLevel::Warning, "A worker or its agent refused the start of a run." },
         EventDescription { EventId::RunStopOrdered, "run_stop_ordered", EventLevel::Info, "The leader ordered the stop of a run." },
-        EventDescription { EventId::OrderUnanswered, "order_unanswered", EventLevel::Warning, "An order to a worker got no answer; a higher fencing token makes it invalid." },
+        EventDescription { EventId::OrderUnanswered, "order_unanswered", EventLevel::Warning, "An order to a worker got no answer, or that of another incarnation; a higher fencing token makes it invalid." },
         EventDescription { EventId::LastingTaskIdle, "lasting_task_idle", EventLevel::Warning, "A long-running task has no run that a worker lists; the detail says since when and why." },
         EventDescription { EventId::WorkerSeen, "worker_seen", EventLevel::Info, "An incarnation of the worker sent its first heartbeat." },
         EventDescription { EventId::WorkerSettled, "worker_settled", EventLevel::Info, "The leader knows all runs on a worker." },
--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -47,6 +47,8 @@
     Duration snapshotInterval = std::chrono::seconds(2);
     /// How long after its sign-off a worker that does leave may still answer.
     Duration signOffMargin = std::chrono::milliseconds(300);
+    /// How much slower than true time a worker's clock may run, in percent, as the platform permits.
+    int clockSlownessPercent = 2;
     /// Maximum number of ends that a worker lists in one answer.
     std::size_t maximumListedEnds = 500;
 
@@ -86,6 +88,10 @@
     const CallNumber call {};
     const bool accepted = false;
     const std::string reason {};
+    /// Start of the incarnation that answered, or zero if not stated.
+    const std::int64_t startedAtMs = 0;
+    /// Clock of the incarnation that answered, or std::nullopt if not stated.
+    const std::optional<std::int64_t> clockMs {};
 };
 
 /// @brief A call had no answer; an order may still be carried out seconds later.
@@ -183,9 +189,11 @@
 /// has accepted before. A new incarnation of the agent may have the same token as its predecessor, so it raises the first
 /// token that is accepted once more.
 ///
-/// A lease is a time on the worker's clock, which starts anew with each incarnation. So a call without an answer is followed by a
-/// poll without a lease, which shows whether the same incarnation still answers. A new incarnation that has received a lease by
-/// the clock of the earlier one gets no run until that lease is no longer than usual.
+/// A worker may restart under its identifier at any time, and the clock of its leases and the numbers of its ends start anew. Leases,
+/// starts and acknowledgements are therefore sent only to a confirmed incarnation: one that has answered all calls since the last
+/// answered poll, while no heartbeat names another one. An order that another incarnation answers, as its clock or start time show,
+/// counts as unanswered. A new incarnation that may have received a lease by the clock of the earlier one gets no run until that
+/// lease is no longer than usual.
 ///
 /// Heartbeats are hints: one that names another incarnation of the worker than the current one causes a poll, and the answer
 /// decides which incarnation is alive.
@@ -236,6 +244,7 @@
     struct OrderInFlight {
         CallNumber call;
         Order order;
+        TimePoint sentAt {};
     };
 
     struct PollInFlight {
@@ -244,6 +253,7 @@
         Duration wait {};
         TimePoint sentAt {};
         bool renews = false;
+        std::uint64_t acknowledges = 0;
     };
 
     /// Incarnation named by the newest heartbeat that does not name the current one.
@@ -261,9 +271,11 @@
         TimePoint lastContact {};
         /// Whether the worker has answered as this incarnation.
         bool answered = false;
-        /// Whether all calls since the last answer to a poll were answered. After an unanswered one the worker may have restarted
-        /// under its identifier, with another clock.
-        bool clockConfirmed = true;
+        /// Whether this incarnation has answered all calls since the last answer to a poll. If not, the worker may have restarted under
+        /// its identifier.
+        bool answersConfirmed = true;
+        /// Whether an order, with a lease by the clock of this incarnation, was answered by another one.
+        bool leaseReachedAnother = false;
         /// Whether no heartbeat of this incarnation has stated its capacity, labels and service.
         bool attributesAssumed = false;
         /// Whether heartbeats report that the worker is draining; two in a row that do not are needed to clear it.
@@ -276,7 +288,9 @@
         bool tokenAccepted = false;
         std::uint64_t settledToken = 0;
         CallNumber newestPoll {};
+        /// Number up to which the leader has acknowledged ends, and the one that the worker has received.
         std::uint64_t acknowledged = 0;
+        std::uint64_t acknowledgedToWorker = 0;
         std::uint64_t reported = 0;
         std::vector<RunStatus> running {};
         std::vector<RunEnd> ended {};
@@ -311,6 +325,8 @@
     void onOrderAnswered(const StartOrder& order, const OrderAnswered& event, Effects& effects);
     void onOrderAnswered(const StopOrder& order, const OrderAnswered& event, Effects& effects);
     void onOrderAnswered(const ChangePace& order, const OrderAnswered& event, Effects& effects);
+    /// Makes the order in flight invalid by a higher token, and asks the worker for its state.
+    void voidOrder(const std::string& reason, TimePoint now, Effects& effects);
     void onOrderUnanswered(const StartOrder& order);
     void onOrderUnanswered(const StopOrder& order);
     void onOrderUnanswered(const ChangePace& order);
@@ -324,7 +340,9 @@
     void sendOrder(TimePoint now, Effects& effects);
     void considerIncarnation(const WorkerInfo& info, TimePoint now);
     void refreshIncarnation(const WorkerInfo& info, Effects& effects);
-    void switchIncarnation(std::int64_t startedAtMs, bool renewed, TimePoint now, Effects& effects);
+    /// @param answer first answer of another incarnation
+    /// @param renewed whether the answered poll had a lease
+    void switchIncarnation(const PollAnswered& answer, bool renewed, TimePoint now, Effects& effects);
     void dropCandidate(const std::string& reason, Effects& effects);
     void pollSoon(TimePoint now);
     /// Returns whether the worker now counts as holding a long lease and did not before, or the other way round.
@@ -350,7 +368,12 @@
     [[nodiscard]] std::uint64_t token() const noexcept;
     [[nodiscard]] CallNumber nextCall() noexcept;
     [[nodiscard]] bool isAnswerToPing(std::int64_t answeredPingAt) const;
+    [[nodiscard]] bool answeredByAnother(const OrderAnswered& event, TimePoint sentAt) const;
+    [[nodiscard]] bool incarnationConfirmed() const noexcept { return this->incarnation->answersConfirmed && !this->candidate; }
     [[nodiscard]] bool mayRenew(TimePoint now) const;
+    [[nodiscard]] bool mayAcknowledge() const noexcept;
+    /// Returns whether the worker has not received the last acknowledgement.
+    [[nodiscard]] bool acknowledgementDue() const noexcept { return this->incarnation->acknowledgedToWorker < this->incarnation->acknowledged; }
     [[nodiscard]] std::int64_t leaseUntil(TimePoint now);
     [[nodiscard]] std::vector<RunId> pendingRuns() const;
     [[nodiscard]] bool lists(const RunId& run) const;
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -111,7 +111,7 @@
     if (!this->incarnation || event.call <= this->incarnation->newestPoll)
         return;
     if (event.startedAtMs != 0 && event.startedAtMs != this->incarnation->info.identity.startedAtMs) {
-        this->switchIncarnation(event.startedAtMs, answered.renews, now, effects);
+        this->switchIncarnation(event, answered.renews, now, effects);
         return;
     }
     this->incarnation->answered = true;
@@ -119,10 +119,12 @@
     if (this->candidate && event.call >= this->candidate->firstPoll)
         this->dropCandidate("the worker answers as " + describeIncarnation(this->incarnation->info.identity), effects);
     this->incarnation->newestPoll = event.call;
+    this->incarnation->acknowledgedToWorker = std::max(this->incarnation->acknowledgedToWorker, answered.acknowledges);
     this->incarnation->clockMs = event.clockMs;
     this->incarnation->clockReadAt = now;
     this->incarnation->lastContact = now;
-    this->incarnation->clockConfirmed = true;
+    this->incarnation->answersConfirmed = true;
+    this->incarnation->leaseReachedAnother = false;
     this->incarnation->running = event.running;
     if (this->incarnation->info.longLease)
         this->stopAll(event.running);
@@ -155,30 +157,29 @@
 {
     if (!this->orderInFlight || this->orderInFlight->call != event.call || !this->incarnation)
         return;
+    if (this->answeredByAnother(event, this->orderInFlight->sentAt)) {
+        this->incarnation->leaseReachedAnother = std::holds_alternative<StartOrder>(this->orderInFlight->order);
+        this->voidOrder("another incarnation of the worker answered an order, at " + std::to_string(event.clockMs.value_or(0)) + " ms of its clock", now, effects);
+        return;
+    }
     const Order order = std::exchange(this->orderInFlight, std::nullopt)->order;
     this->incarnation->lastContact = now;
+    if (this->acknowledgementDue())
+        this->nextPollAt = now;
     std::visit([this, &event, &effects](const auto& alternative) { this->onOrderAnswered(alternative, event, effects); }, order);
 }
 
 void WorkerMachine::on(const CallUnanswered& event, TimePoint now, Effects& effects)
 {
     if (this->pollInFlight && this->pollInFlight->call == event.call) {
-        this->incarnation->clockConfirmed = false;
+        this->incarnation->answersConfirmed = false;
         this->pollInFlight.reset();
         this->nextPollAt = now + this->config.retryDelay;
         return;
     }
     if (!this->orderInFlight || this->orderInFlight->call != event.call)
         return;
-    const Order order = std::exchange(this->orderInFlight, std::nullopt)->order;
-    std::visit([this](const auto& alternative) { this->onOrderUnanswered(alternative); }, order);
-    this->incarnation->clockConfirmed = false;
-    ++this->tokenRaises;
-    // The poll in flight shows nothing about the order; another one is sent at once.
-    this->pollInFlight.reset();
-    this->nextPollAt = now;
-    effects.emplace_back(RecordEvent { EventId::OrderUnanswered, "an order has no answer; fencing token raised to " + std::to_string(this->token()) });
-    this->sendSnapshot(effects);
+    this->voidOrder("an order has no answer", now, effects);
 }
 
 void WorkerMachine::on(const CallFenced& event, TimePoint now, Effects& effects)
@@ -366,7 +367,7 @@
     if (!this->generation)
         return;
     const bool unsettled = this->incarnation->settledToken != this->token();
-    const bool answerSoon = unsettled || !this->incarnation->clockConfirmed || this->candidate || this->signedOffAt || !this->incarnation->ended.empty();
+    const bool answerSoon = unsettled || !this->incarnationConfirmed() || this->signedOffAt || !this->incarnation->ended.empty() || (this->acknowledgementDue() && !this->mayAcknowledge());
     if (!this->pollInFlight && now >= this->nextPollAt)
         this->poll(now, answerSoon ? Duration {} : this->config.pollWait, effects);
     if (!unsettled && !this->orderInFlight && !this->orders.empty())
@@ -418,12 +419,14 @@
     this->sendSnapshot(effects);
 }
 
-void WorkerMachine::switchIncarnation(std::int64_t startedAtMs, bool renewed, TimePoint now, Effects& effects)
+void WorkerMachine::switchIncarnation(const PollAnswered& answer, bool renewed, TimePoint now, Effects& effects)
 {
-    // The end of the lease was computed by the clock of the earlier incarnation, which may be far ahead of this one's.
-    if (renewed)
+    // Leases of orders and polls were computed by the clock of the earlier incarnation, which may be far ahead of this one's. Runs that the
+    // first answer lists were started by such orders.
+    const bool started = this->incarnation->answered && !(answer.running.empty() && answer.ended.empty());
+    if (renewed || started || this->incarnation->leaseReachedAnother)
         this->leaseEnd = std::max(this->leaseEnd, now + this->config.maximumLease);
-    const WorkerIdentity identity { this->incarnation->info.identity.id, startedAtMs };
+    const WorkerIdentity identity { this->incarnation->info.identity.id, answer.startedAtMs };
     const bool reported = this->candidate && this->candidate->info.identity == identity;
     // Other attributes of a heartbeat with a wrong start time are not reliable either.
     if (!reported && !this->incarnation->answered) {
@@ -476,6 +479,8 @@
         return now;
     if (this->signedOffAt)
         return std::max(now, *this->signedOffAt + this->config.signOffMargin);
+    if (this->acknowledgementDue() && !this->mayAcknowledge())
+        return now + this->config.retryDelay;
     return this->incarnation->ended.empty() ? now : now + this->config.acknowledgeWait;
 }
 
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -26,6 +26,19 @@
         this->paceControl.markPaceUnknown(order.run);
 }
 
+void WorkerMachine::voidOrder(const std::string& reason, TimePoint now, Effects& effects)
+{
+    const Order order = std::exchange(this->orderInFlight, std::nullopt)->order;
+    std::visit([this](const auto& alternative) { this->onOrderUnanswered(alternative); }, order);
+    this->incarnation->answersConfirmed = false;
+    ++this->tokenRaises;
+    // The poll in flight shows nothing about the order; another one is sent at once.
+    this->pollInFlight.reset();
+    this->nextPollAt = now;
+    effects.emplace_back(RecordEvent { EventId::OrderUnanswered, reason + "; fencing token raised to " + std::to_string(this->token()) });
+    this->sendSnapshot(effects);
+}
+
 void WorkerMachine::onOrderUnanswered(const StartOrder& order)
 {
     if (this->incarnation)
@@ -44,21 +57,21 @@
 void WorkerMachine::sendCall(const StartOrder& order, TimePoint now, Effects& effects)
 {
     const CallNumber call = this->nextCall();
-    this->orderInFlight = OrderInFlight { call, order };
+    this->orderInFlight = OrderInFlight { call, order, now };
     effects.emplace_back(CallStart { call, this->incarnation->info.identity.id, this->token(), order.order.run, order.order.payload, order.order.checkpoint, this->leaseUntil(now) });
 }
 
-void WorkerMachine::sendCall(const StopOrder& order, TimePoint, Effects& effects)
+void WorkerMachine::sendCall(const StopOrder& order, TimePoint now, Effects& effects)
 {
     const CallNumber call = this->nextCall();
-    this->orderInFlight = OrderInFlight { call, order };
+    this->orderInFlight = OrderInFlight { call, order, now };
     effects.emplace_back(CallStop { call, this->incarnation->info.identity.id, this->token(), order.run });
 }
 
-void WorkerMachine::sendCall(const ChangePace& order, TimePoint, Effects& effects)
+void WorkerMachine::sendCall(const ChangePace& order, TimePoint now, Effects& effects)
 {
     const CallNumber call = this->nextCall();
-    this->orderInFlight = OrderInFlight { call, order };
+    this->orderInFlight = OrderInFlight { call, order, now };
     effects.emplace_back(CallPace { call, this->incarnation->info.identity.id, this->token(), order.run, order.percent });
 }
 
@@ -68,8 +81,9 @@
     std::optional<std::int64_t> lease;
     if (this->mayRenew(now))
         lease = this->leaseUntil(now);
-    this->pollInFlight = PollInFlight { call, this->token(), wait, now, lease.has_value() };
-    effects.emplace_back(CallPoll { call, this->incarnation->info.identity.id, this->token(), this->incarnation->acknowledged, lease, wait });
+    const std::uint64_t acknowledges = this->mayAcknowledge() ? this->incarnation->acknowledged : 0;
+    this->pollInFlight = PollInFlight { call, this->token(), wait, now, lease.has_value(), acknowledges };
+    effects.emplace_back(CallPoll { call, this->incarnation->info.identity.id, this->token(), acknowledges, lease, wait });
 }
 
 void WorkerMachine::sendOrder(TimePoint now, Effects& effects)
@@ -158,7 +172,27 @@
     const bool hasGrant = this->lastGrantAt && now <= *this->lastGrantAt + this->config.grantValidity;
     // A worker that may be gone gets no renewal: its runs are known to have ended sooner, and its clock says nothing about
     // that of a successor.
-    return hasGrant && !this->signedOffAt && !this->candidate && this->incarnation->clockConfirmed && this->incarnation->clockMs != 0 && now <= this->incarnation->lastContact + this->config.contactValidity;
+    return hasGrant && !this->signedOffAt && this->incarnationConfirmed() && this->incarnation->clockMs != 0 && now <= this->incarnation->lastContact + this->config.contactValidity;
+}
+
+bool WorkerMachine::mayAcknowledge() const noexcept
+{
+    // A start in flight may have reached a new incarnation, whose ends have the same numbers.
+    return this->incarnationConfirmed() && !(this->orderInFlight && std::holds_alternative<StartOrder>(this->orderInFlight->order));
+}
+
+bool WorkerMachine::answeredByAnother(const OrderAnswered& event, TimePoint sentAt) const
+{
+    const WorkerIncarnation& known = *this->incarnation;
+    if (event.startedAtMs != 0 && event.startedAtMs != known.info.identity.startedAtMs)
+        return true;
+    if (!event.clockMs || !known.answered)
+        return false;
+    // Both readings are in whole milliseconds.
+    constexpr std::int64_t roundingMs = 2;
+    const Duration elapsed = sentAt - known.clockReadAt;
+    const Duration shown = elapsed < Duration {} ? elapsed : elapsed * (100 - this->config.clockSlownessPercent) / 100;
+    return *event.clockMs < known.clockMs + toMilliseconds(shown) - roundingMs;
 }
 
 std::int64_t WorkerMachine::leaseUntil(TimePoint now)
--- a/libs/scheduling/tests/JobSimulation.cpp
+++ b/libs/scheduling/tests/JobSimulation.cpp
@@ -353,7 +353,7 @@
     } else if (const CallStop* const stop = std::get_if<CallStop>(&effect)) {
         this->callWorker(agent, stop->call, [this, agent, call = *stop]() { return this->execute(agent, call); });
     } else if (const CallPace* const pace = std::get_if<CallPace>(&effect)) {
-        this->callWorker(agent, pace->call, [call = *pace]() { return OrderAnswered { call.call, true, "" }; });
+        this->callWorker(agent, pace->call, [this, agent, call = *pace]() { return OrderAnswered { call.call, true, "", 0, this->clockMs(this->workers[agent]) }; });
     } else if (const SendToLeader* const message = std::get_if<SendToLeader>(&effect)) {
         const std::uint64_t link = static_cast<std::uint64_t>(message->link);
         const std::size_t entry = this->links.at(link).entry;
@@ -661,14 +661,14 @@
         return CallFenced { call.call };
     worker.token = call.token;
     if (worker.running.contains(call.run))
-        return OrderAnswered { call.call, true, "" };
+        return OrderAnswered { call.call, true, "", 0, this->clockMs(worker) };
     const std::map<TaskId, std::uint32_t>::const_iterator highest = worker.highestEnded.find(call.run.task);
     if (highest != worker.highestEnded.end() && call.run.number <= highest->second)
-        return OrderAnswered { call.call, false, "old" };
+        return OrderAnswered { call.call, false, "old", 0, this->clockMs(worker) };
     if (call.leaseUntilMs <= this->clockMs(worker))
-        return OrderAnswered { call.call, false, "late" };
+        return OrderAnswered { call.call, false, "late", 0, this->clockMs(worker) };
     if (this->now < worker.refusesUntil)
-        return OrderAnswered { call.call, false, "503" };
+        return OrderAnswered { call.call, false, "503", 0, this->clockMs(worker) };
     this->extendLease(index, call.leaseUntilMs);
     this->checkStart(index, call.run, call.payload);
     worker.running[call.run] = { call.payload, this->now, false };
@@ -681,7 +681,7 @@
         const Duration time = milliseconds(100) + this->jitter(milliseconds(1500));
         this->after(time, [this, index, startedAtMs, run = call.run, fails]() { this->endRunInTime(index, startedAtMs, run, fails ? RunEndKind::Failed : RunEndKind::Done); });
     }
-    return OrderAnswered { call.call, true, "" };
+    return OrderAnswered { call.call, true, "", 0, this->clockMs(worker) };
 }
 
 std::optional<WorkerEvent> JobSimulation::execute(std::size_t index, const CallStop& call)
@@ -696,7 +696,7 @@
     if (it == worker.running.end()) {
         std::uint32_t& highest = worker.highestEnded[call.run.task];
         highest = std::max(highest, call.run.number);
-        return OrderAnswered { call.call, false, "old" };
+        return OrderAnswered { call.call, false, "old", 0, this->clockMs(worker) };
     }
     it->second.stopping = true;
     const std::int64_t startedAtMs = worker.startedAtMs;
@@ -704,7 +704,7 @@
         if (this->workers[index].up && this->workers[index].startedAtMs == startedAtMs)
             this->endRun(index, run, RunEndKind::Stopped);
     });
-    return OrderAnswered { call.call, true, "" };
+    return OrderAnswered { call.call, true, "", 0, this->clockMs(worker) };
 }
 
 std::int64_t JobSimulation::clockMs(const WorkerNode& worker) const
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -19,11 +19,14 @@
     TimePoint now = start;
 
     CallNumber lastPoll {};
+    std::optional<CallNumber> lastStart {};
     std::int64_t lastPing = 0;
 
     void step(const WorkerEvent& event)
     {
         this->effects = this->machine.step(event, this->now);
+        const std::optional<CallStart> startCall = this->find<CallStart>();
+        this->lastStart = startCall ? startCall->call : this->lastStart;
         const std::optional<CallPoll> poll = this->find<CallPoll>();
         this->lastPoll = poll ? poll->call : this->lastPoll;
         const std::optional<Ping> ping = this->reported<Ping>();
@@ -108,6 +111,15 @@
         this->step(LeaderMessageReceived { leaderLink, Pong { this->now.time_since_epoch().count() } });
     }
 
+    /// Has the leader acknowledge the first four ends of the worker, which then receives the acknowledgement.
+    void acknowledgeFourEnds()
+    {
+        this->step(LeaderMessageReceived { leaderLink, AcknowledgeEnds { firstIncarnation, 4 } });
+        this->step(this->answerTo({ .call = this->lastPoll }));
+        REQUIRE(this->find<CallPoll>());
+        REQUIRE(this->find<CallPoll>()->acknowledgeUpTo == 4);
+    }
+
     StartRun order() const { return { run, firstIncarnation, "text", "", {}, 1, this->lastPing }; }
 };
 
@@ -262,6 +274,100 @@
     CHECK(agent.find<CallPoll>()->acknowledgeUpTo == 4);
 }
 
+// Guards against: tasks that a worker has finished since its restart run again, as their ends were acknowledged unseen.
+TEST_CASE("agent: no end is acknowledged while the worker may be a new incarnation, whose ends have the same numbers", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.acknowledgeFourEnds();
+    const WorkerIdentity restarted { firstIncarnation.id, firstIncarnation.startedAtMs + 5 };
+    const std::string cause = GENERATE("a call without an answer", "a heartbeat of another incarnation", "a start in flight");
+    INFO(cause);
+    if (cause == "a call without an answer") {
+        agent.step(CallUnanswered { agent.lastPoll });
+        agent.now += milliseconds(100);
+        agent.step(TimePassed {});
+    } else if (cause == "a heartbeat of another incarnation") {
+        agent.step(AgentUnderTest::heartbeatOf(restarted));
+    } else {
+        agent.step(LeaderMessageReceived { leaderLink, agent.order() });
+        REQUIRE(agent.find<CallStart>());
+        agent.step(LeaderMessageReceived { leaderLink, AcknowledgeEnds { firstIncarnation, 5 } });
+        agent.step(agent.answerTo({ .call = agent.lastPoll }));
+        agent.now += milliseconds(100);
+        agent.step(TimePassed {});
+    }
+    REQUIRE(agent.find<CallPoll>());
+    CHECK(agent.find<CallPoll>()->acknowledgeUpTo == 0);
+    SECTION("a new incarnation's ends are reported, also those with lower numbers")
+    {
+        const std::vector<RunEnd> ends { { 1, run, RunEndKind::Done, "" }, { 2, { { { "job" }, 0, 1 }, 1 }, RunEndKind::Done, "" } };
+        agent.step(PollAnswered { agent.lastPoll, restarted.startedAtMs, 100, {}, ends });
+        REQUIRE(agent.find<CallPoll>());
+        CHECK(agent.find<CallPoll>()->acknowledgeUpTo == 0);
+        agent.step(PollAnswered { agent.lastPoll, restarted.startedAtMs, 110, {}, ends });
+        REQUIRE(agent.reported<RunsEnded>());
+        CHECK(agent.reported<RunsEnded>()->worker == restarted);
+        CHECK(agent.reported<RunsEnded>()->ends == ends);
+    }
+    SECTION("the same incarnation gets the acknowledgement with the next poll")
+    {
+        agent.step(agent.answerTo({ .call = agent.lastPoll }, {}, { { 4, run, RunEndKind::Done, "" } }));
+        CHECK_FALSE(agent.reported<RunsEnded>());
+        if (agent.lastStart)
+            agent.step(OrderAnswered { *agent.lastStart, true, "" });
+        REQUIRE(agent.find<CallPoll>());
+        CHECK(agent.find<CallPoll>()->acknowledgeUpTo == (agent.lastStart ? 5 : 4));
+    }
+}
+
+// Guards against the same failure where an order is the first call to reach the new incarnation.
+TEST_CASE("agent: an order that a new incarnation answers shows the restart, and its lease counts as long", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.acknowledgeFourEnds();
+    agent.now += milliseconds(400);
+    agent.step(LeaderMessageReceived { leaderLink, agent.order() });
+    const std::optional<CallStart> order = agent.find<CallStart>();
+    REQUIRE(order);
+    const WorkerIdentity restarted { firstIncarnation.id, firstIncarnation.startedAtMs + 5 };
+    SECTION("the clock of the same incarnation, at its slowest")
+    {
+        agent.step(OrderAnswered { order->call, true, "", 0, 5000 + 392 });
+        CHECK(agent.recorded(EventId::RunStarted));
+    }
+    SECTION("another clock or start time")
+    {
+        const std::int64_t statedStart = GENERATE(0, 6);
+        const bool accepted = GENERATE(true, false);
+        agent.step(OrderAnswered { order->call, accepted, "old", statedStart, statedStart == 0 ? 5000 + 380 : 5000 + 400 });
+        CHECK_FALSE(agent.recorded(EventId::RunStarted));
+        CHECK_FALSE(agent.reported<RunRejected>());
+        CHECK(agent.recorded(EventId::OrderUnanswered));
+        REQUIRE(agent.reported<WorkerSnapshot>());
+        CHECK_FALSE(agent.reported<WorkerSnapshot>()->settled);
+        REQUIRE(agent.find<CallPoll>());
+        CHECK(agent.find<CallPoll>()->acknowledgeUpTo == 0);
+        CHECK_FALSE(agent.find<CallPoll>()->leaseUntilMs);
+        CHECK(agent.find<CallPoll>()->token > order->token);
+        agent.step(PollAnswered { agent.lastPoll, restarted.startedAtMs, 100, {}, {} });
+        REQUIRE(agent.reported<WorkerSnapshot>());
+        CHECK(agent.reported<WorkerSnapshot>()->worker->identity == restarted);
+        CHECK(agent.reported<WorkerSnapshot>()->worker->longLease);
+    }
+    SECTION("no answer, but a new incarnation lists the run")
+    {
+        agent.step(CallUnanswered { order->call });
+        const bool ended = GENERATE(true, false);
+        const std::vector<RunStatus> running { { run, "", 0, 0 } };
+        const std::vector<RunEnd> ends { { 1, run, RunEndKind::Done, "" } };
+        agent.step(PollAnswered { agent.lastPoll, restarted.startedAtMs, 100, ended ? std::vector<RunStatus> {} : running, ended ? ends : std::vector<RunEnd> {} });
+        REQUIRE(agent.reported<WorkerSnapshot>());
+        CHECK(agent.reported<WorkerSnapshot>()->worker->longLease);
+    }
+}
+
 TEST_CASE("agent: a silent worker counts as gone only after its leases must have expired", "[jobs]")
 {
     AgentUnderTest agent;
