Intake: a cancellation of an identifier without a job prevents that one is stored later

Cause: for an identifier without a row the entry answered 'no such job' and left nothing in the store. A submission still under way, at a stalled entry or in an insertion that the store carries out late, was then stored as if nobody had cancelled it. Class: an answer 'never' that only describes the present.

Ruled out: the age of the leader's knowledge (it was current; there was no row to learn).

Why this works: the cancellation is stored before it is answered, and the transactions of both name both rows as absent. The store carries out one first: a later submission fails on its own condition and gets job_cancelled (410, not run), an earlier one is cancelled as before.

--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -100,6 +100,7 @@
         this->metrics.setGauge("cowslipdoor_epoch", "Epoch of the leader", static_cast<double>(status.epoch));
         this->metrics.setGauge("cowslipdoor_known_jobs", "Jobs that the leader knows", static_cast<double>(status.jobs));
         this->metrics.setGauge("cowslipdoor_waiting_jobs", "Jobs with a task to place", static_cast<double>(status.waitingJobs));
+        this->metrics.setGauge("cowslipdoor_unmatched_cancellations", "Cancellations known to the leader whose jobs have not arrived", static_cast<double>(status.unmatchedCancellations));
         this->metrics.setGauge("cowslipdoor_knowledge_age_seconds", "How long ago the leader knew all jobs and cancellations", std::chrono::duration<double>(status.knowledgeAge).count());
         this->metrics.setGauge("cowslipdoor_learning_lag_seconds", "How far the leader lags behind the jobs that this entry has stored", std::chrono::duration<double>(this->intake.learningLag()).count());
         this->metrics.setGauge("cowslipdoor_idle_lasting_tasks", "Long-running tasks that no worker has listed for 2 s", static_cast<double>(status.idleLongRunningTasks));
--- a/libs/core/include/cowslipdoor/core/Error.h
+++ b/libs/core/include/cowslipdoor/core/Error.h
@@ -56,6 +56,7 @@
     StoreUnsettled,
     JobUnknown,
     SchedulingBehind,
+    JobCancelled,
     Internal,
 };
 
--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -65,6 +65,7 @@
     JobsLearnedLate = 616,
     IntakeLimited = 617,
     WriteRefused = 618,
+    CancellationsExpired = 619,
     RunAssigned = 620,
     RunStarted = 621,
     RunEndTaken = 622,
--- a/libs/core/src/Error.cpp
+++ b/libs/core/src/Error.cpp
@@ -40,6 +40,7 @@
         { ErrorKind::StoreUnsettled, "store_unsettled", 504, Outcome::Unknown, true, "It could not be determined in time whether the request is stored; it may be sent again with the same identifier." },
         { ErrorKind::JobUnknown, "job_unknown", 410, Outcome::NotRun, false, "There is no job with this identifier." },
         { ErrorKind::SchedulingBehind, "scheduling_behind", 429, Outcome::NotRun, true, "The leader learns of jobs too late to start them in time; this one was not stored." },
+        { ErrorKind::JobCancelled, "job_cancelled", 410, Outcome::NotRun, false, "The identifier was cancelled before a job with it was stored; none will run for a while." },
         { ErrorKind::Internal, "internal", 500, Outcome::Unknown, false, "An internal error of the program." },
     } };
 
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -53,6 +53,7 @@
         EventDescription { EventId::JobsLearnedLate, "jobs_learned_late", EventLevel::Warning, "The leader's knowledge of jobs and cancellations is over 1 s old; over 2 s, it places and orders nothing." },
         EventDescription { EventId::IntakeLimited, "intake_limited", EventLevel::Warning, "This entry begins or ends to reject jobs because the leader learns of them too late; the detail has the lag." },
         EventDescription { EventId::WriteRefused, "write_refused", EventLevel::Warning, "The store refuses a write of the leader for what it contains; its rows are written one by one, and one that is refused alone is left out." },
+        EventDescription { EventId::CancellationsExpired, "cancellations_expired", EventLevel::Info, "The leader removes old cancellations of jobs that never arrived." },
         EventDescription { EventId::RunAssigned, "run_assigned", EventLevel::Info, "A task was placed on a worker; the start order is sent once the placement is stored." },
         EventDescription { EventId::RunStarted, "run_started", EventLevel::Info, "A worker accepted the start of a run." },
         EventDescription { EventId::RunEndTaken, "run_end_taken", EventLevel::Info, "The leader has processed the end of a run." },
--- a/libs/runtime/include/cowslipdoor/runtime/JobIntake.h
+++ b/libs/runtime/include/cowslipdoor/runtime/JobIntake.h
@@ -47,13 +47,14 @@
 
     /// @brief Stores a job unless it is stored already.
     /// @param deadline when the caller stops waiting, on the clock of bootTimeNow()
-    /// @return IntakeAccepted if the job is stored; SchedulingBehind or StoreUnavailable if it is not and this request will not store it later;
+    /// @return IntakeAccepted if the job is stored; JobCancelled if its identifier was cancelled before; SchedulingBehind or StoreUnavailable if it is not and this request will not store it later;
     ///         StoreUnsettled if that is unknown
     [[nodiscard]] asio::awaitable<IntakeResult> submit(JobSpec spec, TimePoint deadline);
 
-    /// @brief Stores the cancellation of a job.
+    /// @brief Stores the cancellation of a job. If there is no such job, the cancellation prevents that one is stored later, as its
+    /// submission may still be under way.
     /// @param deadline when the caller stops waiting, on the clock of bootTimeNow()
-    /// @return as submit() for the cancellation, or JobUnknown if there is no such job
+    /// @return as submit() for the cancellation, or JobUnknown if there is no such job and the cancellation is stored
     [[nodiscard]] asio::awaitable<IntakeResult> cancel(JobId job, TimePoint deadline);
 
     /// @brief Notes how much the leader has learned, on fresh evidence.
@@ -79,11 +80,20 @@
         bool cancelled = false;
     };
 
+    /// Row to insert, and a row that must not exist either.
+    struct Insertion {
+        RowWrite row;
+        std::optional<RowKey> blockedBy {};
+    };
+
     using JobRowsResult = std::variant<JobRows, FailureReason>;
+    using InsertionResult = std::variant<IntakeAccepted, RowBlocked, FailureReason>;
 
     asio::awaitable<IntakeResult> insertUnlessBehind(RowWrite row, JobId job, TimePoint deadline);
-    asio::awaitable<IntakeResult> insert(RowWrite row, TimePoint deadline);
-    asio::awaitable<IntakeResult> insertUntilSettled(RowWrite row, TimePoint deadline);
+    asio::awaitable<IntakeResult> cancelKnown(JobId job, TimePoint deadline);
+    asio::awaitable<IntakeResult> cancelUnknown(JobId job, TimePoint deadline);
+    asio::awaitable<InsertionResult> insert(Insertion insertion, TimePoint deadline);
+    asio::awaitable<InsertionResult> insertUntilSettled(Insertion insertion, TimePoint deadline);
     [[nodiscard]] FailureReason refusal(const RowKey& key, ErrorKind kind, const std::string& reason, Duration retryAfter = {}) const;
     asio::awaitable<JobRowsResult> readJob(JobId job);
     asio::awaitable<ReadResult> readRow(RowKey key);
--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -27,6 +27,8 @@
     std::size_t waitingJobs = 0;
     /// How long ago the leader knew all jobs and cancellations.
     Duration knowledgeAge {};
+    /// Number of cancellations whose jobs have not arrived.
+    std::size_t unmatchedCancellations = 0;
     /// Long-running tasks that no worker has listed for longer than the idle limit of SchedulerConfig.
     std::size_t idleLongRunningTasks = 0;
     struct WorkerLine {
--- a/libs/runtime/src/JobIntake.cpp
+++ b/libs/runtime/src/JobIntake.cpp
@@ -12,6 +12,16 @@
     /// Byte after the dot in ASCII. It ends the key range that holds a job's row and the rows whose keys add a dot and a suffix.
     constexpr char afterDot = '/';
 
+    /// Converts the result of an insertion.
+    struct ToIntakeResult {
+        /// Result if a row exists that blocks the insertion.
+        FailureReason blocked;
+
+        IntakeResult operator()(const IntakeAccepted& accepted) const { return accepted; }
+        IntakeResult operator()(const RowBlocked&) const { return this->blocked; }
+        IntakeResult operator()(const FailureReason& failure) const { return failure; }
+    };
+
     std::string reasonOf(const FailureReason& reason)
     {
         return std::string(describeError(reason.kind).name) + ", " + reason.detail;
@@ -55,8 +65,9 @@
     const bool known = this->recent.find(row.key, bootTimeNow()) == InsertionOutcome::Stored;
     if (!known && this->unlearned.rejecting())
         co_return this->refusal(row.key, ErrorKind::SchedulingBehind, "the leader's lag is " + std::to_string(toMilliseconds(this->unlearned.lag())) + " ms", this->unlearned.retryAfter(job));
-    IntakeResult result = co_await this->insert(std::move(row), deadline);
-    co_return result;
+    const Insertion insertion { std::move(row), cancelRowKey(job) };
+    const InsertionResult result = co_await this->insert(insertion, deadline);
+    co_return std::visit(ToIntakeResult { { ErrorKind::JobCancelled, "the identifier was cancelled before this job was stored" } }, result);
 }
 
 void JobIntake::learned(RowVersion upTo)
@@ -72,15 +83,38 @@
         this->record(EventId::JobRefused, job.text + " cancel: " + reasonOf(*failure));
         co_return *failure;
     }
-    if (!std::get<JobRows>(rows).present)
-        co_return FailureReason { ErrorKind::JobUnknown, "no job " + job.text };
-    if (std::get<JobRows>(rows).cancelled)
+    const JobRows found = std::get<JobRows>(rows);
+    if (found.present && found.cancelled)
         co_return IntakeAccepted {};
-    const RowWrite row { cancelRowKey(job), "{}" };
-    IntakeResult result = co_await this->insert(row, deadline);
-    const bool stored = std::holds_alternative<IntakeAccepted>(result);
-    this->record(stored ? EventId::JobCancelRequested : EventId::JobRefused, job.text + (stored ? "" : " cancel: " + reasonOf(std::get<FailureReason>(result))));
-    co_return result;
+    if (found.cancelled)
+        co_return FailureReason { ErrorKind::JobUnknown, "no job " + job.text };
+    if (found.present)
+        co_return co_await this->cancelKnown(job, deadline);
+    co_return co_await this->cancelUnknown(job, deadline);
+}
+
+asio::awaitable<IntakeResult> JobIntake::cancelKnown(JobId job, TimePoint deadline)
+{
+    const Insertion insertion { { cancelRowKey(job), "{}" }, std::nullopt };
+    const InsertionResult result = co_await this->insert(insertion, deadline);
+    const FailureReason* const failure = std::get_if<FailureReason>(&result);
+    this->record(failure ? EventId::JobRefused : EventId::JobCancelRequested, job.text + (failure ? " cancel: " + reasonOf(*failure) : ""));
+    co_return std::visit(ToIntakeResult { {} }, result);
+}
+
+asio::awaitable<IntakeResult> JobIntake::cancelUnknown(JobId job, TimePoint deadline)
+{
+    const Insertion insertion { { cancelRowKey(job), "{}" }, jobRowKey(job) };
+    const InsertionResult result = co_await this->insert(insertion, deadline);
+    if (std::holds_alternative<RowBlocked>(result)) {
+        // The job has been stored since its rows were read.
+        co_return co_await this->cancelKnown(job, deadline);
+    }
+    const FailureReason* const failure = std::get_if<FailureReason>(&result);
+    this->record(failure ? EventId::JobRefused : EventId::JobCancelRequested, job.text + (failure ? " cancel: " + reasonOf(*failure) : ": there is no such job; one that arrives later is refused"));
+    if (failure)
+        co_return *failure;
+    co_return FailureReason { ErrorKind::JobUnknown, "no job " + job.text };
 }
 
 asio::awaitable<StateResult> JobIntake::state(JobId job)
@@ -120,19 +154,19 @@
     co_return it == counts->end() ? 0U : it->second;
 }
 
-asio::awaitable<IntakeResult> JobIntake::insert(RowWrite row, TimePoint deadline)
+asio::awaitable<JobIntake::InsertionResult> JobIntake::insert(Insertion insertion, TimePoint deadline)
 {
-    if (this->recent.find(row.key, bootTimeNow()) == InsertionOutcome::Stored)
+    const RowKey key = insertion.row.key;
+    if (this->recent.find(key, bootTimeNow()) == InsertionOutcome::Stored)
         co_return IntakeAccepted {};
     // Nothing has been sent, so the job is certainly not stored, and the caller can retry at an entry that reaches the store.
     if (!this->storeReachable())
-        co_return this->refusal(row.key, ErrorKind::StoreUnavailable, "the store does not answer this entry");
-    const RowKey key = row.key;
-    IntakeResult result = co_await this->insertUntilSettled(std::move(row), deadline);
+        co_return this->refusal(key, ErrorKind::StoreUnavailable, "the store does not answer this entry");
+    InsertionResult result = co_await this->insertUntilSettled(std::move(insertion), deadline);
     const FailureReason* const failure = std::get_if<FailureReason>(&result);
-    if (!failure)
+    if (std::holds_alternative<IntakeAccepted>(result))
         this->recent.note(key, InsertionOutcome::Stored, bootTimeNow());
-    else if (failure->kind == ErrorKind::StoreUnsettled)
+    else if (failure && failure->kind == ErrorKind::StoreUnsettled)
         this->recent.note(key, InsertionOutcome::Unsettled, bootTimeNow());
     co_return result;
 }
@@ -145,20 +179,26 @@
     return { kind, reason, retryAfter };
 }
 
-asio::awaitable<IntakeResult> JobIntake::insertUntilSettled(RowWrite row, TimePoint deadline)
+asio::awaitable<JobIntake::InsertionResult> JobIntake::insertUntilSettled(Insertion insertion, TimePoint deadline)
 {
-    const Transaction transaction { { { row.key, 0 } }, { row }, {} };
-    RowInsertion insertion(bootTimeNow(), deadline);
+    const RowKey key = insertion.row.key;
+    std::vector<RowCondition> conditions { { key, 0 } };
+    if (insertion.blockedBy)
+        conditions.push_back({ *insertion.blockedBy, 0 });
+    const Transaction transaction { conditions, { std::move(insertion.row) }, {} };
+    RowInsertion decisions(key, bootTimeNow(), deadline);
     while (true) {
         const Duration left = std::max<Duration>(deadline - bootTimeNow(), std::chrono::milliseconds(1));
         const TransactionResult result = co_await this->store.transact(transaction, std::min(storeCallLimit, left));
-        const InsertVerdict verdict = insertion.decide(result, bootTimeNow());
+        const InsertVerdict verdict = decisions.decide(result, bootTimeNow());
         const RowStored* const stored = std::get_if<RowStored>(&verdict);
         if (stored)
             co_return IntakeAccepted { stored->version };
+        if (std::holds_alternative<RowBlocked>(verdict))
+            co_return RowBlocked {};
         const RowNotStored* const notStored = std::get_if<RowNotStored>(&verdict);
         if (notStored)
-            co_return this->refusal(row.key, ErrorKind::StoreUnavailable, notStored->reason);
+            co_return this->refusal(key, ErrorKind::StoreUnavailable, notStored->reason);
         const InsertAgain* const again = std::get_if<InsertAgain>(&verdict);
         if (!again)
             co_return FailureReason { ErrorKind::StoreUnsettled, "no answer from the store before the deadline" };
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -67,6 +67,7 @@
     status.jobs = this->machine.jobs().jobs().size();
     status.waitingJobs = this->machine.jobs().waiting().size();
     status.knowledgeAge = this->machine.knowledgeAge(now);
+    status.unmatchedCancellations = this->machine.unmatchedCancellationCount();
     status.idleLongRunningTasks = this->machine.idleLongRunningTasks();
     for (const Workers::value_type& item : this->machine.workers()) {
         const TrackedWorker& worker = item.second;
--- a/libs/runtime/tests/JobIntakeTests.cpp
+++ b/libs/runtime/tests/JobIntakeTests.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cowslipdoor/runtime/Clock.h>
 #include <cowslipdoor/runtime/JobIntake.h>
@@ -18,15 +19,21 @@
     std::vector<TransactionResult> results {};
     std::vector<Row> rows {};
     std::size_t transactions = 0;
+    std::optional<Transaction> lastTransaction {};
     bool answers = true;
     bool silent = false;
+    /// Whether transactions are applied to the rows, instead of the prepared results.
+    bool carriesOut = false;
     JobIntake intake { makePort(), [this]() { return this->answers; }, this->log, this->metrics };
 
     StorePort makePort()
     {
         StorePort port;
-        port.transact = [this](Transaction, Duration limit) -> asio::awaitable<TransactionResult> {
+        port.transact = [this](Transaction transaction, Duration limit) -> asio::awaitable<TransactionResult> {
             ++this->transactions;
+            this->lastTransaction = transaction;
+            if (this->carriesOut)
+                co_return this->carryOut(transaction);
             if (this->silent) {
                 co_await pauseFor(limit);
                 co_return OutcomeAmbiguous { "no answer" };
@@ -44,6 +51,26 @@
         return port;
     }
 
+    TransactionResult carryOut(const Transaction& transaction)
+    {
+        Conflict conflict;
+        for (const RowCondition& condition : transaction.conditions) {
+            const std::vector<Row>::const_iterator it = std::find_if(this->rows.begin(), this->rows.end(), [&condition](const Row& row) { return row.key == condition.key; });
+            if (it != this->rows.end())
+                conflict.rows.push_back(*it);
+        }
+        if (!conflict.rows.empty())
+            return conflict;
+        for (const RowWrite& write : transaction.writes)
+            this->rows.push_back({ write.key, write.value, this->transactions, false });
+        return Applied { this->transactions };
+    }
+
+    IntakeResult cancel()
+    {
+        return this->run(this->intake.cancel(job, bootTimeNow() + std::chrono::seconds(3)));
+    }
+
     template <typename Result>
     Result run(asio::awaitable<Result> work)
     {
@@ -188,3 +215,59 @@
     test.rows.push_back({ progressRowKey(IntakeUnderTest::job), print(ProgressRecord { JobState::Done, {} }), 3, false });
     CHECK(std::get<JobState>(state()) == JobState::Done);
 }
+
+// Guards against: a job runs although its cancellation was answered, as its submission was still under way.
+TEST_CASE("intake: a submission that arrives after the cancellation of its identifier is not stored", "[jobs]")
+{
+    IntakeUnderTest test;
+    test.carriesOut = true;
+    CHECK(kindOf(test.cancel()) == ErrorKind::JobUnknown);
+    CHECK(kindOf(test.cancel()) == ErrorKind::JobUnknown);
+    CHECK(test.transactions == 1);
+    CHECK(kindOf(test.submit()) == ErrorKind::JobCancelled);
+    CHECK(kindOf(test.submit()) == ErrorKind::JobCancelled);
+    CHECK(kindOf(test.run(test.intake.cancel(IntakeUnderTest::job, bootTimeNow()))) == ErrorKind::JobUnknown);
+    CHECK(std::none_of(test.rows.begin(), test.rows.end(), [](const Row& row) { return row.key == jobRowKey(IntakeUnderTest::job); }));
+    // The leader removes the row some minutes later.
+    test.rows.clear();
+    CHECK(std::holds_alternative<IntakeAccepted>(test.submit()));
+}
+
+TEST_CASE("intake: an insertion without an answer that the store carries out after the cancellation does nothing", "[jobs]")
+{
+    IntakeUnderTest test;
+    Transaction late;
+    test.silent = true;
+    CHECK(kindOf(test.submit(milliseconds(300))) == ErrorKind::StoreUnsettled);
+    late = *test.lastTransaction;
+    test.silent = false;
+    test.carriesOut = true;
+    CHECK(kindOf(test.cancel()) == ErrorKind::JobUnknown);
+    CHECK(std::holds_alternative<Conflict>(test.carryOut(late)));
+    CHECK(kindOf(test.submit()) == ErrorKind::JobCancelled);
+}
+
+TEST_CASE("intake: a job that is stored while its cancellation is under way is cancelled", "[jobs]")
+{
+    IntakeUnderTest test;
+    const Row stored { jobRowKey(IntakeUnderTest::job), "{}", 1, false };
+    test.results = { OutcomeAmbiguous { "lost" }, Conflict { { stored } }, Applied { 3 } };
+    CHECK(std::holds_alternative<IntakeAccepted>(test.cancel()));
+    CHECK(test.transactions == 3);
+    CHECK(test.lastTransaction->conditions == std::vector<RowCondition> { { cancelRowKey(IntakeUnderTest::job), 0 } });
+}
+
+TEST_CASE("intake: a cancellation of an unknown job that is not stored is not answered as one", "[jobs]")
+{
+    IntakeUnderTest test;
+    SECTION("the store refuses it")
+    {
+        test.results = { StoreRefused { "503" } };
+        CHECK(kindOf(test.cancel()) == ErrorKind::StoreUnavailable);
+    }
+    SECTION("the store does not answer this entry")
+    {
+        test.answers = false;
+        CHECK(kindOf(test.cancel()) == ErrorKind::StoreUnavailable);
+    }
+}
--- a/libs/scheduling/include/cowslipdoor/scheduling/RowInsertion.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/RowInsertion.h
@@ -24,6 +24,11 @@
     bool operator==(const RowNotStored&) const = default;
 };
 
+/// @brief The row is not stored, and is not stored while another row exists whose absence the insertion requires.
+struct RowBlocked {
+    bool operator==(const RowBlocked&) const = default;
+};
+
 /// @brief Whether the row is stored could not be determined in time.
 struct RowUnsettled {
     bool operator==(const RowUnsettled&) const = default;
@@ -37,7 +42,7 @@
 };
 
 /// @brief Next action after a result of the store.
-using InsertVerdict = std::variant<RowStored, RowNotStored, RowUnsettled, InsertAgain>;
+using InsertVerdict = std::variant<RowStored, RowNotStored, RowBlocked, RowUnsettled, InsertAgain>;
 
 /// @brief Settings of RowInsertion.
 struct RowInsertionConfig {
@@ -51,21 +56,23 @@
     bool operator==(const RowInsertionConfig&) const = default;
 };
 
-/// @brief Decides the next action after each attempt to insert a row that must not exist yet.
+/// @brief Decides the next action after each attempt to insert a row that must not exist yet. The transaction may require that
+/// other rows do not exist either.
 ///
 /// A caller may rely on the answer "not stored". Once an attempt had no answer, a later refusal does not show that the row
 /// is absent, so the insertion is retried until its outcome is known or the deadline is near. A busy store has done nothing and
 /// may accept the row a moment later; an unavailable one refuses for long, and the caller is told at once.
 /// @code
-/// RowInsertion insertion(now, deadline);
+/// RowInsertion insertion(key, now, deadline);
 /// const InsertVerdict verdict = insertion.decide(result, now);
 /// @endcode
 class RowInsertion {
 public:
+    /// @param key key of the row
     /// @param now current time
     /// @param deadline when the caller stops waiting
     /// @param config settings
-    RowInsertion(TimePoint now, TimePoint deadline, RowInsertionConfig config = {});
+    RowInsertion(RowKey key, TimePoint now, TimePoint deadline, RowInsertionConfig config = {});
 
     /// @brief Processes the result of an attempt.
     /// @param result result of the transaction
@@ -74,6 +81,7 @@
     [[nodiscard]] InsertVerdict decide(const TransactionResult& result, TimePoint now);
 
 private:
+    RowKey key;
     RowInsertionConfig config;
     TimePoint deadline;
     /// When attempts at a busy store end.
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -254,6 +254,9 @@
     [[nodiscard]] std::size_t idleLongRunningTasks() const noexcept { return this->idleTasks; }
 
     /// @param now current time
+    /// @return the number of cancellations without a job
+    [[nodiscard]] std::size_t unmatchedCancellationCount() const noexcept { return this->unmatchedCancellations.size(); }
+
     /// @return how long ago the leader's knowledge of jobs and cancellations was complete; zero while this process does not lead
     [[nodiscard]] Duration knowledgeAge(TimePoint now) const noexcept { return this->isActiveLeader() ? now - this->jobsKnownAsOf : Duration {}; }
 
@@ -317,11 +320,15 @@
     void collectAcknowledgements();
     void releaseAcknowledgements();
     void withdrawAcknowledgements();
+    /// Removes the rows of old cancellations whose jobs never arrived.
+    void expireCancellations(TimePoint now, Effects& effects);
     void queueRemovals(const JobSpec& spec);
     void addModelRow(std::vector<RowWrite>& rows, TimePoint now);
-    [[nodiscard]] std::vector<RowKey> takeRemovals(TimePoint now);
+    [[nodiscard]] std::vector<RowKey> takeRemovals(TimePoint now, Effects& effects);
     void orderStored(const JobId& job, TimePoint now, Effects& effects);
     void stopRemainingRuns(const JobId& job, TimePoint now, Effects& effects);
+    /// Cancels a job, or remembers the cancellation of one that is not known.
+    void onCancellation(const JobId& job, TimePoint now, Effects& effects);
     void cancelJob(const JobId& job, TimePoint now, Effects& effects);
     void noteJobsKnown(RowVersion version, TimePoint asOf, TimePoint now, Effects& effects);
     [[nodiscard]] bool knowledgeCurrent(TimePoint now) const noexcept { return this->knowledgeAge(now) <= this->config.maximumKnowledgeAge; }
@@ -394,8 +401,8 @@
     /// Version of the leader's row at its last read.
     RowVersion leaderRowVersion = 0;
     TimePoint jobsKnownAsOf {};
-    /// Cancellations that the feed has delivered before their jobs.
-    std::set<JobId> cancelledBeforeKnown;
+    /// Cancellations without a job, with the time at which each was learned. Intake stores such a job no more.
+    std::map<JobId, TimePoint> unmatchedCancellations;
     /// Whether the last placement left out jobs because too many assignments wait to be written, or because the knowledge of jobs
     /// was too old.
     bool placementHeldBack = false;
--- a/libs/scheduling/src/RowInsertion.cpp
+++ b/libs/scheduling/src/RowInsertion.cpp
@@ -1,10 +1,12 @@
 #include "cowslipdoor/scheduling/RowInsertion.h"
+#include <algorithm>
 #include <utility>
 
 namespace cowslipdoor {
 
-RowInsertion::RowInsertion(TimePoint now, TimePoint deadline, RowInsertionConfig config)
-    : config(config)
+RowInsertion::RowInsertion(RowKey key, TimePoint now, TimePoint deadline, RowInsertionConfig config)
+    : key(std::move(key))
+    , config(config)
     , deadline(deadline)
     , busyUntil(now + std::chrono::duration_cast<Duration>((deadline - now) * config.busyShare))
     , nextBusyDelay(config.busyDelay)
@@ -16,8 +18,11 @@
     const Applied* const applied = std::get_if<Applied>(&result);
     if (applied)
         return RowStored { applied->version };
-    if (std::holds_alternative<Conflict>(result))
-        return RowStored {};
+    const Conflict* const conflict = std::get_if<Conflict>(&result);
+    if (conflict) {
+        const bool stored = conflict->rows.empty() || std::any_of(conflict->rows.begin(), conflict->rows.end(), [this](const Row& row) { return row.key == this->key; });
+        return stored ? InsertVerdict(RowStored {}) : InsertVerdict(RowBlocked {});
+    }
     const StoreRefused* const refused = std::get_if<StoreRefused>(&result);
     if (refused && !this->ambiguous) {
         if (!refused->busy || now + this->nextBusyDelay >= this->busyUntil)
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -116,7 +116,7 @@
     for (Workers::value_type& item : this->knownWorkers)
         this->sendHello(item.second, effects);
     for (const JobId& job : event.cancelled)
-        this->cancelJob(job, now, effects);
+        this->onCancellation(job, now, effects);
     effects.emplace_back(RecordEvent { EventId::TablesLoaded, "epoch " + std::to_string(event.epoch) + ", " + std::to_string(event.jobs.size()) + " jobs, " + std::to_string(event.agents.size()) + " agents" });
     this->schedulePass(now);
 }
@@ -128,27 +128,21 @@
     if (!this->tablesRead || !this->jobRegistry.add(event.spec, now, age))
         return;
     effects.emplace_back(RecordEvent { EventId::JobLearned, event.spec->id.text + ": " + describeUrgency(*this->jobRegistry.find(event.spec->id), now) });
-    if (this->cancelledBeforeKnown.erase(event.spec->id) > 0)
+    if (this->unmatchedCancellations.erase(event.spec->id) > 0)
         this->cancelJob(event.spec->id, now, effects);
     this->schedulePass(now);
 }
 
 void Scheduler::on(const JobCancelStored& event, TimePoint now, Effects& effects)
 {
-    if (!this->tablesRead)
-        return;
-    if (this->jobRegistry.find(event.job))
-        this->cancelJob(event.job, now, effects);
-    else
-        this->cancelledBeforeKnown.insert(event.job);
+    if (this->tablesRead)
+        this->onCancellation(event.job, now, effects);
 }
 
 void Scheduler::on(const JobsFollowed& event, TimePoint now, Effects& effects)
 {
     if (!this->isActiveLeader() || event.epoch != this->leaderLease.epoch())
         return;
-    // Whatever job is still unknown has no readable row.
-    this->cancelledBeforeKnown.clear();
     this->noteJobsKnown(event.version, event.asOf, now, effects);
     this->sendHeldOrders(now, effects);
     if (this->placementHeldBack)
@@ -252,7 +246,7 @@
         return;
     // A write that contains rows leaves removals to a later write.
     std::vector<RowWrite> rows = this->takeWrites(now);
-    std::vector<RowKey> removals = rows.empty() ? this->takeRemovals(now) : std::vector<RowKey> {};
+    std::vector<RowKey> removals = rows.empty() ? this->takeRemovals(now, effects) : std::vector<RowKey> {};
     this->rowsInWrite = rows.size();
     effects.emplace_back(SubmitCommit { this->beginWrite(std::move(rows), std::move(removals), now) });
 }
@@ -279,7 +273,7 @@
     this->singleRowWrites = 0;
     this->removalQueue.clear();
     this->heldOrders.clear();
-    this->cancelledBeforeKnown.clear();
+    this->unmatchedCancellations.clear();
     this->jobsKnownVersion = 0;
     this->jobsKnownAsOf = {};
     effects.emplace_back(RecordEvent { EventId::LeadershipTaken, "epoch " + std::to_string(this->leaderLease.epoch()) + "; earlier leaders gave their last grants " + std::to_string(toMilliseconds(now - this->earlierGrantsEnd)) + " ms ago or before; " + std::to_string(this->silentSince.size()) + " agents were silent" });
@@ -293,6 +287,7 @@
     this->jobRegistry = JobRegistry();
     this->knownWorkers.clear();
     this->unansweredPings.clear();
+    this->unmatchedCancellations.clear();
     this->tablesRead = false;
     this->passAt.reset();
 }
@@ -331,6 +326,14 @@
     return traits;
 }
 
+void Scheduler::onCancellation(const JobId& job, TimePoint now, Effects& effects)
+{
+    if (this->jobRegistry.find(job))
+        this->cancelJob(job, now, effects);
+    else
+        this->unmatchedCancellations.emplace(job, now);
+}
+
 void Scheduler::cancelJob(const JobId& job, TimePoint now, Effects& effects)
 {
     if (!this->jobRegistry.cancel(job, now))
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -202,7 +202,7 @@
     return counts == this->pendingWritten ? std::nullopt : std::optional<PendingCounts>(std::move(counts));
 }
 
-std::vector<RowKey> Scheduler::takeRemovals(TimePoint now)
+std::vector<RowKey> Scheduler::takeRemovals(TimePoint now, Effects& effects)
 {
     if (now >= this->sweptAt + this->config.sweepInterval) {
         this->sweptAt = now;
@@ -210,6 +210,7 @@
             this->interference.forget(spec->id);
             this->queueRemovals(*spec);
         }
+        this->expireCancellations(now, effects);
     }
     std::vector<RowKey> removals;
     while (!this->removalQueue.empty() && removals.size() + this->removalQueue.front().size() <= this->config.removalsPerWrite) {
@@ -220,6 +221,18 @@
     return removals;
 }
 
+void Scheduler::expireCancellations(TimePoint now, Effects& effects)
+{
+    const std::size_t expired = std::erase_if(this->unmatchedCancellations, [this, now](const std::map<JobId, TimePoint>::value_type& item) {
+        const bool old = item.second + this->config.retention <= now;
+        if (old)
+            this->removalQueue.push_back({ cancelRowKey(item.first) });
+        return old;
+    });
+    if (expired > 0)
+        effects.emplace_back(RecordEvent { EventId::CancellationsExpired, std::to_string(expired) + " cancellations, " + std::to_string(this->unmatchedCancellations.size()) + " are younger" });
+}
+
 void Scheduler::queueRemovals(const JobSpec& spec)
 {
     for (std::size_t number = segmentCount(spec); number-- > 1;)
--- a/libs/scheduling/tests/JobSimulation.cpp
+++ b/libs/scheduling/tests/JobSimulation.cpp
@@ -18,6 +18,8 @@
     constexpr Duration stopTime = milliseconds(150);
     /// A stored cancellation must prevent new starts within this time, as the platform requires: 3 s.
     constexpr Duration cancelBound = milliseconds(3000);
+    /// One job of this many is cancelled before it is stored.
+    constexpr std::size_t cancelledEarlyInterval = 37;
     constexpr Duration maximumLease = milliseconds(6000);
     /// How long a long-running task may be without a run after its last run has ended, as the platform requires.
     constexpr Duration restartLimit = milliseconds(6000);
@@ -860,7 +862,10 @@
         spec.steps.push_back(next);
     }
     const JobSpecHandle handle = std::make_shared<const JobSpec>(spec);
-    const Transaction transaction { { { jobRowKey(spec.id), 0 } }, { { jobRowKey(spec.id), print(spec) } }, {} };
+    const Transaction transaction { { { jobRowKey(spec.id), 0 }, { cancelRowKey(spec.id), 0 } }, { { jobRowKey(spec.id), print(spec) } }, {} };
+    // The caller has cancelled the job while its submission was under way.
+    if (number % cancelledEarlyInterval == cancelledEarlyInterval - 1)
+        static_cast<void>(this->apply({ { { cancelRowKey(spec.id), 0 }, { jobRowKey(spec.id), 0 } }, { { cancelRowKey(spec.id), "{}" } }, {} }));
     if (this->now < this->storeDownUntil || !std::holds_alternative<Applied>(this->apply(transaction)))
         return;
     OracleJob& oracleJob = this->jobs[spec.id];
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -177,9 +177,10 @@
 
 TEST_CASE("row insertion: 'not stored' is reported only when no attempt can have been applied", "[jobs]")
 {
-    RowInsertion plain(start, start + milliseconds(3000));
+    const RowKey key { "table", "part", "key" };
+    RowInsertion plain(key, start, start + milliseconds(3000));
     CHECK(std::holds_alternative<RowNotStored>(plain.decide(StoreRefused { "503" }, start)));
-    RowInsertion unsure(start, start + milliseconds(3000));
+    RowInsertion unsure(key, start, start + milliseconds(3000));
     CHECK(std::holds_alternative<InsertAgain>(unsure.decide(OutcomeAmbiguous { "" }, start)));
     CHECK(std::holds_alternative<InsertAgain>(unsure.decide(StoreRefused { "503" }, start)));
     CHECK(std::holds_alternative<RowUnsettled>(unsure.decide(StoreRefused { "503" }, start + milliseconds(2900))));
@@ -187,6 +188,18 @@
     CHECK(std::holds_alternative<RowStored>(plain.decide(Applied { 3 }, start)));
 }
 
+TEST_CASE("row insertion: a row that another one blocks is neither stored nor unsettled", "[jobs]")
+{
+    const RowKey key { "table", "part", "key" };
+    const Row own { key, "", 1, false };
+    const Row other { { "table", "part", "other" }, "", 2, false };
+    RowInsertion insertion(key, start, start + milliseconds(3000));
+    CHECK(std::holds_alternative<InsertAgain>(insertion.decide(OutcomeAmbiguous { "" }, start)));
+    CHECK(std::holds_alternative<RowBlocked>(insertion.decide(Conflict { { other } }, start)));
+    CHECK(std::holds_alternative<RowStored>(insertion.decide(Conflict { { own } }, start)));
+    CHECK(std::holds_alternative<RowStored>(insertion.decide(Conflict { { other, own } }, start)));
+}
+
 TEST_CASE("rows: the segments of a job's progress are joined, also where an earlier version wrote one row", "[jobs]")
 {
     const JobSpecHandle spec = jobOf("00ff00ff00ff00ff", { stepOf(200, 100) });
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -223,6 +223,51 @@
     CHECK(!test.awaitStart(milliseconds(500)));
 }
 
+TEST_CASE("scheduler: a cancellation holds for a job that is learned much later, also under the next leader", "[jobs]")
+{
+    // Entries of an earlier version store a job although its identifier was cancelled.
+    SchedulerUnderTest test;
+    SECTION("by the feed")
+    {
+        test.becomeLeader({});
+        test.step(JobCancelStored { { "a" } });
+    }
+    SECTION("by the tables")
+    {
+        test.step(LeaderRowRead { std::nullopt, 0 });
+        test.commit();
+        test.step(TablesRead { 1, {}, {}, { { "a" } }, {} });
+    }
+    test.step(JobsFollowed { 1, test.version, test.now });
+    CHECK(test.machine.unmatchedCancellationCount() == 1);
+    test.step(JobStored { jobOf("a", { stepOf(1, 1000) }) });
+    CHECK(test.machine.jobs().find({ "a" })->state == JobState::Cancelled);
+    CHECK(test.machine.unmatchedCancellationCount() == 0);
+}
+
+TEST_CASE("scheduler: the rows of old cancellations whose jobs never arrive are removed, many at once", "[jobs]")
+{
+    constexpr std::size_t count = 5000;
+    SchedulerUnderTest test;
+    test.becomeLeader({});
+    for (std::size_t number = 0; number < count; ++number)
+        test.step(JobCancelStored { { std::to_string(number) } });
+    CHECK(test.machine.unmatchedCancellationCount() == count);
+    CHECK(test.awaitWrite(test.config.retention - std::chrono::seconds(1)).removals.empty());
+    test.commit();
+    std::set<RowKey> removed;
+    const TimePoint end = test.now + std::chrono::seconds(60);
+    while (removed.size() < count && test.now < end) {
+        const Transaction write = test.awaitWrite(milliseconds(400));
+        CHECK(write.removals.size() <= test.config.removalsPerWrite);
+        removed.insert(write.removals.begin(), write.removals.end());
+        test.commit();
+    }
+    CHECK(removed.size() == count);
+    CHECK(removed.contains(cancelRowKey({ "0" })));
+    CHECK(test.machine.unmatchedCancellationCount() == 0);
+}
+
 TEST_CASE("scheduler: the age of a job that is learned late counts from its acceptance, whatever an entry's clock says", "[jobs]")
 {
     SchedulerUnderTest test;
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -251,6 +251,31 @@
     CHECK(deployment.state(jobId(0)) == "cancelled");
 }
 
+// Guards against: a job runs although its cancellation was answered, as its submission lay at an entry that stood still.
+TEST_CASE("jobs: a job whose submission is still under way when it is cancelled never runs", "[system][jobs]")
+{
+    JobsDeployment deployment(configFor("cancel-early"));
+    const bool leaderStalls = GENERATE(false, true);
+    const std::size_t leader = *deployment.leader();
+    const std::size_t stalled = leaderStalls ? leader : 1 - leader;
+    deployment.entry(stalled).signal(SIGSTOP);
+    const std::string body = R"({"spec":"text","phases":[{"count":2,"cpu":100,"mem-mb":10,"estimate-ms":100}]})";
+    std::vector<std::future<unsigned>> submissions;
+    for (int copy = 0; copy < 2; ++copy)
+        submissions.push_back(std::async(std::launch::async, [&deployment, &body, stalled]() { return deployment.call(stalled, "POST", jobId(1), body).first; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    CHECK(deployment.call(1 - stalled, "DELETE", jobId(1)).first == 410);
+    std::this_thread::sleep_for(std::chrono::milliseconds(leaderStalls ? 2200 : 1000));
+    deployment.entry(stalled).signal(SIGCONT);
+    for (std::future<unsigned>& submission : submissions)
+        CHECK(submission.get() == 410);
+    REQUIRE(deployment.submit(jobId(2), 2));
+    JobsDeployment::await("a later job to be done", [&deployment]() { return deployment.state(jobId(2)) == "done"; });
+    for (const std::map<std::string, std::size_t>::value_type& item : deployment.done())
+        CHECK(item.first.starts_with(jobId(2)));
+    CHECK(deployment.call(stalled, "GET", jobId(1)).first == 410);
+}
+
 TEST_CASE("jobs: every task is done once when the leader is killed", "[system][jobs]")
 {
     JobsDeployment deployment(configFor("leader"));
