Leader: a job that was forgotten is not learned again while its rows wait for removal

Seen by reading, shown by a test: 180 s after its end a job is forgotten and its rows are queued for removal, which waits for a write without other rows. If the store drops its history in between, the feed reads the whole table, and the leader took the row for a new job and would run it again.

Cause: a job that is not tracked counted as new.

Evidence: 'scheduler: a job whose rows wait for removal does not run again when the feed delivers them once more' failed without the change in Scheduler.cpp ('test.machine.jobs().jobs().empty()' was false), and passes with it.

Why this works: all jobs up to the learned version have been delivered, so a row with an earlier version whose job is not tracked is one that was forgotten. A job that uses the identifier again has a later version, as its row can only be inserted once the old one is removed.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -124,6 +124,8 @@
     const JobSpecHandle spec {};
     /// Wall-clock time at which the feed delivered it, in milliseconds since 1970; zero if unknown.
     const std::int64_t readAtMs = 0;
+    /// Version of its row; zero if unknown.
+    const RowVersion version = 0;
 };
 
 /// @brief The cancellation of a job was stored.
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -125,7 +125,9 @@
 {
     // The job was stored after the time as of which all jobs were known; this bounds an age that a wrong clock of an entry gives.
     const Duration age = std::min(ageOf(*event.spec, event.readAtMs), now - this->jobsKnownAsOf);
-    if (!this->tablesRead || !this->jobRegistry.add(event.spec, now, age))
+    // All jobs up to the known version have been learned; one of them that is not tracked ended long ago, and its rows are being removed.
+    const bool forgotten = event.version != 0 && event.version <= this->jobsKnownVersion && !this->jobRegistry.find(event.spec->id);
+    if (!this->tablesRead || forgotten || !this->jobRegistry.add(event.spec, now, age))
         return;
     effects.emplace_back(RecordEvent { EventId::JobLearned, event.spec->id.text + ": " + describeUrgency(*this->jobRegistry.find(event.spec->id), now) });
     if (this->unmatchedCancellations.erase(event.spec->id) > 0)
--- a/libs/scheduling/src/TableEvents.cpp
+++ b/libs/scheduling/src/TableEvents.cpp
@@ -56,7 +56,7 @@
         return JobCancelStored { *cancelled };
     const std::optional<JobSpec> spec = parseJobSpec(row.value);
     if (spec && spec->id.text == row.key.key)
-        return JobStored { std::make_shared<const JobSpec>(*spec), readAtMs };
+        return JobStored { std::make_shared<const JobSpec>(*spec), readAtMs, row.version };
     return std::nullopt;
 }
 
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -763,6 +763,28 @@
     CHECK(test.machine.jobs().jobs().empty());
 }
 
+// Guards against: a job that is done runs again, as the feed reads its table anew while the rows of the job wait for their removal.
+TEST_CASE("scheduler: a job whose rows wait for removal does not run again when the feed delivers them once more", "[jobs]")
+{
+    SchedulerUnderTest test;
+    const JobSpecHandle job = jobOf("a", { stepOf(1, 100) });
+    test.becomeLeader({});
+    const RowVersion stored = test.version + 1;
+    test.step(JobStored { job, 0, stored });
+    test.version = stored;
+    test.step(JobCancelStored { { "a" } });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
+    static_cast<void>(test.awaitWrite(test.config.retention + test.config.sweepInterval));
+    REQUIRE(test.machine.jobs().jobs().empty());
+    test.step(JobStored { job, 0, stored });
+    CHECK(test.machine.jobs().jobs().empty());
+    test.commit();
+    // A caller may use the identifier again once the rows are removed.
+    test.step(JobStored { job, 0, test.version + 1 });
+    CHECK(test.machine.jobs().find({ "a" }));
+}
+
 TEST_CASE("scheduler: ends of jobs are counted against their objectives, by queue", "[jobs]")
 {
     StepSpec brief = stepOf(1, 100);
