--- a/libs/runtime/include/cowslipdoor/runtime/JobIntake.h
+++ b/libs/runtime/include/cowslipdoor/runtime/JobIntake.h
@@ -47,8 +47,8 @@
 
     /// @brief Stores a job unless it is stored already.
     /// @param deadline when the caller stops waiting, on the clock of bootTimeNow()
-    /// @return IntakeAccepted if the job is stored; JobCancelled if its identifier was cancelled before; SchedulingBehind or StoreUnavailable if it is not and this request will not store it later;
-    ///         StoreUnsettled if that is unknown
+    /// @return IntakeAccepted if the job is stored; JobCancelled if its identifier was cancelled before; SchedulingBehind or
+    ///         StoreUnavailable if it is not stored and this request will not store it later; StoreUnsettled if that is unknown
     [[nodiscard]] asio::awaitable<IntakeResult> submit(JobSpec spec, TimePoint deadline);
 
     /// @brief Stores the cancellation of a job. If there is no such job, the cancellation prevents that one is stored later, as its
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -1,5 +1,7 @@
 #include "JobsDeployment.h"
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <cowslipdoor/runtime/Address.h>
 #include <cowslipdoor/runtime/HttpClient.h>
 #include <cowslipdoor/scheduling/Rows.h>
 #include <csignal>
@@ -139,6 +141,23 @@
     };
 }
 
+/// Opens connections that send nothing more than the begin of a request.
+class OpenConnections {
+public:
+    OpenConnections(const std::string& address, std::size_t count, const std::string& begin)
+    {
+        for (std::size_t number = 0; number < count; ++number) {
+            this->sockets.emplace_back(this->context).connect(runtime::parseAddress(address));
+            runtime::error_code closed;
+            runtime::asio::write(this->sockets.back(), runtime::asio::buffer(begin), closed);
+        }
+    }
+
+private:
+    runtime::asio::io_context context {};
+    std::vector<runtime::tcp::socket> sockets {};
+};
+
 /// Sends a heartbeat of another writer.
 unsigned sendHeartbeat(const std::string& registry, const std::string& body)
 {
@@ -454,3 +473,15 @@
     REQUIRE(deployment.submit(jobId(0), 6));
     expectAllDoneOnce(deployment, 1, 6);
 }
+
+TEST_CASE("jobs: a worker's heartbeats are received while another program keeps many connections open", "[system][jobs]")
+{
+    const std::unique_ptr<JobsDeployment> deployment = startWithLongRunningTask("open-connections");
+    const std::string begin = GENERATE("", "PUT /v1/instances/other HTTP/1.1\r\nContent-Length: 4194304\r\n\r\n{");
+    const OpenConnections connections(deployment->registryAddress(0), 300, begin);
+    deployment->worker(0).crash();
+    awaitUsable(*deployment, false);
+    deployment->worker(0).restart({ .id = "worker-new" });
+    awaitUsable(*deployment, true);
+    CHECK(peakMemoryMb(deployment->agent(0).pid()) <= agentMemoryMb);
+}
