--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -84,6 +84,16 @@
     PaceChanged = 637,
     BeatPassedOver = 638,
     LongLeaseHeld = 639,
+    DomainEvacuated = 640,
+    DomainRestored = 641,
+    EvacuationProgress = 642,
+    ClientLimited = 645,
+    PlaceAwaited = 650,
+    PlaceWaitEnded = 651,
+    JobHeld = 655,
+    JobAdmitted = 656,
+    ForecastRejection = 657,
+    ForecastChecked = 658,
 };
 
 /// @brief Effect: write a log event.
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -72,6 +72,16 @@
         EventDescription { EventId::PaceChanged, "pace_changed", EventLevel::Info, "The pace of best-effort runs was changed because of the tail latency of serving runs." },
         EventDescription { EventId::BeatPassedOver, "beat_passed_over", EventLevel::Warning, "A heartbeat or sign-off was ignored: it names an incarnation of the worker other than the current one, or one that still answers; the detail says why." },
         EventDescription { EventId::LongLeaseHeld, "long_lease_held", EventLevel::Warning, "A worker may hold a lease that an agent computed by the clock of an earlier incarnation; until it is as short as usual, its runs are stopped and it gets no new ones." },
+        EventDescription { EventId::DomainEvacuated, "domain_evacuated", EventLevel::Info, "The operator evacuates a failure domain; no run is started there until it is restored. The detail has the workers and runs there." },
+        EventDescription { EventId::DomainRestored, "domain_restored", EventLevel::Info, "The operator has returned an evacuated failure domain to service." },
+        EventDescription { EventId::EvacuationProgress, "evacuation_progress", EventLevel::Info, "Runs are left in an evacuated failure domain; the detail says how many, and how many tasks wait." },
+        EventDescription { EventId::ClientLimited, "client_limited", EventLevel::Warning, "Connections of clients were closed or refused because of a limit; the detail has the limit and how many." },
+        EventDescription { EventId::PlaceAwaited, "place_awaited", EventLevel::Debug, "A task waits for a place on which it is expected to end earlier than on the one available now." },
+        EventDescription { EventId::PlaceWaitEnded, "place_wait_ended", EventLevel::Debug, "A task no longer waits for a better place; the detail has the expected and the actual wait." },
+        EventDescription { EventId::JobHeld, "job_held", EventLevel::Info, "A job waits without having begun because other jobs need the best-effort capacity to end in time." },
+        EventDescription { EventId::JobAdmitted, "job_admitted", EventLevel::Info, "A job that was held may begin." },
+        EventDescription { EventId::ForecastRejection, "forecast_rejection", EventLevel::Warning, "This entry begins or ends to reject jobs that the leader expects to end too late; the detail has the forecast." },
+        EventDescription { EventId::ForecastChecked, "forecast_checked", EventLevel::Debug, "A job has ended; the detail compares the forecast at its arrival with the outcome." },
     };
 
 }
