Agents: reports state the failure domain and for how long the worker is slow

The leader knew neither, so it could not tell which workers an evacuation concerns, nor rank workers that have just started. The failure domain is the agent's own setting, whatever heartbeats say. Absent fields of a report mean unknown and zero, so links between versions work.

--- a/apps/agent/JobsAgentProcess.cpp
+++ b/apps/agent/JobsAgentProcess.cpp
@@ -14,6 +14,7 @@
     {
         WorkerMachineConfig config;
         config.agent = settings.text("name");
+        config.failureDomain = settings.text("failure-domain");
         if (config.lease > settings.duration("lease-limit"))
             throw Error(ErrorKind::BadSetting, "lease-limit: must be at least " + std::to_string(toMilliseconds(config.lease)) + " ms, the lease that an agent needs to restart");
         return config;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
@@ -30,6 +30,10 @@
     Duration remaining {};
     /// Whether the worker may hold a lease that outlives the time after which the leader releases the runs of a silent agent.
     bool longLease = false;
+    /// Failure domain of the agent and its worker; empty if the agent does not state it.
+    std::string failureDomain {};
+    /// How long the worker will still be slow after its start.
+    Duration coldRemaining {};
 
     bool operator==(const WorkerInfo&) const = default;
 };
--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -20,6 +20,8 @@
 /// @brief Settings of the state machine.
 struct WorkerMachineConfig {
     std::string agent {};
+    /// Failure domain of the agent and its worker.
+    std::string failureDomain {};
     PaceConfig pace {};
     /// Lease that each renewal gives to the runs; longer than a restart of the agent, which takes about a second.
     Duration lease = std::chrono::milliseconds(3000);
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -14,6 +14,11 @@
         return left.service == right.service && left.capacity == right.capacity && left.labels == right.labels;
     }
 
+    bool isCold(const WorkerInfo& info)
+    {
+        return info.coldRemaining > Duration {};
+    }
+
     std::string describeIncarnation(const WorkerIdentity& identity)
     {
         return identity.id + ", started at " + std::to_string(identity.startedAtMs);
@@ -57,7 +62,11 @@
 
 std::optional<WorkerInfo> WorkerMachine::worker() const
 {
-    return this->incarnation ? std::optional<WorkerInfo>(this->incarnation->info) : std::nullopt;
+    if (!this->incarnation)
+        return std::nullopt;
+    WorkerInfo info = this->incarnation->info;
+    info.failureDomain = this->config.failureDomain;
+    return info;
 }
 
 bool WorkerMachine::settled() const noexcept
@@ -405,6 +414,7 @@
     this->incarnation->drainingReported = info.draining || (this->incarnation->drainingReported && this->incarnation->readyReports < 2);
     current.draining = this->incarnation->drainingReported || this->signedOffAt;
     current.remaining = info.remaining;
+    current.coldRemaining = info.coldRemaining;
     // A single wrong heartbeat must not change the capacity, or the worker could be overcommitted.
     if (std::exchange(this->incarnation->attributesAssumed, false) || (this->incarnation->unconfirmedInfo && sameAttributes(*this->incarnation->unconfirmedInfo, info))) {
         current.service = info.service;
@@ -412,7 +422,8 @@
         current.labels = info.labels;
     }
     this->incarnation->unconfirmedInfo = sameAttributes(current, info) ? std::nullopt : std::optional<WorkerInfo>(info);
-    if (before.draining == current.draining && sameAttributes(before, current))
+    const bool sameWarmth = isCold(before) == isCold(current);
+    if (before.draining == current.draining && sameWarmth && sameAttributes(before, current))
         return;
     if (current.draining)
         effects.emplace_back(RecordEvent { EventId::WorkerDraining, current.identity.id + " leaves in " + std::to_string(toMilliseconds(current.remaining)) + " ms or later" });
@@ -441,6 +452,7 @@
     if (!reported) {
         info.capacity = {};
         info.labels.clear();
+        info.coldRemaining = {};
     }
     if (this->candidate && !reported)
         this->dropCandidate("the worker answers as " + describeIncarnation(identity), effects);
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -14,7 +14,7 @@
 
 /// State machine of one agent, the effects of its last step, and functions that drive it.
 struct AgentUnderTest {
-    WorkerMachine machine { WorkerMachineConfig { .agent = "agent" }, start };
+    WorkerMachine machine { WorkerMachineConfig { .agent = "agent", .failureDomain = "zone-a" }, start };
     WorkerMachine::Effects effects {};
     TimePoint now = start;
 
@@ -877,3 +877,24 @@
     REQUIRE(agent.reported<WorkerSnapshot>());
     CHECK_FALSE(agent.reported<WorkerSnapshot>()->worker->longLease);
 }
+
+TEST_CASE("agent: its reports state its own failure domain, and that the worker is slow or no longer is", "[evacuation]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    WorkerInfo info { firstIncarnation, "service", { 8000, 8000, 0 }, {}, false, {} };
+    // Whatever heartbeats state, the failure domain is that of the agent.
+    info.failureDomain = "zone-b";
+    info.coldRemaining = milliseconds(900);
+    agent.step(WorkerHeartbeat { info });
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK(agent.reported<WorkerSnapshot>()->worker->failureDomain == "zone-a");
+    CHECK(agent.reported<WorkerSnapshot>()->worker->coldRemaining == milliseconds(900));
+    info.coldRemaining = milliseconds(400);
+    agent.step(WorkerHeartbeat { info });
+    CHECK_FALSE(agent.reported<WorkerSnapshot>());
+    info.coldRemaining = {};
+    agent.step(WorkerHeartbeat { info });
+    REQUIRE(agent.reported<WorkerSnapshot>());
+    CHECK(agent.reported<WorkerSnapshot>()->worker->coldRemaining == Duration {});
+}
--- a/libs/wire/src/JobCodec.cpp
+++ b/libs/wire/src/JobCodec.cpp
@@ -77,12 +77,14 @@
         table->draining = worker.draining;
         table->remaining_us = worker.remaining.count();
         table->long_lease = worker.longLease;
+        table->failure_domain = worker.failureDomain;
+        table->cold_remaining_us = worker.coldRemaining.count();
         return table;
     }
 
     WorkerInfo unpack(const jobs::WorkerT& table)
     {
-        return { unpack(required(table.identity)), table.service, { table.milli_cores, table.memory_mb, table.accelerators }, table.labels, table.draining, Duration(table.remaining_us), table.long_lease };
+        return { unpack(required(table.identity)), table.service, { table.milli_cores, table.memory_mb, table.accelerators }, table.labels, table.draining, Duration(table.remaining_us), table.long_lease, table.failure_domain, Duration(table.cold_remaining_us) };
     }
 
     std::unique_ptr<jobs::StatusT> pack(const RunStatus& status)
--- a/libs/wire/tests/JobCodecTests.cpp
+++ b/libs/wire/tests/JobCodecTests.cpp
@@ -13,7 +13,7 @@
     const PaceTraits traits { true, "image", 2500, std::chrono::milliseconds(50), { { "serving", 0.25 }, { "other", 1.5 } } };
     const RunStatus status { run, "saved", 40, 17, 60 };
     const RunEnd end { 9, run, RunEndKind::GangIncomplete, "saved" };
-    const WorkerInfo worker { identity, "service", { 1, 2, 3 }, { "a", "r1" }, true, std::chrono::seconds(2), true };
+    const WorkerInfo worker { identity, "service", { 1, 2, 3 }, { "a", "r1" }, true, std::chrono::seconds(2), true, "zone-a", std::chrono::seconds(3) };
     return {
         LeaderHello { 4, "entry", 7, "agent" },
         LeaderHello { 4, "entry", 7 },
