Scheduler: nothing starts in a failure domain that the operator evacuates

Evacuations were not supported at all. The scheduler now follows the set of evacuated failure domains, also as a standby. A worker there is unfit for every caller of chooseWorker, and an assignment whose order is not sent is released. With a limit, nothing is placed or ordered with knowledge older than the limit less the 3 s that a start may take, so a frozen leader or a new one starts nothing by mistake. Without a limit all is as before. Cold workers come after warm ones.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -43,7 +43,8 @@
 /// Long-running tasks go beside serving images that best-effort images affect in the same way, so that each best-effort
 /// image finds workers where it slows down no serving run; among these to the worker with the fewest free cores. Short tasks
 /// go to the worker with the fewest free cores as well, so that large free blocks remain for large tasks. Best-effort tasks
-/// go where serving tasks let them run fastest, then where most cores are unused.
+/// go where serving tasks let them run fastest, then where most cores are unused. Workers that are still slow after their
+/// start come after all others.
 /// @param job the job
 /// @param step number of the step
 /// @param task state of the task
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -3,6 +3,7 @@
 /// @file
 /// @brief Scheduling decisions of an entry: leadership, stored progress and placement of runs.
 
+#include "Evacuations.h"
 #include "InterferenceModel.h"
 #include "JobMessages.h"
 #include "JobRegistry.h"
@@ -25,6 +26,7 @@
     LeaseConfig lease {};
     WorkerHealthConfig health {};
     RelocationConfig relocation {};
+    EvacuationConfig evacuation {};
     /// How long after the last renewal grant runs may still be active: the validity of a grant at the agent, the lease of the
     /// worker with 2% for its clock, and the time that a call may take to arrive.
     Duration silenceLimit = std::chrono::milliseconds(4900);
@@ -141,6 +143,13 @@
     const TimePoint asOf {};
 };
 
+/// @brief The evacuated failure domains are known as of a time. Entries that do not lead follow them too, so a new leader knows them.
+struct EvacuationsFollowed {
+    const std::set<std::string> failureDomains {};
+    /// Time at which the store certainly had no other rows.
+    const TimePoint asOf {};
+};
+
 /// @brief An agent registered.
 struct AgentStored {
     const KnownAgent agent {};
@@ -169,7 +178,7 @@
 struct ReleaseRequested { };
 
 /// @brief Events that the scheduler handles.
-using SchedulerEvent = std::variant<TimePassed, LeaderRowRead, LeaderRowReadFailed, CommitFinished, TablesProgress, TablesRead, JobStored, JobCancelStored, JobsFollowed, AgentStored, AgentLinked, AgentUnlinked, AgentReportReceived, ReleaseRequested>;
+using SchedulerEvent = std::variant<TimePassed, LeaderRowRead, LeaderRowReadFailed, CommitFinished, TablesProgress, TablesRead, JobStored, JobCancelStored, JobsFollowed, EvacuationsFollowed, AgentStored, AgentLinked, AgentUnlinked, AgentReportReceived, ReleaseRequested>;
 
 /// @brief Read the leader's row.
 struct ReadLeaderRow { };
@@ -214,6 +223,16 @@
 /// @brief Effects that the scheduler requests.
 using SchedulerEffect = std::variant<ReadLeaderRow, SubmitCommit, ReadTables, StopLeading, KeepAgentLinked, SendToAgent, ObserveJob, ReportLearned, RecordEvent>;
 
+/// @brief Evacuated failure domain and what is left there.
+struct EvacuatedDomain {
+    std::string name {};
+    /// Workers whose agents state the failure domain, and tasks assigned to them; zero while this process does not lead.
+    std::size_t workers = 0;
+    std::size_t runs = 0;
+
+    bool operator==(const EvacuatedDomain&) const = default;
+};
+
 /// @brief Pure state machine of scheduling in an entry, as standby or leader.
 ///
 /// An assignment is stored before its order is sent, and an end is stored before it is acknowledged, so the stored state is
@@ -262,6 +281,12 @@
     /// @return how long ago the leader's knowledge of jobs and cancellations was complete; zero while this process does not lead
     [[nodiscard]] Duration knowledgeAge(TimePoint now) const noexcept { return this->isActiveLeader() ? now - this->jobsKnownAsOf : Duration {}; }
 
+    /// @return the evacuated failure domains, also while this process does not lead
+    [[nodiscard]] const Evacuations& evacuations() const noexcept { return this->knownEvacuations; }
+
+    /// @return the evacuated failure domains and what is left there, for status pages
+    [[nodiscard]] std::vector<EvacuatedDomain> evacuatedDomains() const;
+
     /// @return whether this process leads and has read the tables
     [[nodiscard]] bool isActiveLeader() const noexcept { return this->tablesRead && this->leaderLease.leading(); }
 
@@ -283,6 +308,7 @@
     void on(const JobStored& event, TimePoint now, Effects& effects);
     void on(const JobCancelStored& event, TimePoint now, Effects& effects);
     void on(const JobsFollowed& event, TimePoint now, Effects& effects);
+    void on(const EvacuationsFollowed& event, TimePoint now, Effects& effects);
     void on(const AgentStored& event, TimePoint now, Effects& effects);
     void on(const AgentLinked& event, TimePoint now, Effects& effects);
     void on(const AgentUnlinked& event, TimePoint now, Effects& effects);
@@ -333,7 +359,14 @@
     void onCancellation(const JobId& job, TimePoint now, Effects& effects);
     void cancelJob(const JobId& job, TimePoint now, Effects& effects);
     void noteJobsKnown(RowVersion version, TimePoint asOf, TimePoint now, Effects& effects);
-    [[nodiscard]] bool knowledgeCurrent(TimePoint now) const noexcept { return this->knowledgeAge(now) <= this->config.maximumKnowledgeAge; }
+    [[nodiscard]] bool knowledgeCurrent(TimePoint now) const noexcept { return this->knowledgeAge(now) <= this->config.maximumKnowledgeAge && this->knownEvacuations.isCurrent(this->config.evacuation, now); }
+    void recordEvacuations(const std::set<std::string>& before, Effects& effects) const;
+    [[nodiscard]] EvacuatedDomain stateOf(const std::string& failureDomain) const;
+    [[nodiscard]] std::string describeDomain(const std::string& failureDomain) const;
+    /// Notes the failure domain of a worker, and whether nothing may start there.
+    void noteFailureDomain(TrackedWorker& worker, const std::string& failureDomain, TimePoint now, Effects& effects);
+    /// Releases the assignments to a worker whose orders have not been sent.
+    void releaseUnordered(TrackedWorker& worker, TimePoint now, Effects& effects);
     void sendHeldOrders(TimePoint now, Effects& effects);
     void applyRunEnds(TrackedWorker& worker, const WorkerIdentity& incarnation, const std::vector<RunEnd>& ends, TimePoint now, Effects& effects);
     void applyRunEnd(TrackedWorker& worker, const RunEnd& end, TimePoint now, Effects& effects);
@@ -370,6 +403,7 @@
     JobRegistry jobRegistry;
     BurnTracker burnTracker;
     Workers knownWorkers;
+    Evacuations knownEvacuations;
     InterferenceModel interference;
     bool tablesRead = false;
     /// Latest time at which an earlier leader may have given a renewal grant.
@@ -406,7 +440,7 @@
     /// Cancellations without a job, with the time at which each was learned. Intake stores such a job no more.
     std::map<JobId, TimePoint> unmatchedCancellations;
     /// Whether the last placement left out jobs because too many assignments wait to be written, or because the knowledge of jobs
-    /// was too old.
+    /// or evacuations was too old.
     bool placementHeldBack = false;
     /// Acknowledgements by agent for ends that were processed since the last ones were collected.
     std::map<std::string, AcknowledgeEnds> acknowledgeNext;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -48,6 +48,7 @@
     NotSettled,
     Draining,
     LongLease,
+    Evacuated,
     Excluded,
     RefusesStarts,
     Stalled,
@@ -83,6 +84,12 @@
     std::optional<WorkerInfo> info {};
     /// Whether the agent has reported all runs on the worker.
     bool settled = false;
+    /// Failure domain that the agent has stated last; empty if unknown.
+    std::string failureDomain {};
+    /// Whether nothing may start here because the operator evacuates the failure domain.
+    bool evacuated = false;
+    /// Until when the worker is slow after its start.
+    TimePoint coldUntil {};
     /// When the leader last sent the agent a renewal grant.
     TimePoint lastGrantAt {};
     /// Time of the ping that the last renewal grant answered, by the agent's clock.
@@ -125,6 +132,10 @@
     /// @return whether the worker is excluded because its runs have stalled
     [[nodiscard]] bool isStalled(TimePoint now) const noexcept { return now < this->stalledUntil; }
 
+    /// @param now current time
+    /// @return whether the worker is still slow after its start
+    [[nodiscard]] bool isCold(TimePoint now) const noexcept { return now < this->coldUntil; }
+
     /// @param now current time
     /// @return the reason why no run can be sent here, or std::nullopt if runs can be sent
     [[nodiscard]] std::optional<UnfitReason> unfitReason(TimePoint now) const noexcept;
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -102,7 +102,7 @@
     }
 
     /// Score of a worker for a task; greater is better, and elements are compared in order.
-    using Score = std::tuple<bool, bool, bool, bool, double, double>;
+    using Score = std::tuple<bool, bool, bool, bool, bool, double, double>;
 
     /// Returns std::nullopt for a worker that cannot take the task.
     std::optional<Score> scoreOf(const TrackedWorker& worker, const TrackedJob& job, std::uint32_t number, const TaskState& task, const InterferenceModel& interference, TimePoint now)
@@ -111,6 +111,7 @@
             return std::nullopt;
         const StepSpec& step = job.spec->steps[number];
         const bool notExcluded = !worker.exclusionReason(now);
+        const bool warm = !worker.isCold(now);
         const bool preferred = !worker.lastChoice(step.longRunning, now);
         const bool elsewhere = worker.agent != task.avoidedAgent;
         const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
@@ -118,10 +119,10 @@
         if (step.bestEffort && !waitedTooLong(job, number, task, now) && !canAddBestEffort(worker, step, pace))
             return std::nullopt;
         if (step.longRunning)
-            return Score { notExcluded, preferred, elsewhere, nearData, -weightedDistance(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
+            return Score { notExcluded, warm, preferred, elsewhere, nearData, -weightedDistance(worker, step.image, interference), -static_cast<double>(worker.free().milliCores) };
         if (step.bestEffort)
-            return Score { notExcluded, preferred, elsewhere, nearData, pace, unusedCores(worker) };
-        return Score { notExcluded, preferred, elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
+            return Score { notExcluded, warm, preferred, elsewhere, nearData, pace, unusedCores(worker) };
+        return Score { notExcluded, warm, preferred, elsewhere, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
     }
 
 }
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -1,3 +1,4 @@
+#include "cowslipdoor/scheduling/Limits.h"
 #include "cowslipdoor/scheduling/Scheduler.h"
 #include <algorithm>
 #include <cmath>
@@ -35,6 +36,10 @@
         effects.emplace_back(RecordEvent { EventId::WorkerSettled, worker.agent + ": " + (report.worker ? report.worker->identity.id : "no worker") + ", " + std::to_string(report.running.size()) + " runs" });
     worker.info = report.worker;
     worker.settled = report.settled;
+    if (report.worker) {
+        worker.coldUntil = now + std::clamp<Duration>(report.worker->coldRemaining, Duration {}, maximumDuration);
+        this->noteFailureDomain(worker, report.worker->failureDomain, now, effects);
+    }
     if (report.settled) {
         if (report.worker) {
             this->adoptRuns(worker, report);
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -36,6 +36,8 @@
         return "draining";
     case UnfitReason::LongLease:
         return "that may hold a long lease";
+    case UnfitReason::Evacuated:
+        return "in an evacuated failure domain, or in an unknown one during an evacuation";
     case UnfitReason::Excluded:
         return "excluded after failures";
     case UnfitReason::RefusesStarts:
@@ -68,6 +70,8 @@
         return UnfitReason::Draining;
     if (this->info->longLease)
         return UnfitReason::LongLease;
+    if (this->evacuated)
+        return UnfitReason::Evacuated;
     if (now < this->refusingUntil)
         return UnfitReason::RefusesStarts;
     if (!this->hasFreshGrant(now))
