Entry: the operator's rows for evacuations are followed and passed to the scheduler

The feed of the operator's table delivered only the configuration. It now also keeps the evacuated failure domains and reports them after each answer, with the time as of which they are complete. When the store has lost its history, the set is built anew from the rows read, as removals in between are not delivered; an answer with further pages is not complete. A row that cannot be decoded still evacuates the failure domain that its key names.

--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -17,12 +17,35 @@
     /// a slow store may take as long again to answer.
     constexpr Duration storeContactValidity = std::chrono::milliseconds(1600);
 
+    /// Wait of the feed of the operator's table where evacuations have a limit. Orders then need knowledge of evacuations that is
+    /// at most 2 s old, also when each answer takes 400 ms longer.
+    constexpr Duration boundedFeedWait = std::chrono::milliseconds(400);
+
+    /// Minimum limit on evacuations beyond the time that a start takes: the wait of the feed, and two slow answers.
+    constexpr Duration minimumEvacuationSlack = std::chrono::milliseconds(1000);
+
+    Duration operatorFeedWait(const Settings& settings)
+    {
+        return settings.duration("evacuation-limit") > Duration {} ? boundedFeedWait : TableFeedConfig {}.wait;
+    }
+
+    EvacuationConfig evacuationConfig(const Settings& settings)
+    {
+        EvacuationConfig config;
+        config.limit = settings.duration("evacuation-limit");
+        const Duration least = config.startTime + minimumEvacuationSlack;
+        if (config.limit > Duration {} && config.limit < least)
+            throw Error(ErrorKind::BadSetting, "evacuation-limit: must be 0ms or at least " + std::to_string(toMilliseconds(least)) + " ms, as a start takes up to " + std::to_string(toMilliseconds(config.startTime)) + " ms");
+        return config;
+    }
+
     SchedulerConfig schedulerConfig(const Settings& settings)
     {
         SchedulerConfig config;
         config.lease.holder = settings.text("name");
         config.lease.incarnation = static_cast<std::uint64_t>(newIncarnation());
         config.lease.milliCores = settings.milliCores("cores");
+        config.evacuation = evacuationConfig(settings);
         return config;
     }
 
@@ -36,6 +59,7 @@
         { "store", AddressSetting {}, std::nullopt, "Address of the platform's store." },
         { "cores", CoresSetting { 1'000'000 }, "1", "Processor cores of this VM; among several entries, the one with the most cores leads the scheduling of jobs." },
         { "connection-limit", NumberSetting { 1, 1'000'000 }, "3000", "Maximum number of connections of callers." },
+        { "evacuation-limit", DurationSetting { std::chrono::milliseconds(0), std::chrono::hours(1) }, "0ms", "Time after which no task may start in a failure domain that the operator evacuates; 0ms if there is no such bound." },
         { "drain-grace", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(10) }, "2500ms", "Time for which a draining entry still accepts connections, until two probes of the balancer have failed." },
     };
     return joinSettings(commonSettings(), own);
@@ -51,7 +75,7 @@
           this->store, [this]() { return this->storeReachable(); }, this->log, this->metrics)
     , callers(this->context.get_executor(), settings.text("listen"), settings.number("connection-limit"), this->intake)
     , configuration(
-          this->store, [this](ConfigurationHandle newer) { this->callers.apply(std::move(newer)); }, [this](bool answered) { this->onStoreContact(answered); }, this->log, this->metrics)
+          this->store, operatorFeedWait(settings), this->configurationHandlers(), this->log, this->metrics)
     , scheduler(
           this->context.get_executor(), schedulerConfig(settings), this->store, [this](RowVersion upTo) { this->intake.learned(upTo); }, this->log, this->metrics)
     , readiness(this->context.get_executor(), settings.text("ready-listen"), pageLimits)
@@ -78,6 +102,21 @@
     return this->stop.exitCode();
 }
 
+platform::ConfigurationHandlers JobsEntryProcess::configurationHandlers()
+{
+    return {
+        [this](ConfigurationHandle newer) { this->callers.apply(std::move(newer)); },
+        [this](EvacuationsFollowed followed) { return this->postEvacuations(std::move(followed)); },
+        [this](bool answered) { this->onStoreContact(answered); },
+    };
+}
+
+asio::awaitable<void> JobsEntryProcess::postEvacuations(EvacuationsFollowed followed)
+{
+    const SchedulerInput input(SchedulerEvent(std::move(followed)));
+    co_await send(this->scheduler.inbox(), input);
+}
+
 void JobsEntryProcess::addAdminHandlers()
 {
     platform::addReadinessProbe(this->readiness, [this]() { return this->ready(); });
@@ -104,6 +143,11 @@
         this->metrics.setGauge("cowslipdoor_knowledge_age_seconds", "How long ago the leader knew all jobs and cancellations", std::chrono::duration<double>(status.knowledgeAge).count());
         this->metrics.setGauge("cowslipdoor_learning_lag_seconds", "How far the leader lags behind the jobs that this entry has stored", std::chrono::duration<double>(this->intake.learningLag()).count());
         this->metrics.setGauge("cowslipdoor_idle_lasting_tasks", "Long-running tasks that no worker has listed for 2 s", static_cast<double>(status.idleLongRunningTasks));
+        std::size_t runsLeft = 0;
+        for (const EvacuatedDomain& domain : status.evacuatedDomains)
+            runsLeft += domain.runs;
+        this->metrics.setGauge("cowslipdoor_evacuated_domains", "Failure domains that the operator evacuates", static_cast<double>(status.evacuatedDomains.size()));
+        this->metrics.setGauge("cowslipdoor_evacuated_domain_runs", "Runs in evacuated failure domains, as known to the leader", static_cast<double>(runsLeft));
         co_return plainResponse(200, "text/plain; version=0.0.4", this->metrics.expose());
     });
 }
--- a/apps/entry/JobsEntryProcess.h
+++ b/apps/entry/JobsEntryProcess.h
@@ -30,6 +30,8 @@
     [[nodiscard]] int run();
 
 private:
+    [[nodiscard]] platform::ConfigurationHandlers configurationHandlers();
+    runtime::asio::awaitable<void> postEvacuations(EvacuationsFollowed followed);
     void addAdminHandlers();
     [[nodiscard]] bool ready() const;
     [[nodiscard]] bool storeReachable() const;
--- a/apps/entry/StatusJson.cpp
+++ b/apps/entry/StatusJson.cpp
@@ -53,10 +53,13 @@
     Json workers = Json::array();
     for (const runtime::SchedulerStatus::WorkerLine& line : status.workers) {
         workers.push_back({ { "agent", line.agent }, { "worker", line.worker }, { "linked", line.linked }, { "usable", line.usable }, { "runs", line.runs },
-            { "free_millicores", line.free.milliCores }, { "free_memory_mb", line.free.memoryMb } });
+            { "free_millicores", line.free.milliCores }, { "free_memory_mb", line.free.memoryMb }, { "failure_domain", line.failureDomain } });
     }
-    const Json json { { "leading", status.leading }, { "epoch", status.epoch }, { "leader", status.leader }, { "jobs", status.jobs }, { "waiting_jobs", status.waitingJobs }, { "idle_lasting_tasks", status.idleLongRunningTasks }, { "workers", workers } };
-    return json.dump(2) + "\n";
+    Json evacuated = Json::array();
+    for (const EvacuatedDomain& domain : status.evacuatedDomains)
+        evacuated.push_back({ { "failure_domain", domain.name }, { "workers", domain.workers }, { "runs", domain.runs } });
+    const Json json { { "leading", status.leading }, { "epoch", status.epoch }, { "leader", status.leader }, { "jobs", status.jobs }, { "waiting_jobs", status.waitingJobs }, { "idle_lasting_tasks", status.idleLongRunningTasks }, { "evacuated_domains", evacuated }, { "workers", workers } };
+    return json.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
 std::string printJobs(const runtime::JobList& list)
--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -31,6 +31,7 @@
     std::size_t unmatchedCancellations = 0;
     /// Long-running tasks that no worker has listed for longer than the idle limit of SchedulerConfig.
     std::size_t idleLongRunningTasks = 0;
+    std::vector<EvacuatedDomain> evacuatedDomains {};
     struct WorkerLine {
         std::string agent;
         std::string worker;
@@ -38,6 +39,7 @@
         bool usable = false;
         std::size_t runs = 0;
         ResourceVector free {};
+        std::string failureDomain {};
 
         bool operator==(const WorkerLine&) const = default;
     };
--- a/libs/runtime/include/cowslipdoor/runtime/StorePort.h
+++ b/libs/runtime/include/cowslipdoor/runtime/StorePort.h
@@ -39,6 +39,8 @@
     RowVersion version = 0;
     /// Rows that cannot be decoded.
     std::vector<RowKey> unreadable {};
+    /// Whether the store has further changes up to its current version that are not among the rows.
+    bool hasMore = false;
 
     bool operator==(const RowPage&) const = default;
 };
--- a/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
+++ b/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
@@ -90,6 +90,13 @@
     ///        at which the store certainly had no later ones
     void onCaughtUp(CaughtUpHandler handler) { this->caughtUp = std::move(handler); }
 
+    /// @brief Sets what is called before the rows of the whole table are delivered, at first or after the store has lost its
+    /// history. Rows that were removed in between are not delivered.
+    void onWholeRead(std::function<void()> handler) { this->wholeRead = std::move(handler); }
+
+    /// @brief Sets what is called with the key of each row that cannot be decoded, after the rows of its answer.
+    void onUnreadable(std::function<void(const RowKey&)> handler) { this->unreadable = std::move(handler); }
+
     /// @brief Follows the table until stop().
     /// @param after version up to which the table has been read, or nothing to read the table first
     [[nodiscard]] asio::awaitable<void> run(std::optional<RowVersion> after);
@@ -109,6 +116,8 @@
     RowHandler onRow;
     ContactHandler onContact;
     CaughtUpHandler caughtUp;
+    std::function<void()> wholeRead;
+    std::function<void(const RowKey&)> unreadable;
     const Log& log;
     Metrics& metrics;
     std::optional<RowVersion> knownVersion;
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -69,9 +69,10 @@
     status.knowledgeAge = this->machine.knowledgeAge(now);
     status.unmatchedCancellations = this->machine.unmatchedCancellationCount();
     status.idleLongRunningTasks = this->machine.idleLongRunningTasks();
+    status.evacuatedDomains = this->machine.evacuatedDomains();
     for (const Workers::value_type& item : this->machine.workers()) {
         const TrackedWorker& worker = item.second;
-        status.workers.push_back({ item.first, worker.info ? worker.info->identity.id : "", worker.link.has_value(), worker.usable(now), worker.tasks.size(), worker.free() });
+        status.workers.push_back({ item.first, worker.info ? worker.info->identity.id : "", worker.link.has_value(), worker.usable(now), worker.tasks.size(), worker.free(), worker.failureDomain });
     }
     trySend(*query.reply, std::move(status));
 }
--- a/libs/runtime/src/TableFeed.cpp
+++ b/libs/runtime/src/TableFeed.cpp
@@ -91,6 +91,8 @@
         co_return;
     }
     this->noteAnswer();
+    if (this->wholeRead)
+        this->wholeRead();
     co_await this->deliverRows(std::move(std::get<RowPage>(result)), asked);
 }
 
@@ -130,7 +132,11 @@
             co_return;
         co_await this->onRow(row);
     }
-    if (this->caughtUp && !this->stopped)
+    for (const RowKey& key : page.unreadable) {
+        if (this->unreadable)
+            this->unreadable(key);
+    }
+    if (this->caughtUp && !this->stopped && !page.hasMore)
         co_await this->caughtUp(*this->knownVersion, asOf);
 }
 
