Bounded memory and connections for clients outside the limits

Clients ended a process by memory, or kept all others away. Causes: the buffer of a connection had no largest size, and Beast's parser keeps a whole trailer and a whole header of a chunk there; a chunked body reserved its largest size at once, while bodies at callers of requests and at admin addresses were not counted at all; fields take many times their text; each idle connection held 16 KiB; at the limit of connections the silent ones stayed; links without hello had no limit, 64 KiB each, and frames of 8 MiB; pages that are not read were not counted.

HttpReceiver feeds the parser itself. Memory is reserved before it is used, as bytes arrive, from one budget of the process (setting receive-limit), and kept until the request is answered. A line of a header, a trailer or a chunk's header has the limit of a header. A connection that waits holds no buffer. ClientLimiter applies the decisions of ClientPool to all HTTP ports and to links without hello (setting hello-limit, frames of 64 KiB until then), logs E645 and counts cowslipdoor_limited_clients_total.

Handlers run in a guard that records E646, and a destructor returns the count.

Two tests of BodyBudget are replaced, as bodies are no longer reserved when they are announced: by tests that a body is refused as busy once what has arrived does not fit, with a length and chunked; that an announced body takes nothing; and by those of ClientPool (sum, small requests beside large ones). New: limits of header, trailer and chunk header, the largest header, trailers that are read, closing of a silent connection, an error of a handler.

--- a/apps/agent/AgentProcess.cpp
+++ b/apps/agent/AgentProcess.cpp
@@ -65,11 +65,12 @@
     : settings(settings)
     , name(settings.text("name"))
     , log(makeLog(settings, this->name))
+    , limiter(receiveLimit(settings), this->log, this->metrics)
     , context(1)
     , incarnation(newIncarnation())
     , task(this->context.get_executor(), machineConfig(settings, this->incarnation), callerConfig(settings, this->incarnation), this->log, this->metrics)
     , entryDialer(this->context.get_executor(), entryDialerConfig(settings), this->task.inbox(), this->log, this->metrics)
-    , admin(this->context.get_executor(), settings.text("admin-listen"), httpLimits(settings))
+    , admin(this->context.get_executor(), settings.text("admin-listen"), httpLimits(settings), this->limiter)
     , stop(this->context, this->log, { [this]() { return this->drain(); }, [this]() { return this->describeInFlight(); } })
 {
     this->addAdminHandlers();
--- a/apps/agent/AgentProcess.h
+++ b/apps/agent/AgentProcess.h
@@ -33,6 +33,8 @@
     std::string name;
     runtime::Log log;
     runtime::Metrics metrics;
+    /// Declared before the context, whose destructor ends the connections.
+    runtime::ClientLimiter limiter;
     runtime::asio::io_context context;
     Incarnation incarnation;
     runtime::AgentTask task;
--- a/apps/agent/JobsAgentProcess.cpp
+++ b/apps/agent/JobsAgentProcess.cpp
@@ -10,6 +10,14 @@
 
 namespace {
 
+    /// Three quarters hold two of the largest heartbeats, 4 MiB each.
+    constexpr std::uint64_t agentReceiveLimit = std::uint64_t { 12 } * 1024 * 1024;
+    /// Three quarters hold the largest heartbeat.
+    constexpr std::uint64_t smallestReceiveLimit = std::uint64_t { 6 } * 1024 * 1024;
+
+    /// One entry leads, and it sends its first message at once.
+    constexpr std::uint64_t agentHelloLimit = 32;
+
     WorkerMachineConfig machineConfig(const Settings& settings)
     {
         WorkerMachineConfig config;
@@ -28,6 +36,8 @@
         { "registry-listen", AddressSetting {}, std::nullopt, "Address for the heartbeats of the worker." },
         { "link-listen", AddressSetting {}, std::nullopt, "Address for the link of the leader." },
         { "store", AddressSetting {}, std::nullopt, "Address of the platform's store." },
+        receiveLimitSetting(smallestReceiveLimit, agentReceiveLimit),
+        helloLimitSetting(agentHelloLimit),
         { "lease-limit", DurationSetting { std::chrono::milliseconds(100), std::chrono::hours(1) }, "6s", "Longest lease that the worker grants." },
     };
     return joinSettings(commonSettings(), own);
@@ -37,12 +47,13 @@
     : settings(settings)
     , name(settings.text("name"))
     , log(makeLog(settings, this->name))
+    , limiter(settings.number(receiveLimitName), this->log, this->metrics)
     , context(1)
     , store(platform::makeStorePort(this->context.get_executor(), settings.text("store")))
     , task(this->context.get_executor(), machineConfig(settings), platform::makeWorkerPort(this->context.get_executor(), settings.text("worker"), this->log, this->metrics), this->log, this->metrics)
-    , leaders(this->context.get_executor(), settings.text("link-listen"), this->task.inbox(), this->log, this->metrics)
-    , registry(this->context.get_executor(), settings.text("registry-listen"), this->task.inbox(), this->log, this->metrics)
-    , admin(this->context.get_executor(), settings.text("admin-listen"), pageLimits)
+    , leaders(this->context.get_executor(), settings.text("link-listen"), this->task.inbox(), this->limiter, settings.number(helloLimitName), this->log, this->metrics)
+    , registry(this->context.get_executor(), settings.text("registry-listen"), this->task.inbox(), this->limiter, this->log, this->metrics)
+    , admin(this->context.get_executor(), settings.text("admin-listen"), pageLimits, this->limiter)
     , stop(this->context, this->log, { []() -> asio::awaitable<bool> { co_return true; }, []() -> asio::awaitable<std::string> { co_return "nothing"; } })
 {
     this->addAdminHandlers();
--- a/apps/agent/JobsAgentProcess.h
+++ b/apps/agent/JobsAgentProcess.h
@@ -34,6 +34,8 @@
     std::string name;
     runtime::Log log;
     runtime::Metrics metrics;
+    /// Declared before the context, whose destructor ends the connections.
+    runtime::ClientLimiter limiter;
     runtime::asio::io_context context;
     runtime::StorePort store;
     runtime::WorkerTask task;
--- a/apps/entry/EntryProcess.cpp
+++ b/apps/entry/EntryProcess.cpp
@@ -14,6 +14,13 @@
 
 namespace {
 
+    /// A queue of 4,096 small requests takes about half of it.
+    constexpr std::uint64_t entryReceiveLimit = std::uint64_t { 64 } * 1024 * 1024;
+    constexpr std::uint64_t smallestReceiveLimit = std::uint64_t { 1 } * 1024 * 1024;
+
+    /// An agent sends its first message at once, so few links wait for theirs even when all agents link at the same time.
+    constexpr std::uint64_t entryHelloLimit = 256;
+
     EntryConfig machineConfig(const Settings& settings)
     {
         std::random_device device;
@@ -45,6 +52,8 @@
         { "user-header", TextSetting {}, "X-User", "Request header that names the user." },
         { "queue-limit", NumberSetting { 1, 1'000'000 }, "4096", "Maximum number of queued requests." },
         { "connection-limit", NumberSetting { 1, 1'000'000 }, "4096", "Maximum number of connections of callers." },
+        receiveLimitSetting(smallestReceiveLimit, entryReceiveLimit),
+        helloLimitSetting(entryHelloLimit),
         { "silence-limit", DurationSetting { std::chrono::milliseconds(500), std::chrono::minutes(10) }, "4s", "Shortest time without frames after which a link is closed." },
         { "key-witnesses", NumberSetting { 0, 8 }, "2", "Maximum number of agents that fence a non-idempotent request before its home agent runs it." },
         { "key-settle", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(1) }, "2s", "Time that an entry waits for further agents after its first one before it sends non-idempotent requests." },
@@ -59,11 +68,12 @@
     , name(settings.text("name"))
     , firstRules(readRulesFile(settings.text("rules")))
     , log(makeLog(settings, this->name))
+    , limiter(receiveLimit(settings), this->log, this->metrics)
     , context(1)
     , task(this->context.get_executor(), machineConfig(settings), this->log, this->metrics)
-    , callers(this->context.get_executor(), callersConfig(settings), this->task.inbox(), this->log)
-    , links(this->context.get_executor(), settings.text("link-listen"), this->task.inbox(), settings.duration("silence-limit"), this->log, this->metrics)
-    , admin(this->context.get_executor(), settings.text("admin-listen"), httpLimits(settings))
+    , callers(this->context.get_executor(), callersConfig(settings), this->task.inbox(), this->log, this->limiter)
+    , links(this->context.get_executor(), settings.text("link-listen"), this->task.inbox(), settings.duration("silence-limit"), this->limiter, settings.number(helloLimitName), this->log, this->metrics)
+    , admin(this->context.get_executor(), settings.text("admin-listen"), httpLimits(settings), this->limiter)
     , stop(this->context, this->log, { [this]() { return this->drain(); }, [this]() { return this->describeInFlight(); } })
 {
     this->addAdminHandlers();
--- a/apps/entry/EntryProcess.h
+++ b/apps/entry/EntryProcess.h
@@ -41,6 +41,8 @@
     RuleSet firstRules;
     runtime::Log log;
     runtime::Metrics metrics;
+    /// Declared before the context, whose destructor ends the connections.
+    runtime::ClientLimiter limiter;
     runtime::asio::io_context context;
     runtime::EntryTask task;
     runtime::CallerServer callers;
--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -17,6 +17,11 @@
     /// a slow store may take as long again to answer.
     constexpr Duration storeContactValidity = std::chrono::milliseconds(1600);
 
+    /// Beside it the smallest VM of entries (160 MB) holds the process and 3,000 connections.
+    constexpr std::uint64_t entryReceiveLimit = std::uint64_t { 32 } * 1024 * 1024;
+    /// Three quarters hold the largest body that the configuration permits by default, 262,144 bytes.
+    constexpr std::uint64_t smallestReceiveLimit = std::uint64_t { 1 } * 1024 * 1024;
+
     SchedulerConfig schedulerConfig(const Settings& settings)
     {
         SchedulerConfig config;
@@ -36,6 +41,7 @@
         { "store", AddressSetting {}, std::nullopt, "Address of the platform's store." },
         { "cores", CoresSetting { 1'000'000 }, "1", "Processor cores of this VM; among several entries, the one with the most cores leads the scheduling of jobs." },
         { "connection-limit", NumberSetting { 1, 1'000'000 }, "3000", "Maximum number of connections of callers." },
+        receiveLimitSetting(smallestReceiveLimit, entryReceiveLimit),
         { "drain-grace", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(10) }, "2500ms", "Time for which a draining entry still accepts connections, until two probes of the balancer have failed." },
     };
     return joinSettings(commonSettings(), own);
@@ -45,17 +51,18 @@
     : settings(settings)
     , name(settings.text("name"))
     , log(makeLog(settings, this->name))
+    , limiter(settings.number(receiveLimitName), this->log, this->metrics)
     , context(1)
     , store(platform::makeStorePort(this->context.get_executor(), settings.text("store")))
     , intake(
           this->store, [this]() { return this->storeReachable(); }, this->log, this->metrics)
-    , callers(this->context.get_executor(), settings.text("listen"), settings.number("connection-limit"), this->intake)
+    , callers(this->context.get_executor(), settings.text("listen"), settings.number("connection-limit"), this->limiter, this->intake)
     , configuration(
           this->store, [this](ConfigurationHandle newer) { this->callers.apply(std::move(newer)); }, [this](bool answered) { this->onStoreContact(answered); }, this->log, this->metrics)
     , scheduler(
           this->context.get_executor(), schedulerConfig(settings), this->store, [this](RowVersion upTo) { this->intake.learned(upTo); }, this->log, this->metrics)
-    , readiness(this->context.get_executor(), settings.text("ready-listen"), pageLimits)
-    , admin(this->context.get_executor(), settings.text("admin-listen"), pageLimits)
+    , readiness(this->context.get_executor(), settings.text("ready-listen"), pageLimits, this->limiter)
+    , admin(this->context.get_executor(), settings.text("admin-listen"), pageLimits, this->limiter)
     , stop(this->context, this->log, { [this]() { return this->drain(); }, [this]() { return this->describeInFlight(); } })
 {
     this->addAdminHandlers();
--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -88,6 +88,7 @@
     DomainRestored = 641,
     EvacuationProgress = 642,
     ClientLimited = 645,
+    ConnectionFailed = 646,
     PlaceAwaited = 650,
     PlaceWaitEnded = 651,
     JobHeld = 655,
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -76,6 +76,7 @@
         EventDescription { EventId::DomainRestored, "domain_restored", EventLevel::Info, "The operator has returned an evacuated failure domain to service." },
         EventDescription { EventId::EvacuationProgress, "evacuation_progress", EventLevel::Info, "Runs are left in an evacuated failure domain; the detail says how many, and how many tasks wait." },
         EventDescription { EventId::ClientLimited, "client_limited", EventLevel::Warning, "Connections of clients were closed or refused because of a limit; the detail has the limit and how many." },
+        EventDescription { EventId::ConnectionFailed, "connection_failed", EventLevel::Error, "An unexpected error ended the service of one connection, which is closed; the detail says why." },
         EventDescription { EventId::PlaceAwaited, "place_awaited", EventLevel::Debug, "A task waits for a place on which it is expected to end earlier than on the one available now." },
         EventDescription { EventId::PlaceWaitEnded, "place_wait_ended", EventLevel::Debug, "A task no longer waits for a better place; the detail has the expected and the actual wait." },
         EventDescription { EventId::JobHeld, "job_held", EventLevel::Info, "A job waits without having begun because other jobs need the best-effort capacity to end in time." },
--- a/libs/runtime/include/cowslipdoor/runtime/AdminServer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/AdminServer.h
@@ -20,7 +20,7 @@
 
 /// @brief Routes requests to handlers by method and path.
 /// @code
-/// AdminServer server(executor, "127.0.0.1:9100", HttpLimits {});
+/// AdminServer server(executor, "127.0.0.1:9100", HttpLimits {}, limiter);
 /// server.handle("GET", "/healthz", handler);
 /// server.start();
 /// @endcode
@@ -29,8 +29,9 @@
     /// @param executor runs the tasks
     /// @param address IP address and port to listen on
     /// @param limits limits of each connection
+    /// @param limiter limits of the process
     /// @throws Error with ErrorKind::BadSetting if the address cannot be listened on
-    AdminServer(asio::any_io_executor executor, const std::string& address, HttpLimits limits);
+    AdminServer(asio::any_io_executor executor, const std::string& address, HttpLimits limits, ClientLimiter& limiter);
 
     /// @brief Registers the handler of a page; replaces an earlier one.
     /// @param method HTTP method, in capitals
@@ -47,6 +48,8 @@
 
     Listener listener;
     HttpLimits limits;
+    ClientLimiter& limiter;
+    ClientPortId port;
     std::map<std::pair<std::string, std::string>, AdminHandler> handlers;
 };
 
--- a/libs/runtime/include/cowslipdoor/runtime/CallerServer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/CallerServer.h
@@ -23,7 +23,7 @@
 
 /// @brief Accepts connections of callers; each is a task that owns its socket.
 /// @code
-/// CallerServer server(executor, config, entryTask.inbox(), log);
+/// CallerServer server(executor, config, entryTask.inbox(), log, limiter);
 /// server.start();
 /// @endcode
 class CallerServer {
@@ -31,8 +31,9 @@
     /// @param executor runs the tasks
     /// @param entry mailbox of the entry's task
     /// @param log receives the events
+    /// @param limiter limits of the process
     /// @throws Error with ErrorKind::BadSetting if the address cannot be listened on
-    CallerServer(asio::any_io_executor executor, CallerServerConfig config, Mailbox<EntryInput> entry, const Log& log);
+    CallerServer(asio::any_io_executor executor, CallerServerConfig config, Mailbox<EntryInput> entry, const Log& log, ClientLimiter& limiter);
 
     /// @brief Starts accepting connections; the server must outlive the run of the executor.
     void start();
@@ -45,13 +46,15 @@
 
 private:
     asio::awaitable<void> serve(tcp::socket socket);
-    asio::awaitable<bool> serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer, CallerId caller, const Mailbox<CallerMessage>& mailbox);
+    asio::awaitable<bool> serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer, ClientTicket& ticket, CallerId caller, const Mailbox<CallerMessage>& mailbox);
     asio::awaitable<bool> relay(beast::tcp_stream& stream, const HttpRequest& request, CallerId caller, const Mailbox<CallerMessage>& mailbox);
 
     asio::any_io_executor executor;
     CallerServerConfig config;
     Mailbox<EntryInput> entry;
     const Log& log;
+    ClientLimiter& limiter;
+    ClientPortId port;
     Listener listener;
     std::uint64_t lastCaller = 0;
 };
--- a/libs/runtime/include/cowslipdoor/runtime/FramedStream.h
+++ b/libs/runtime/include/cowslipdoor/runtime/FramedStream.h
@@ -16,6 +16,9 @@
 /// @brief Largest number of messages queued on one link; a link whose peer reads too slowly for that is closed.
 constexpr std::size_t maximumOutboxMessages = 4096;
 
+/// @brief Largest payload of a frame before the first message of a link is accepted, in bytes.
+constexpr std::size_t firstFrameBytes = std::size_t { 64 } * 1024;
+
 /// @brief Closes a link after everything queued before it is written.
 struct EndLink { };
 
@@ -64,6 +67,10 @@
     /// @brief Sets how long the peer may be silent before the connection is closed.
     void setSilenceLimit(Duration limit) noexcept { this->silenceLimit = limit; }
 
+    /// @brief Sets the largest payload of the frames that follow, which is that of the protocol at first.
+    /// @param bytes size in bytes
+    void setFrameLimit(std::size_t bytes) noexcept { this->decoder.setLimit(bytes); }
+
     /// @brief Raises the silence limit to three heartbeat intervals of the peer, if it is lower. Writing a Welcome does so too.
     /// @param interval time between heartbeats of the peer
     void extendSilenceLimit(Duration interval) noexcept;
@@ -76,6 +83,8 @@
 
 private:
     asio::awaitable<void> writeAll();
+    /// Moves received bytes to the decoder.
+    void readAvailable();
     bool encodeBatch(const OutboxMessage& first, std::string& batch);
     asio::awaitable<void> watchSilence();
 
@@ -84,7 +93,6 @@
     Outbox messages;
     asio::steady_timer watchdog;
     wire::FrameDecoder decoder;
-    std::array<char, 64 * 1024> buffer {};
     TimePoint lastReceivedAt;
     Duration silenceLimit = std::chrono::seconds(4);
     bool silent = false;
--- a/libs/runtime/include/cowslipdoor/runtime/HttpServer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/HttpServer.h
@@ -4,7 +4,7 @@
 /// @brief Reading of HTTP/1.1 requests and writing of responses, within limits.
 
 #include "Asio.h"
-#include "BodyBudget.h"
+#include "ClientLimiter.h"
 #include <cowslipdoor/core/Request.h>
 #include <cowslipdoor/core/Time.h>
 #include <optional>
@@ -57,11 +57,11 @@
 /// @return the request, or why none was read
 [[nodiscard]] asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits);
 
-/// @brief Reads one request within the limits and a budget for bodies.
+/// @brief Reads one request within the limits of the connection and of the process.
 /// @param buffer bytes of the connection that are received but not parsed; keeps those of later requests
-/// @param reservation renewed for the body, which it must outlive
-/// @return the request, or why none was read: ErrorKind::Busy if the budget has too little left for the body
-[[nodiscard]] asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits, BodyReservation& reservation);
+/// @param ticket gives memory for the request, which keeps it until the next one is read
+/// @return the request, or why none was read: ErrorKind::Busy if the process has too little memory left for requests
+[[nodiscard]] asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits, ClientTicket& ticket);
 
 /// @brief Writes one response.
 /// @param keepAlive whether the connection stays open after the response
--- a/libs/runtime/include/cowslipdoor/runtime/LinkServer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/LinkServer.h
@@ -4,6 +4,7 @@
 /// @brief The entry's server for links of agents.
 
 #include "Asio.h"
+#include "ClientLimiter.h"
 #include "EntryTask.h"
 #include "FramedStream.h"
 #include "Listener.h"
@@ -14,7 +15,7 @@
 
 /// @brief Accepts links of agents; each link is a task that owns its socket.
 /// @code
-/// LinkServer server(executor, "127.0.0.1:7000", entryTask.inbox(), silenceLimit, log, metrics);
+/// LinkServer server(executor, "127.0.0.1:7000", entryTask.inbox(), silenceLimit, limiter, helloLimit, log, metrics);
 /// server.start();
 /// @endcode
 class LinkServer {
@@ -23,10 +24,12 @@
     /// @param address IP address and port to listen on
     /// @param entry mailbox of the entry's task
     /// @param silenceLimit silence that closes a link, unless three heartbeat intervals are longer
+    /// @param limiter limits of the process
+    /// @param helloLimit largest number of links that have not sent their first message
     /// @param log receives the events
     /// @param metrics receives the counts
     /// @throws Error with ErrorKind::BadSetting if the address cannot be listened on
-    LinkServer(asio::any_io_executor executor, const std::string& address, Mailbox<EntryInput> entry, Duration silenceLimit, const Log& log, Metrics& metrics);
+    LinkServer(asio::any_io_executor executor, const std::string& address, Mailbox<EntryInput> entry, Duration silenceLimit, ClientLimiter& limiter, std::size_t helloLimit, const Log& log, Metrics& metrics);
 
     /// @brief Starts accepting connections; the server must outlive the run of the executor.
     void start();
@@ -37,6 +40,8 @@
 
     Mailbox<EntryInput> entry;
     Duration silenceLimit;
+    ClientLimiter& limiter;
+    ClientPortId port;
     const Log& log;
     Metrics& metrics;
     Listener listener;
--- a/libs/runtime/include/cowslipdoor/runtime/Listener.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Listener.h
@@ -32,6 +32,9 @@
     /// @brief Stops accepting connections; open ones stay.
     void stop();
 
+    /// @return the address that it listens on
+    [[nodiscard]] tcp::endpoint endpoint() const { return this->acceptor.local_endpoint(); }
+
     /// @return the number of open connections
     [[nodiscard]] std::size_t connections() const noexcept { return this->open; }
 
--- a/libs/runtime/include/cowslipdoor/runtime/Metrics.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Metrics.h
@@ -48,6 +48,10 @@
     /// @param help description for the page
     void setGauge(const std::string& name, const std::string& help, double value);
 
+    /// @brief Counts a connection that was closed, or a connection or request that was refused, because of a limit.
+    /// @param limit name of the limit
+    void countLimitedClient(const std::string& limit);
+
     /// @brief Counts bytes of sent control messages; those of requests and answers are not counted.
     void countControlBytes(std::size_t bytes);
 
@@ -61,6 +65,7 @@
     prometheus::Family<prometheus::Histogram>& latencies;
     prometheus::Family<prometheus::Counter>& jobs;
     prometheus::Family<prometheus::Histogram>& jobLatencies;
+    prometheus::Family<prometheus::Counter>& limitedClients;
     prometheus::Counter& controlBytes;
 };
 
--- a/libs/runtime/include/cowslipdoor/runtime/Process.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Process.h
@@ -46,6 +46,21 @@
 /// @brief Lists the settings that httpLimits() reads.
 [[nodiscard]] std::vector<SettingSpec> httpSettings();
 
+/// @brief Makes the setting of the memory for requests.
+/// @param minimum smallest value in bytes; one request within the other limits must fit
+/// @param bytes default in bytes
+[[nodiscard]] SettingSpec receiveLimitSetting(std::uint64_t minimum, std::uint64_t bytes);
+
+/// @brief Reads the memory for requests of a program that has the settings httpSettings().
+/// @param settings validated settings
+/// @return the memory in bytes
+/// @throws Error with ErrorKind::BadSetting if the largest request does not fit
+[[nodiscard]] std::size_t receiveLimit(const Settings& settings);
+
+/// @brief Makes the setting of the number of links that have not sent their first message.
+/// @param links default
+[[nodiscard]] SettingSpec helloLimitSetting(std::uint64_t links);
+
 /// @brief Logs each SIGHUP until the context stops, for programs whose settings are flags and cannot be reread.
 /// @param log receives the event
 [[nodiscard]] asio::awaitable<void> recordHangups(const Log& log);
--- a/libs/runtime/include/cowslipdoor/runtime/WorkerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/WorkerTask.h
@@ -4,6 +4,7 @@
 /// @brief The task that owns an agent's WorkerMachine, and the agent's server for links of leaders.
 
 #include "Asio.h"
+#include "ClientLimiter.h"
 #include "FramedStream.h"
 #include "Listener.h"
 #include "Log.h"
@@ -89,19 +90,23 @@
     /// @param executor runs the tasks
     /// @param address IP address and port to listen on
     /// @param agent mailbox of the agent's task
+    /// @param limiter limits of the process
+    /// @param helloLimit largest number of links that have not sent their first message
     /// @param log receives the events
     /// @param metrics receives the counts
     /// @throws Error with ErrorKind::BadSetting if the address cannot be listened on
-    LeaderLinkServer(asio::any_io_executor executor, const std::string& address, Mailbox<WorkerInput> agent, const Log& log, Metrics& metrics);
+    LeaderLinkServer(asio::any_io_executor executor, const std::string& address, Mailbox<WorkerInput> agent, ClientLimiter& limiter, std::size_t helloLimit, const Log& log, Metrics& metrics);
 
     /// @brief Starts accepting connections; the server must outlive the run of the executor.
     void start();
 
 private:
     asio::awaitable<void> serve(tcp::socket socket);
-    asio::awaitable<void> relayAll(LinkId link, std::shared_ptr<JobStream> stream);
+    asio::awaitable<void> relayAll(LinkId link, std::shared_ptr<JobStream> stream, std::unique_ptr<ClientTicket> ticket);
 
     Mailbox<WorkerInput> agent;
+    ClientLimiter& limiter;
+    ClientPortId port;
     const Log& log;
     Metrics& metrics;
     Listener listener;
--- a/libs/runtime/src/AdminServer.cpp
+++ b/libs/runtime/src/AdminServer.cpp
@@ -9,9 +9,11 @@
 
 }
 
-AdminServer::AdminServer(asio::any_io_executor executor, const std::string& address, HttpLimits limits)
-    : listener(std::move(executor), address, [this](tcp::socket socket) { return this->serve(std::move(socket)); })
+AdminServer::AdminServer(asio::any_io_executor executor, const std::string& address, HttpLimits limits, ClientLimiter& limiter)
+    : listener(std::move(executor), address, limiter.guarded([this](tcp::socket socket) { return this->serve(std::move(socket)); }))
     , limits(limits)
+    , limiter(limiter)
+    , port(limiter.addPort("page-connections", maximumAdminConnections))
 {
 }
 
@@ -27,13 +29,14 @@
 
 asio::awaitable<void> AdminServer::serve(tcp::socket socket)
 {
-    if (this->listener.connections() > maximumAdminConnections)
-        co_return;
     beast::tcp_stream stream(std::move(socket));
+    const std::unique_ptr<ClientTicket> ticket = this->limiter.admit(this->port, [&stream]() { closeSocket(stream.socket()); });
+    if (!ticket)
+        co_return;
     beast::flat_buffer buffer;
     bool open = true;
     while (open) {
-        const HttpReadResult result = co_await readHttpRequest(stream, buffer, this->limits);
+        const HttpReadResult result = co_await readHttpRequest(stream, buffer, this->limits, *ticket);
         const HttpRequest* const request = std::get_if<HttpRequest>(&result);
         const HttpReadFailure* const failure = std::get_if<HttpReadFailure>(&result);
         if (failure && !failure->answer)
@@ -43,7 +46,10 @@
             co_await writeHttpResponse(stream, refusal, false, this->limits);
             break;
         }
-        const Response response = co_await this->respond(*request);
+        const Response page = co_await this->respond(*request);
+        // A client that does not read its page keeps the memory of the page.
+        const bool fits = ticket->reserve(page.body.size());
+        const Response response = fits ? page : errorResponse(ErrorKind::Busy, "the page does not fit into the memory for requests", "");
         const bool written = co_await writeHttpResponse(stream, response, request->keepAlive, this->limits);
         open = written && request->keepAlive;
     }
--- a/libs/runtime/src/CallerServer.cpp
+++ b/libs/runtime/src/CallerServer.cpp
@@ -54,12 +54,14 @@
 
 }
 
-CallerServer::CallerServer(asio::any_io_executor executor, CallerServerConfig config, Mailbox<EntryInput> entry, const Log& log)
+CallerServer::CallerServer(asio::any_io_executor executor, CallerServerConfig config, Mailbox<EntryInput> entry, const Log& log, ClientLimiter& limiter)
     : executor(std::move(executor))
     , config(std::move(config))
     , entry(std::move(entry))
     , log(log)
-    , listener(this->executor, this->config.listen, [this](tcp::socket socket) { return this->serve(std::move(socket)); })
+    , limiter(limiter)
+    , port(limiter.addPort("connection-limit", this->config.maximumConnections))
+    , listener(this->executor, this->config.listen, limiter.guarded([this](tcp::socket socket) { return this->serve(std::move(socket)); }))
 {
 }
 
@@ -77,7 +79,8 @@
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
-    if (this->listener.connections() > this->config.maximumConnections) {
+    const std::unique_ptr<ClientTicket> ticket = this->limiter.admit(this->port, [&stream]() { closeSocket(stream.socket()); });
+    if (!ticket) {
         const Response refusal = errorResponse(ErrorKind::QueueFull, "too many connections", "");
         co_await writeHttpResponse(stream, refusal, false, this->config.limits);
     } else {
@@ -85,7 +88,11 @@
         const Mailbox<CallerMessage> mailbox = makeMailbox<CallerMessage>(this->executor, callerMailboxCapacity);
         const EntryInput callerAttached(CallerAttached { caller, mailbox });
         co_await send(this->entry, callerAttached);
-        while (co_await this->serveOne(stream, buffer, caller, mailbox)) { }
+        try {
+            while (co_await this->serveOne(stream, buffer, *ticket, caller, mailbox)) { }
+        } catch (const std::exception& error) {
+            this->limiter.recordFault(error.what());
+        }
         const EntryInput callerDetached(CallerDetached { caller });
         co_await send(this->entry, callerDetached);
     }
@@ -93,10 +100,10 @@
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
-asio::awaitable<bool> CallerServer::serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer, CallerId caller, const Mailbox<CallerMessage>& mailbox)
+asio::awaitable<bool> CallerServer::serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer, ClientTicket& ticket, CallerId caller, const Mailbox<CallerMessage>& mailbox)
 {
     const std::variant<HttpRequest, HttpReadFailure, std::tuple<error_code, CallerMessage>> event
-        = co_await (readHttpRequest(stream, buffer, this->config.limits) || mailbox->async_receive(asTuple));
+        = co_await (readHttpRequest(stream, buffer, this->config.limits, ticket) || mailbox->async_receive(asTuple));
     const HttpRequest* const request = std::get_if<HttpRequest>(&event);
     if (request)
         co_return co_await this->relay(stream, *request, caller, mailbox);
--- a/libs/runtime/src/FramedStream.cpp
+++ b/libs/runtime/src/FramedStream.cpp
@@ -12,6 +12,7 @@
 
     constexpr Duration silenceCheckInterval = std::chrono::milliseconds(250);
     constexpr int missedHeartbeatLimit = 3;
+    constexpr std::size_t readBytes = std::size_t { 64 } * 1024;
     constexpr std::size_t writeBatchBytes = 256 * 1024;
 
     struct IsControl {
@@ -64,6 +65,7 @@
 {
     error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
+    this->socket.non_blocking(true, ignored);
 }
 
 template <typename Message>
@@ -86,12 +88,26 @@
             decodeInto(message, *payload);
             co_return *message;
         }
-        const std::size_t count = co_await this->socket.async_read_some(asio::buffer(this->buffer), asio::use_awaitable);
-        this->lastReceivedAt = monotonicNow();
-        this->decoder.append({ this->buffer.data(), count });
+        // A link that waits holds no buffer.
+        co_await this->socket.async_wait(tcp::socket::wait_read, asio::use_awaitable);
+        this->readAvailable();
     }
 }
 
+template <typename Message>
+void BasicFramedStream<Message>::readAvailable()
+{
+    std::array<char, readBytes> buffer;
+    error_code error;
+    const std::size_t count = this->socket.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block)
+        return;
+    if (error)
+        throw boost::system::system_error(error);
+    this->lastReceivedAt = monotonicNow();
+    this->decoder.append({ buffer.data(), count });
+}
+
 template <typename Message>
 void BasicFramedStream<Message>::extendSilenceLimit(Duration interval) noexcept
 {
--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -1,9 +1,9 @@
 #include "cowslipdoor/runtime/HttpServer.h"
+#include "cowslipdoor/runtime/HttpReceiver.h"
 #include "cowslipdoor/runtime/SocketDeadline.h"
 #include <algorithm>
 #include <array>
 #include <cowslipdoor/core/Error.h>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -15,21 +15,29 @@
     {
         if (tooSlow)
             return { ErrorKind::BadRequest, "the request was not complete within the time limit" };
-        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        if (error == http::error::header_limit)
             return { ErrorKind::HeaderTooLarge, "the header exceeds the size limit" };
         if (error == http::error::body_limit)
             return { ErrorKind::BodyTooLarge, "the body exceeds the size limit" };
+        if (error == boost::system::errc::not_enough_memory)
+            return { ErrorKind::Busy, "the request does not fit into the memory for requests beside others" };
         if (error.category() == make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message)
             return { ErrorKind::BadRequest, error.message() };
         return { std::nullopt, error.message() };
     }
 
-    HttpRequest toRequest(http::request<http::string_body> message)
+    /// Reads what follows a header within the time limit of a body.
+    asio::awaitable<HttpReadResult> readRest(beast::tcp_stream& stream, HttpReceiver& receiver, const HttpLimits& limits)
     {
-        std::vector<Header> headers;
-        for (const http::fields::value_type& field : message)
-            headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        return { std::string(message.method_string()), std::string(message.target()), headers, Bytes(std::move(message.body())), message.keep_alive() };
+        SocketDeadline deadline(stream.socket(), limits.bodyTimeout);
+        error_code fault;
+        if (receiver.expectsContinue())
+            fault = co_await receiver.writeContinue();
+        if (!fault)
+            fault = co_await receiver.readBody();
+        if (fault)
+            co_return failureOf(fault, deadline.passed());
+        co_return receiver.takeRequest();
     }
 
 }
@@ -41,48 +49,25 @@
 
 asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits)
 {
-    BodyBudget unlimited(std::numeric_limits<std::size_t>::max());
-    BodyReservation reservation(unlimited);
-    const HttpReadResult result = co_await readHttpRequest(stream, buffer, limits, reservation);
+    ClientTicket unlimited;
+    const HttpReadResult result = co_await readHttpRequest(stream, buffer, limits, unlimited);
     co_return result;
 }
 
-asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits, BodyReservation& reservation)
+asio::awaitable<HttpReadResult> readHttpRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, const HttpLimits& limits, ClientTicket& ticket)
 {
-    const std::size_t largestBody = std::min(limits.bodyBytes, reservation.source().bytes());
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-    parser.body_limit(largestBody);
-    if (buffer.size() == 0) {
-        stream.expires_after(limits.idle);
-        const std::tuple<error_code, std::size_t> first = co_await stream.async_read_some(buffer.prepare(limits.headerBytes), asTuple);
-        if (std::get<0>(first))
-            co_return failureOf(std::get<0>(first), false);
-        buffer.commit(std::get<1>(first));
-        stream.expires_never();
-    }
-    SocketDeadline headerDeadline(stream.socket(), limits.headerTimeout);
-    const std::tuple<error_code, std::size_t> header = co_await http::async_read_header(stream, buffer, parser, asTuple);
-    if (std::get<0>(header))
-        co_return failureOf(std::get<0>(header), headerDeadline.passed());
-    headerDeadline.end();
-    // A chunked body may take all that one body may.
-    const std::size_t expected = parser.chunked() ? largestBody : static_cast<std::size_t>(parser.content_length().value_or(0));
-    if (!reservation.renew(expected))
-        co_return HttpReadFailure { ErrorKind::Busy, "a body of " + std::to_string(expected) + " bytes does not fit beside those of other requests" };
-    if (parser.chunked())
-        parser.get().body().reserve(expected);
-    SocketDeadline bodyDeadline(stream.socket(), limits.bodyTimeout);
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        http::response<http::empty_body> continueResponse(http::status::continue_, parser.get().version());
-        const std::tuple<error_code, std::size_t> written = co_await http::async_write(stream, continueResponse, asTuple);
-        if (std::get<0>(written))
-            co_return failureOf(std::get<0>(written), false);
-    }
-    const std::tuple<error_code, std::size_t> body = co_await http::async_read(stream, buffer, parser, asTuple);
-    if (std::get<0>(body))
-        co_return failureOf(std::get<0>(body), bodyDeadline.passed());
-    co_return toRequest(parser.release());
+    HttpReceiver receiver(stream, buffer, limits, ticket);
+    const error_code idle = co_await receiver.awaitFirstByte();
+    if (idle)
+        co_return failureOf(idle, false);
+    SocketDeadline deadline(stream.socket(), limits.headerTimeout);
+    const error_code header = co_await receiver.readHeader();
+    if (header)
+        co_return failureOf(header, deadline.passed());
+    deadline.end();
+    if (receiver.done())
+        co_return receiver.takeRequest();
+    co_return co_await readRest(stream, receiver, limits);
 }
 
 asio::awaitable<bool> writeHttpResponse(beast::tcp_stream& stream, const Response& response, bool keepAlive, const HttpLimits& limits)
--- a/libs/runtime/src/LinkServer.cpp
+++ b/libs/runtime/src/LinkServer.cpp
@@ -10,12 +10,14 @@
 
 }
 
-LinkServer::LinkServer(asio::any_io_executor executor, const std::string& address, Mailbox<EntryInput> entry, Duration silenceLimit, const Log& log, Metrics& metrics)
+LinkServer::LinkServer(asio::any_io_executor executor, const std::string& address, Mailbox<EntryInput> entry, Duration silenceLimit, ClientLimiter& limiter, std::size_t helloLimit, const Log& log, Metrics& metrics)
     : entry(std::move(entry))
     , silenceLimit(silenceLimit)
+    , limiter(limiter)
+    , port(limiter.addPort(helloLimitName, helloLimit))
     , log(log)
     , metrics(metrics)
-    , listener(std::move(executor), address, [this](tcp::socket socket) { return this->serve(std::move(socket)); })
+    , listener(std::move(executor), address, limiter.guarded([this](tcp::socket socket) { return this->serve(std::move(socket)); }))
 {
 }
 
@@ -30,7 +32,11 @@
         if (isControl(message))
             this->metrics.countControlBytes(bytes);
     });
+    std::unique_ptr<ClientTicket> ticket = this->limiter.admit(this->port, [stream]() { stream->close(); });
+    if (!ticket)
+        co_return;
     stream->setSilenceLimit(helloLimit);
+    stream->setFrameLimit(firstFrameBytes);
     stream->startWriter();
     const LinkId link { ++this->lastLink };
     bool attached = false;
@@ -39,6 +45,8 @@
         const Hello* const hello = std::get_if<Hello>(&first);
         if (!hello || hello->agent.empty())
             throw Error(ErrorKind::BadFrame, "the first message from the agent is not a Hello with the agent's name");
+        ticket.reset();
+        stream->setFrameLimit(wire::maximumPayloadBytes);
         stream->setSilenceLimit(this->silenceLimit);
         const EntryInput agentAttached(AgentAttached { link, *hello, stream->outbox() });
         attached = co_await send(this->entry, agentAttached);
@@ -49,6 +57,8 @@
     } catch (const boost::system::system_error&) {
         if (stream->closedForSilence())
             this->log.record(EventId::LinkSilent, "link of an agent");
+    } catch (const std::exception& error) {
+        this->limiter.recordFault(error.what());
     }
     stream->close();
     if (!attached)
--- a/libs/runtime/src/Listener.cpp
+++ b/libs/runtime/src/Listener.cpp
@@ -9,6 +9,24 @@
 
     constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
+    /// Counts a connection, also if its handler ends with an exception.
+    class OpenConnection {
+    public:
+        explicit OpenConnection(std::size_t& count)
+            : count(count)
+        {
+            ++this->count;
+        }
+
+        ~OpenConnection() { --this->count; }
+
+        OpenConnection(const OpenConnection&) = delete;
+        OpenConnection& operator=(const OpenConnection&) = delete;
+
+    private:
+        std::size_t& count;
+    };
+
     tcp::acceptor listenOn(const asio::any_io_executor& executor, const std::string& address)
     {
         const tcp::endpoint endpoint = parseAddress(address);
@@ -58,9 +76,8 @@
 {
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    ++this->open;
+    const OpenConnection counted(this->open);
     co_await this->handler(std::move(socket));
-    --this->open;
 }
 
 }
--- a/libs/runtime/src/Metrics.cpp
+++ b/libs/runtime/src/Metrics.cpp
@@ -22,6 +22,7 @@
     , latencies(prometheus::BuildHistogram().Name("cowslipdoor_request_seconds").Help("Time from arrival to answer").Register(*this->registry))
     , jobs(prometheus::BuildCounter().Name("cowslipdoor_jobs_total").Help("Ended jobs by queue and state").Register(*this->registry))
     , jobLatencies(prometheus::BuildHistogram().Name("cowslipdoor_job_seconds").Help("Time from a job's arrival at the leader to its end").Register(*this->registry))
+    , limitedClients(prometheus::BuildCounter().Name("cowslipdoor_limited_clients_total").Help("Connections of clients that were closed or refused, and requests refused, by limit").Register(*this->registry))
     , controlBytes(prometheus::BuildCounter().Name("cowslipdoor_control_bytes_total").Help("Bytes of control messages sent").Register(*this->registry).Add({}))
 {
 }
@@ -49,6 +50,11 @@
     prometheus::BuildGauge().Name(name).Help(help).Register(*this->registry).Add({}).Set(value);
 }
 
+void Metrics::countLimitedClient(const std::string& limit)
+{
+    this->limitedClients.Add({ { "limit", limit } }).Increment();
+}
+
 void Metrics::countControlBytes(std::size_t bytes)
 {
     this->controlBytes.Increment(static_cast<double>(bytes));
--- a/libs/runtime/src/Process.cpp
+++ b/libs/runtime/src/Process.cpp
@@ -60,6 +60,26 @@
     return limits;
 }
 
+SettingSpec receiveLimitSetting(std::uint64_t minimum, std::uint64_t bytes)
+{
+    constexpr std::uint64_t largest = std::uint64_t { 4 } * 1024 * 1024 * 1024;
+    return { receiveLimitName, NumberSetting { minimum, largest }, std::to_string(bytes), "Memory for all requests that are received or handled, in bytes." };
+}
+
+std::size_t receiveLimit(const Settings& settings)
+{
+    const std::uint64_t bytes = settings.number(receiveLimitName);
+    // A large request may take three quarters, and the buffer of its connection comes beside it.
+    if (settings.number("body-limit") + settings.number("header-limit") > bytes / 2)
+        throw Error(ErrorKind::BadSetting, std::string(receiveLimitName) + ": must be at least twice body-limit and header-limit together");
+    return bytes;
+}
+
+SettingSpec helloLimitSetting(std::uint64_t links)
+{
+    return { helloLimitName, NumberSetting { 1, 1'000'000 }, std::to_string(links), "Maximum number of links that have not sent their first message." };
+}
+
 std::vector<SettingSpec> httpSettings()
 {
     return {
--- a/libs/runtime/src/WorkerTask.cpp
+++ b/libs/runtime/src/WorkerTask.cpp
@@ -137,11 +137,13 @@
     });
 }
 
-LeaderLinkServer::LeaderLinkServer(asio::any_io_executor executor, const std::string& address, Mailbox<WorkerInput> agent, const Log& log, Metrics& metrics)
+LeaderLinkServer::LeaderLinkServer(asio::any_io_executor executor, const std::string& address, Mailbox<WorkerInput> agent, ClientLimiter& limiter, std::size_t helloLimit, const Log& log, Metrics& metrics)
     : agent(std::move(agent))
+    , limiter(limiter)
+    , port(limiter.addPort(helloLimitName, helloLimit))
     , log(log)
     , metrics(metrics)
-    , listener(std::move(executor), address, [this](tcp::socket socket) { return this->serve(std::move(socket)); })
+    , listener(std::move(executor), address, limiter.guarded([this](tcp::socket socket) { return this->serve(std::move(socket)); }))
 {
 }
 
@@ -153,18 +155,22 @@
 asio::awaitable<void> LeaderLinkServer::serve(tcp::socket socket)
 {
     const std::shared_ptr<JobStream> stream = std::make_shared<JobStream>(std::move(socket), [this](const JobMessage&, std::size_t bytes) { this->metrics.countControlBytes(bytes); });
+    std::unique_ptr<ClientTicket> ticket = this->limiter.admit(this->port, [stream]() { stream->close(); });
+    if (!ticket)
+        co_return;
     stream->setSilenceLimit(leaderSilenceLimit);
+    stream->setFrameLimit(firstFrameBytes);
     stream->startWriter();
     const LinkId link { ++this->lastLink };
     const WorkerInput attached(LeaderLinkOpened { link, stream->outbox() });
     co_await send(this->agent, attached);
-    co_await this->relayAll(link, stream);
+    co_await this->relayAll(link, stream, std::move(ticket));
     stream->close();
     const WorkerInput detached(WorkerEvent(LeaderDetached { link }));
     co_await send(this->agent, detached);
 }
 
-asio::awaitable<void> LeaderLinkServer::relayAll(LinkId link, std::shared_ptr<JobStream> stream)
+asio::awaitable<void> LeaderLinkServer::relayAll(LinkId link, std::shared_ptr<JobStream> stream, std::unique_ptr<ClientTicket> ticket)
 {
     try {
         while (true) {
@@ -172,6 +178,9 @@
             const std::optional<LeaderMessage> received = fromJobMessage<LeaderMessage>(message);
             if (!received)
                 throw Error(ErrorKind::BadFrame, "a leader sent a message that only an agent may send");
+            if (ticket)
+                stream->setFrameLimit(wire::maximumPayloadBytes);
+            ticket.reset();
             const WorkerInput input(WorkerEvent(LeaderMessageReceived { link, *received }));
             co_await send(this->agent, input);
         }
@@ -180,6 +189,8 @@
         this->log.record(EventId::FrameRefused, error.what());
     } catch (const boost::system::system_error& error) {
         this->log.record(stream->closedForSilence() ? EventId::LinkSilent : EventId::LinkClosed, error.code().message());
+    } catch (const std::exception& error) {
+        this->limiter.recordFault(error.what());
     }
 }
 
--- a/libs/wire/include/cowslipdoor/wire/Frame.h
+++ b/libs/wire/include/cowslipdoor/wire/Frame.h
@@ -33,6 +33,10 @@
     /// @param limit largest accepted payload, in bytes
     explicit FrameDecoder(std::size_t limit = maximumPayloadBytes) noexcept;
 
+    /// @brief Sets the largest accepted payload of the frames that follow.
+    /// @param bytes size in bytes
+    void setLimit(std::size_t bytes) noexcept { this->limit = bytes; }
+
     /// @brief Appends the next bytes of the stream.
     void append(std::string_view bytes);
 
