--- a/tests/ClientLimitTests.cpp
+++ b/tests/ClientLimitTests.cpp
@@ -2,6 +2,10 @@
 #include "StoreStandin.h"
 #include "Support.h"
 #include <cowslipdoor/runtime/Address.h>
+#include <cowslipdoor/wire/Codec.h>
+#include <cowslipdoor/wire/Frame.h>
+#include <cowslipdoor/wire/JobCodec.h>
+#include <random>
 
 using namespace cowslipdoor;
 using namespace cowslipdoor::tests;
@@ -238,6 +242,50 @@
     return size.str() + "\r\n" + std::string(bytes, 'x') + "\r\n";
 }
 
+/// Removes a long text from a body, so that changes of single bytes affect the rest.
+std::string shortBody(std::string body)
+{
+    const std::size_t begin = body.find("xxxx");
+    if (begin != std::string::npos)
+        body.erase(begin, body.find_first_not_of('x', begin) - begin);
+    return body;
+}
+
+/// Changes, removes or repeats a few bytes.
+std::string mutated(std::string text, std::mt19937& random)
+{
+    for (unsigned changes = 1 + random() % 3; changes > 0 && text.size() > 1; --changes) {
+        const std::size_t place = random() % text.size();
+        const std::size_t length = std::min<std::size_t>(random() % 8, text.size() - place);
+        switch (random() % 3) {
+        case 0:
+            text[place] = static_cast<char>(random() % 256);
+            break;
+        case 1:
+            text.erase(place, length);
+            break;
+        default:
+            text.insert(place, text.substr(place, length));
+        }
+    }
+    return text;
+}
+
+/// Sends bytes, ends the sending direction, and reads until the other side closes the connection.
+void sendAndDrain(const std::string& address, const std::string& bytes)
+{
+    runtime::asio::io_context context(1);
+    runtime::tcp::socket socket(context);
+    socket.connect(runtime::parseAddress(address));
+    runtime::error_code error;
+    runtime::asio::write(socket, runtime::asio::buffer(bytes), error);
+    socket.shutdown(runtime::tcp::socket::shutdown_send, error);
+    std::array<char, 4096> buffer {};
+    error = {};
+    while (!error)
+        socket.read_some(runtime::asio::buffer(buffer), error);
+}
+
 /// Connections of a crowd that sends without end, and what each sends at most.
 constexpr std::size_t endlessClients = 4;
 constexpr std::size_t endlessBytes = 24 * mebibyte;
@@ -317,6 +365,54 @@
     attackEachPort([](const Port& port) { return CrowdPlan { port.connections + 100, port.line + " HTTP/1.1\r\nx-filler: " + std::string(15 * kibibyte, 'x'), "", 0 }; });
 }
 
+// Guards against: one malformed message ends a process or leaves it without an answer. Each message is the ordinary one with a few bytes
+// changed; the seed is fixed.
+TEST_CASE("clients: malformed requests", "[system][clients]")
+{
+    for (const Port& port : httpPorts()) {
+        DYNAMIC_SECTION(port.name)
+        {
+            const Programs programs;
+            const std::unique_ptr<ChildProcess> process = (programs.*port.start)();
+            const std::string body = port.ordinary.body.empty() ? "x" : shortBody(port.ordinary.body);
+            const std::string whole = port.ordinary.method + " " + port.ordinary.target + " HTTP/1.1\r\nHost: jobs.example\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            std::mt19937 random(20261204);
+            for (int count = 0; count < 300; ++count)
+                sendAndDrain(programs.*port.address, mutated(whole, random));
+            CHECK(servesOrdinary(programs, port));
+            checkBounds(*process);
+            CHECK_THAT(readText((programs.folder / "log").string()), !Catch::Contains("connection_failed"));
+        }
+    }
+}
+
+TEST_CASE("clients: malformed frames", "[system][clients]")
+{
+    const Programs programs;
+    std::mt19937 random(20261204);
+    SECTION("at an entry, whose agents still get links")
+    {
+        const std::unique_ptr<ChildProcess> entry = programs.startEntry();
+        const std::string hello = wire::frame(wire::encode(LinkMessage(Hello { .agent = "other", .incarnation = Incarnation { 1 }, .failureDomain = "zone" })));
+        const std::string bye = wire::frame(wire::encode(LinkMessage(Cancel {})));
+        for (int count = 0; count < 1000; ++count)
+            sendAndDrain(programs.links, mutated(hello, random) + mutated(bye, random));
+        const std::unique_ptr<ChildProcess> agent = programs.startLinkedAgent();
+        CHECK_NOTHROW(Deployment::await("the agent to be linked", [&programs]() { return Deployment::status(programs.admin).at("agents").size() == 1; }));
+        checkBounds(*entry);
+    }
+    SECTION("at an agent of jobs, which still answers")
+    {
+        const std::unique_ptr<ChildProcess> agent = programs.startJobsAgent();
+        const std::string hello = wire::frame(wire::encode(toJobMessage(LeaderMessage(LeaderHello { 1, "leader", 1, "" }))));
+        for (int count = 0; count < 1000; ++count)
+            sendAndDrain(programs.links, mutated(hello, random) + mutated(hello, random));
+        CHECK(Programs::answered({ .address = programs.admin, .target = "/status" }, { 200 }));
+        checkBounds(*agent);
+    }
+    CHECK_THAT(readText((programs.folder / "log").string()), !Catch::Contains("connection_failed"));
+}
+
 // Guards against: links that never send their first message take descriptors and memory without a limit.
 TEST_CASE("clients: links without a first message", "[system][clients]")
 {
