Scheduler: runs move out of an evacuated failure domain where that costs little

Runs there stayed until their end, long-running ones for ever. Finite tasks with checkpoints and more than 2 s left now move, then long-running tasks, one of a step at a time and within may-miss. A run is stopped only if another worker can take its task now, is not excluded and not cold; places that moves under way need count as taken, and four moves are under way at most, so the other workers are not flooded. What is left is logged once a second with the reason why a task waits. A gauge gives the age of the knowledge of evacuations.

--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -143,6 +143,8 @@
         this->metrics.setGauge("cowslipdoor_knowledge_age_seconds", "How long ago the leader knew all jobs and cancellations", std::chrono::duration<double>(status.knowledgeAge).count());
         this->metrics.setGauge("cowslipdoor_learning_lag_seconds", "How far the leader lags behind the jobs that this entry has stored", std::chrono::duration<double>(this->intake.learningLag()).count());
         this->metrics.setGauge("cowslipdoor_idle_lasting_tasks", "Long-running tasks that no worker has listed for 2 s", static_cast<double>(status.idleLongRunningTasks));
+        if (status.evacuationKnowledgeAge)
+            this->metrics.setGauge("cowslipdoor_evacuation_knowledge_age_seconds", "How long ago this entry knew all evacuations", std::chrono::duration<double>(*status.evacuationKnowledgeAge).count());
         std::size_t runsLeft = 0;
         for (const EvacuatedDomain& domain : status.evacuatedDomains)
             runsLeft += domain.runs;
--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -32,6 +32,8 @@
     /// Long-running tasks that no worker has listed for longer than the idle limit of SchedulerConfig.
     std::size_t idleLongRunningTasks = 0;
     std::vector<EvacuatedDomain> evacuatedDomains {};
+    /// How long ago this entry knew all evacuations; std::nullopt until it has read them.
+    std::optional<Duration> evacuationKnowledgeAge {};
     struct WorkerLine {
         std::string agent;
         std::string worker;
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -69,6 +69,7 @@
     status.knowledgeAge = this->machine.knowledgeAge(now);
     status.unmatchedCancellations = this->machine.unmatchedCancellationCount();
     status.idleLongRunningTasks = this->machine.idleLongRunningTasks();
+    status.evacuationKnowledgeAge = this->machine.evacuations().age(now);
     status.evacuatedDomains = this->machine.evacuatedDomains();
     for (const Workers::value_type& item : this->machine.workers()) {
         const TrackedWorker& worker = item.second;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Evacuations.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Evacuations.h
@@ -45,6 +45,10 @@
         return failureDomain.empty() ? !this->failureDomains.empty() : this->failureDomains.contains(failureDomain);
     }
 
+    /// @param now current time
+    /// @return how long ago the set was certainly complete, or std::nullopt until it has been read
+    [[nodiscard]] std::optional<Duration> age(TimePoint now) const noexcept { return this->asOf ? std::optional<Duration>(now - *this->asOf) : std::nullopt; }
+
     /// @param config settings
     /// @param now current time
     /// @return whether the set is recent enough to place and order tasks
--- a/libs/scheduling/include/cowslipdoor/scheduling/Relocation.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Relocation.h
@@ -47,6 +47,11 @@
 /// @return whether the run has shown progress recently
 [[nodiscard]] bool progressedRecently(const TaskState& task, const RelocationConfig& config, TimePoint now);
 
+/// @param job a job
+/// @param step number of a step
+/// @return whether a planned action may make one more task of the step unavailable, given its may-miss
+[[nodiscard]] bool mayStopTask(const TrackedJob& job, std::uint32_t step);
+
 /// @brief Chooses a better worker for a best-effort run that starves.
 ///
 /// A best-effort run may start beside serving runs whose load then rises, or that turn out to be sensitive to it. It is
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -3,6 +3,7 @@
 /// @file
 /// @brief Scheduling decisions of an entry: leadership, stored progress and placement of runs.
 
+#include "EvacuationMoves.h"
 #include "Evacuations.h"
 #include "InterferenceModel.h"
 #include "JobMessages.h"
@@ -27,6 +28,7 @@
     WorkerHealthConfig health {};
     RelocationConfig relocation {};
     EvacuationConfig evacuation {};
+    EvacuationMoveConfig evacuationMoves {};
     /// How long after the last renewal grant runs may still be active: the validity of a grant at the agent, the lease of the
     /// worker with 2% for its clock, and the time that a call may take to arrive.
     Duration silenceLimit = std::chrono::milliseconds(4900);
@@ -361,6 +363,10 @@
     void noteJobsKnown(RowVersion version, TimePoint asOf, TimePoint now, Effects& effects);
     [[nodiscard]] bool knowledgeCurrent(TimePoint now) const noexcept { return this->knowledgeAge(now) <= this->config.maximumKnowledgeAge && this->knownEvacuations.isCurrent(this->config.evacuation, now); }
     void recordEvacuations(const std::set<std::string>& before, Effects& effects) const;
+    /// Orders the moves out of evacuated failure domains that are possible now, and logs what is left.
+    void evacuateRuns(TimePoint now, Effects& effects);
+    void reportEvacuation(const EvacuationPlan& plan, TimePoint now, Effects& effects);
+    [[nodiscard]] bool evacuates() const noexcept { return this->isActiveLeader() && !this->knownEvacuations.failureDomains.empty(); }
     [[nodiscard]] EvacuatedDomain stateOf(const std::string& failureDomain) const;
     [[nodiscard]] std::string describeDomain(const std::string& failureDomain) const;
     /// Notes the failure domain of a worker, and whether nothing may start there.
@@ -377,7 +383,6 @@
     void leaveStalledWorker(TrackedWorker& worker, const std::vector<ListedRun>& listed, TimePoint now, Effects& effects);
     /// Returns whether a worker that is not excluded can take the task of a run.
     [[nodiscard]] bool hasPlaceElsewhere(const TrackedWorker& worker, const ListedRun& run, TimePoint now) const;
-    [[nodiscard]] bool mayStop(const TrackedJob& job, std::uint32_t step) const;
     void relocateOneStarvingRun(const TrackedWorker& worker, TimePoint now, Effects& effects);
     void orderStop(const TrackedWorker& worker, const TaskId& id, const std::string& reason, Effects& effects);
     void applyRunStatus(TrackedWorker& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
@@ -404,6 +409,10 @@
     BurnTracker burnTracker;
     Workers knownWorkers;
     Evacuations knownEvacuations;
+    OngoingMoves ongoingMoves;
+    /// When moves out of evacuated failure domains are decided next, and when what is left was logged last.
+    TimePoint evacuationCheckAt {};
+    TimePoint evacuationReportedAt {};
     InterferenceModel interference;
     bool tablesRead = false;
     /// Latest time at which an earlier leader may have given a renewal grant.
--- a/libs/scheduling/src/Relocation.cpp
+++ b/libs/scheduling/src/Relocation.cpp
@@ -1,4 +1,5 @@
 #include "cowslipdoor/scheduling/Relocation.h"
+#include <algorithm>
 
 namespace cowslipdoor {
 
@@ -13,6 +14,15 @@
     return task.progressedAt > task.startedAt && now < task.progressedAt + config.minimumStallTime;
 }
 
+bool mayStopTask(const TrackedJob& job, std::uint32_t step)
+{
+    const std::uint32_t mayMiss = job.spec->steps[step].mayMiss;
+    if (mayMiss == 0)
+        return true;
+    const auto away = [](const TaskState& task) { return !task.record.assignment || task.stopping || task.percent < readyPercent; };
+    return std::count_if(job.steps[step].begin(), job.steps[step].end(), away) < mayMiss;
+}
+
 const TrackedWorker* betterWorker(const TrackedJob& job, const TaskId& id, const TrackedWorker& here, const Workers& workers, const InterferenceModel& interference, const RelocationConfig& config, TimePoint now)
 {
     const StepSpec& step = job.spec->steps[id.step];
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -38,6 +38,8 @@
         consider(*this->passAt);
     if (this->isActiveLeader())
         consider(this->silenceCheckAt);
+    if (this->evacuates())
+        consider(this->evacuationCheckAt);
     return next;
 }
 
@@ -210,6 +212,8 @@
     this->advanceLease(now, effects);
     if (this->isActiveLeader())
         this->markSilentWorkersLost(now, effects);
+    if (this->evacuates() && now >= this->evacuationCheckAt)
+        this->evacuateRuns(now, effects);
     if (!this->leaderLease.idle())
         return;
     if (this->isActiveLeader())
@@ -275,6 +279,9 @@
     this->singleRowWrites = 0;
     this->removalQueue.clear();
     this->heldOrders.clear();
+    this->ongoingMoves.clear();
+    this->evacuationCheckAt = now;
+    this->evacuationReportedAt = {};
     this->unmatchedCancellations.clear();
     this->jobsKnownVersion = 0;
     this->jobsKnownAsOf = {};
--- a/libs/scheduling/src/SchedulerEvacuation.cpp
+++ b/libs/scheduling/src/SchedulerEvacuation.cpp
@@ -60,6 +60,38 @@
     return "'" + failureDomain + "': " + std::to_string(state.workers) + " workers with " + std::to_string(state.runs) + " runs";
 }
 
+void Scheduler::evacuateRuns(TimePoint now, Effects& effects)
+{
+    this->evacuationCheckAt = now + this->config.evacuationMoves.interval;
+    this->ongoingMoves = withoutEndedMoves(this->ongoingMoves, this->jobRegistry, this->config.evacuationMoves, now);
+    const EvacuationPlan plan = planEvacuation(this->jobRegistry, this->knownWorkers, this->ongoingMoves, this->interference, this->config.evacuationMoves, now);
+    // A task that is stopped now could not be placed before the knowledge is recent again.
+    if (this->knowledgeCurrent(now)) {
+        for (const EvacuationMove& move : plan.moves) {
+            this->jobRegistry.task(move.task)->avoidedAgent = move.from;
+            this->orderStop(this->knownWorkers[move.from], move.task, "its failure domain is evacuated, and it could run at " + move.to, effects);
+            this->ongoingMoves.emplace(move.task, std::pair(move, now));
+        }
+    }
+    this->reportEvacuation(plan, now, effects);
+}
+
+void Scheduler::reportEvacuation(const EvacuationPlan& plan, TimePoint now, Effects& effects)
+{
+    if (plan.finiteRuns + plan.longRunningRuns == 0 || now < this->evacuationReportedAt + this->config.evacuationMoves.reportInterval)
+        return;
+    this->evacuationReportedAt = now;
+    std::string text;
+    for (const std::string& failureDomain : this->knownEvacuations.failureDomains)
+        text += (text.empty() ? "'" : ", '") + failureDomain + "'";
+    text += ": " + std::to_string(plan.finiteRuns) + " finite and " + std::to_string(plan.longRunningRuns) + " long-running runs left, " + std::to_string(this->ongoingMoves.size()) + " moves under way, " + std::to_string(plan.waiting.size()) + " wait";
+    if (!plan.waiting.empty()) {
+        const TaskId& first = plan.waiting.front();
+        text += ", first " + describe(first) + ": workers: " + describeUnfit(*this->jobRegistry.find(first.job), first.step, this->knownWorkers, now);
+    }
+    effects.emplace_back(RecordEvent { EventId::EvacuationProgress, std::move(text) });
+}
+
 EvacuatedDomain Scheduler::stateOf(const std::string& failureDomain) const
 {
     EvacuatedDomain state { failureDomain };
--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -55,7 +55,7 @@
     worker.stalledUntil = now + limits.stallExclusion;
     for (const ListedRun* const run : stalled) {
         const TaskId& id = run->status.run.task;
-        if (!this->mayStop(run->job, id.step) || (run->step.longRunning && !this->hasPlaceElsewhere(worker, *run, now)))
+        if (!mayStopTask(run->job, id.step) || (run->step.longRunning && !this->hasPlaceElsewhere(worker, *run, now)))
             continue;
         run->task.avoidedAgent = worker.agent;
         this->orderStop(worker, id, "it stands still", effects);
@@ -68,21 +68,12 @@
     return chosen && chosen->agent != worker.agent && !chosen->exclusionReason(now);
 }
 
-bool Scheduler::mayStop(const TrackedJob& job, std::uint32_t step) const
-{
-    const std::uint32_t mayMiss = job.spec->steps[step].mayMiss;
-    if (mayMiss == 0)
-        return true;
-    const auto away = [](const TaskState& task) { return !task.record.assignment || task.stopping || task.percent < readyPercent; };
-    return std::count_if(job.steps[step].begin(), job.steps[step].end(), away) < mayMiss;
-}
-
 void Scheduler::relocateOneStarvingRun(const TrackedWorker& worker, TimePoint now, Effects& effects)
 {
     for (const std::map<TaskId, WorkerIdentity>::value_type& item : worker.tasks) {
         const TrackedJob& job = *this->jobRegistry.find(item.first.job);
         const TaskState& task = *this->jobRegistry.task(item.first);
-        if (task.stopping || !task.ordered || isTerminal(job.state) || !this->mayStop(job, item.first.step))
+        if (task.stopping || !task.ordered || isTerminal(job.state) || !mayStopTask(job, item.first.step))
             continue;
         const TrackedWorker* const better = betterWorker(job, item.first, worker, this->knownWorkers, this->interference, this->config.relocation, now);
         if (!better)
