Simulation of jobs: evacuations of failure domains as a kind of fault

The simulation now evacuates failure domains while processes fail, freeze or are slow and the store is silent or lags, and checks that no task starts there later than 5 s after the acknowledgement. Starts that a worker carries out late by another fault are excused. Workers there do not count as headroom for long-running tasks.

--- a/libs/scheduling/tests/JobSimulation.cpp
+++ b/libs/scheduling/tests/JobSimulation.cpp
@@ -48,6 +48,20 @@
     /// Time from the end of the faults until the remaining long-running jobs are cancelled: several times restartLimit.
     constexpr Duration longRunningCancelDelay = seconds(25);
 
+    /// Time after the acknowledgement of an evacuation from which no task may start there, as the platform requires.
+    constexpr Duration evacuationBound = milliseconds(5000);
+    /// Interval of the answers to the feed of the operator's table.
+    constexpr Duration operatorFeedInterval = milliseconds(100);
+    /// How late a worker may carry out an order, at most.
+    constexpr Duration longestOrderDelay = seconds(12);
+    constexpr std::size_t failureDomainCount = 2;
+
+    /// Failure domain of an agent and its worker.
+    std::string domainOf(std::size_t index)
+    {
+        return "domain-" + std::to_string(index % failureDomainCount);
+    }
+
     std::string describeTime(TimePoint time)
     {
         char text[32];
@@ -147,6 +161,8 @@
     node.agentsToLink.clear();
     node.following = false;
     this->deliverToEntry(index, node.incarnation, TimePassed {});
+    if (this->draws(WorkerFault::Evacuation))
+        this->followOperator(index, node.incarnation);
 }
 
 void JobSimulation::startAgent(std::size_t index)
@@ -154,6 +170,7 @@
     AgentNode& node = this->agents[index];
     WorkerMachineConfig settings = this->config.agent;
     settings.agent = node.name;
+    settings.failureDomain = domainOf(index);
     ++node.incarnation;
     node.machine = std::make_unique<WorkerMachine>(settings, this->now);
     node.backlog.clear();
@@ -482,6 +499,25 @@
     this->after(milliseconds(10), [this, entry, incarnation]() { this->follow(entry, incarnation); });
 }
 
+void JobSimulation::followOperator(std::size_t entry, std::uint64_t incarnation)
+{
+    EntryNode& node = this->entries[entry];
+    if (!node.up || node.incarnation != incarnation)
+        return;
+    if (!node.storeCut && this->now >= this->storeDownUntil) {
+        std::set<std::string> failureDomains;
+        for (const std::map<std::string, TimePoint>::value_type& item : this->evacuatedSince)
+            failureDomains.insert(item.first);
+        const EvacuationsFollowed followed { failureDomains, this->now };
+        // A stalled process asks for no further answer until it has handled this one.
+        const Duration delay = this->now < this->feedLagsUntil ? feedLag : storeDelay;
+        this->after(delay, [this, entry, incarnation, followed]() { this->deliverToEntry(entry, incarnation, followed); });
+        this->at(std::max(this->now + delay + operatorFeedInterval, node.stalledUntil), [this, entry, incarnation]() { this->followOperator(entry, incarnation); });
+        return;
+    }
+    this->after(operatorFeedInterval, [this, entry, incarnation]() { this->followOperator(entry, incarnation); });
+}
+
 void JobSimulation::registerAgent(std::size_t agent)
 {
     const std::uint64_t incarnation = this->agents[agent].incarnation;
@@ -598,6 +634,8 @@
 {
     const std::uint64_t incarnation = this->agents[agent].incarnation;
     const bool late = this->chance(this->lateOrderProbability);
+    if (late)
+        this->lateOrdersUntil = std::max(this->lateOrdersUntil, this->now + longestOrderDelay);
     // Calls that an incarnation of the worker has received but not executed are lost when it ends.
     const std::int64_t startedAtMs = this->workers[agent].startedAtMs;
     const Duration delay = late ? milliseconds(2000) + this->jitter(seconds(10)) : workerDelay;
@@ -804,6 +842,7 @@
     const StepSpec& step = oracleJob.spec->steps[run.task.step];
     if (payload != oracleJob.spec->payload)
         this->recordViolation(describe(run) + " starts with a wrong payload");
+    this->checkEvacuation(index, run);
     ResourceVector used = step.countedDemand();
     for (const std::map<RunId, Run>::value_type& item : this->workers[index].running)
         used = used.plus(this->jobs.at(item.first.task.job).spec->steps[item.first.task.step].countedDemand());
@@ -830,6 +869,32 @@
         this->recordViolation(describe(run) + " starts long after its job was cancelled");
 }
 
+void JobSimulation::checkEvacuation(std::size_t index, const RunId& run)
+{
+    const std::map<std::string, TimePoint>::const_iterator since = this->evacuatedSince.find(domainOf(index));
+    if (since != this->evacuatedSince.end() && this->now > since->second + evacuationBound && this->now >= this->lateOrdersUntil)
+        this->recordViolation(describe(run) + " starts on " + this->workers[index].id + " " + std::to_string(toMilliseconds(this->now - since->second)) + " ms after the evacuation of " + since->first);
+}
+
+void JobSimulation::evacuate(const std::string& failureDomain, Duration length)
+{
+    if (this->now < this->storeDownUntil) {
+        this->after(milliseconds(500), [this, failureDomain, length]() { this->evacuate(failureDomain, length); });
+        return;
+    }
+    if (!this->evacuatedSince.emplace(failureDomain, this->now).second)
+        return;
+    ++this->evacuationCount;
+    this->note("fault: " + failureDomain + " is evacuated");
+    this->after(length, [this, failureDomain]() { this->restore(failureDomain); });
+}
+
+void JobSimulation::restore(const std::string& failureDomain)
+{
+    this->note(failureDomain + " is restored");
+    this->evacuatedSince.erase(failureDomain);
+}
+
 void JobSimulation::submitJob(std::size_t number)
 {
     const std::uint64_t hash = this->random();
@@ -969,7 +1034,7 @@
     const Duration length = milliseconds(200) + this->jitter(milliseconds(6000));
     const std::size_t index = this->pick(this->workers.size());
     WorkerNode& worker = this->workers[index];
-    const bool instantaneous = fault == WorkerFault::LossWithLeader || fault == WorkerFault::Overload || fault == WorkerFault::TotalPowerLoss || fault == WorkerFault::SilentLinks || fault == WorkerFault::SilentStore || fault == WorkerFault::LaggingFeed;
+    const bool instantaneous = fault == WorkerFault::LossWithLeader || fault == WorkerFault::Overload || fault == WorkerFault::TotalPowerLoss || fault == WorkerFault::SilentLinks || fault == WorkerFault::SilentStore || fault == WorkerFault::LaggingFeed || fault == WorkerFault::Evacuation;
     this->extendFaultPeriod(instantaneous ? Duration {} : length);
     switch (fault) {
     case WorkerFault::ClockStep:
@@ -1043,6 +1108,12 @@
         this->extendLeaderFaultPeriod(length + feedLag * 3);
         this->feedLagsUntil = this->now + length + feedLag * 2;
         break;
+    case WorkerFault::Evacuation:
+        // Long enough for starts after the bound; while both failure domains are evacuated, no task has to run.
+        this->evacuate(domainOf(index), length * 2);
+        if (this->chance(0.2))
+            this->evacuate(domainOf(index + 1), length);
+        break;
     }
 }
 
@@ -1241,6 +1312,7 @@
     this->answerLossProbability = 0;
     this->lateOrderProbability = 0;
     this->storeDownUntil = this->now;
+    this->evacuatedSince.clear();
 }
 
 void JobSimulation::extendFaultPeriod(Duration length)
@@ -1334,7 +1406,10 @@
 std::uint32_t JobSimulation::headroomFor(const StepSpec& step) const
 {
     std::uint32_t count = 0;
-    for (const WorkerNode& worker : this->workers) {
+    for (std::size_t index = 0; index < this->workers.size(); ++index) {
+        const WorkerNode& worker = this->workers[index];
+        if (this->evacuatedSince.contains(domainOf(index)))
+            continue;
         ResourceVector free = this->config.workerCapacity;
         for (const std::map<RunId, Run>::value_type& item : worker.running)
             free = free.minus(this->jobs.at(item.first.task.job).spec->steps[item.first.task.step].countedDemand());
--- a/libs/scheduling/tests/JobSimulation.h
+++ b/libs/scheduling/tests/JobSimulation.h
@@ -58,6 +58,8 @@
     SilentStore,
     /// Answers of feeds take seconds; all other calls to the store are quick.
     LaggingFeed,
+    /// The operator evacuates a failure domain for some seconds.
+    Evacuation,
 };
 
 /// @brief Size of a simulation, its faults, and the settings of the simulated processes.
@@ -100,6 +102,9 @@
     /// @return number of jobs that were stored
     [[nodiscard]] std::size_t accepted() const noexcept { return this->jobs.size(); }
 
+    /// @return number of evacuations of failure domains
+    [[nodiscard]] std::size_t evacuations() const noexcept { return this->evacuationCount; }
+
     /// @return number of changes of leadership
     [[nodiscard]] std::size_t takeovers() const noexcept { return this->takeoverCount; }
 
@@ -244,6 +249,8 @@
     [[nodiscard]] TransactionResult apply(const Transaction& transaction);
     void readTables(std::size_t entry, std::uint64_t epoch);
     void follow(std::size_t entry, std::uint64_t incarnation);
+    /// Delivers the operator's evacuations to an entry, whether it leads or not.
+    void followOperator(std::size_t entry, std::uint64_t incarnation);
     void registerAgent(std::size_t agent);
 
     void dial(std::size_t entry, std::uint64_t incarnation, std::size_t agent);
@@ -283,6 +290,9 @@
     void injectWorkerFault(WorkerFault fault);
     void sendForeignHeartbeat(std::size_t index);
     void replaceWorker(std::size_t index, Duration downtime);
+    void evacuate(const std::string& failureDomain, Duration length);
+    void restore(const std::string& failureDomain);
+    void checkEvacuation(std::size_t worker, const RunId& run);
     void stepClock(std::size_t index, Duration length);
     void loseWithLeader(std::size_t index);
     void losePowerEverywhere(std::size_t index);
@@ -316,6 +326,10 @@
     bool reportedWaitingCount = false;
     double answerLossProbability = 0;
     double lateOrderProbability = 0;
+    /// Until when a worker may still carry out an order that was late.
+    TimePoint lateOrdersUntil {};
+    /// Evacuated failure domains, and when the store acknowledged the operator's request.
+    std::map<std::string, TimePoint> evacuatedSince;
     std::vector<EntryNode> entries;
     std::vector<AgentNode> agents;
     std::vector<WorkerNode> workers;
@@ -330,6 +344,7 @@
     std::vector<std::string> historyLines;
     std::size_t startCount = 0;
     std::size_t takeoverCount = 0;
+    std::size_t evacuationCount = 0;
 };
 
 }
--- a/libs/scheduling/tests/JobSimulationTests.cpp
+++ b/libs/scheduling/tests/JobSimulationTests.cpp
@@ -192,6 +192,26 @@
     simulateSeeds(config, 50);
 }
 
+TEST_CASE("simulation: no task starts in an evacuated failure domain later than its limit, under faults of every kind", "[jobs][world][fuzz][evacuation]")
+{
+    JobSimulationConfig config = withWorkerFaults({ WorkerFault::Evacuation, WorkerFault::Evacuation, WorkerFault::LaggingFeed, WorkerFault::TotalPowerLoss, WorkerFault::SlowProcess });
+    config.entries = 3;
+    config.jobs = 120;
+    config.faultInterval = std::chrono::milliseconds(800);
+    config.scheduler.evacuation.limit = std::chrono::seconds(5);
+    simulateSeeds(config, 60);
+}
+
+TEST_CASE("simulation: long-running tasks run again in time after evacuations, and all jobs end", "[jobs][world][fuzz][evacuation]")
+{
+    JobSimulationConfig config = withWorkerFaults({ WorkerFault::Evacuation });
+    config.onlyWorkerFaults = true;
+    config.faultInterval = std::chrono::milliseconds(3000);
+    config.workerCapacity = { 64000, 128000, 0 };
+    config.scheduler.evacuation.limit = std::chrono::seconds(5);
+    simulateSeeds(config, 50);
+}
+
 TEST_CASE("simulation: long-running tasks run although all workers are excluded after stalls", "[jobs][world][fuzz]")
 {
     const std::vector<WorkerFault> kinds { WorkerFault::StandStill, WorkerFault::Overload };
