Soak of jobs: failure domains are evacuated, and starts there are checked

No soak evacuated a failure domain. Evacuations have a random sequence of their own, so the other faults of a seed stay the same.

--- a/standins/soak/Fault.h
+++ b/standins/soak/Fault.h
@@ -167,11 +167,19 @@
     bool operator==(const SilenceConnections&) const = default;
 };
 
+/// @brief Evacuates a failure domain and returns it to service later.
+struct Evacuate {
+    std::size_t zone = 0;
+    Duration length {};
+
+    bool operator==(const Evacuate&) const = default;
+};
+
 /// @brief Fault of a deployment that serves requests.
 using RequestFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SilenceLinks, SlowConnections, DuplicateAndDelayAnswers, ChangeRules>;
 
 /// @brief Fault of a deployment that runs jobs.
-using JobFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SlowConnections, StoreOutage, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers, CrashWorker, SendForeignHeartbeat, SilenceConnections>;
+using JobFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SlowConnections, StoreOutage, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers, CrashWorker, SendForeignHeartbeat, SilenceConnections, Evacuate>;
 
 /// @brief A fault and its time.
 template <typename Fault>
--- a/standins/soak/JobSoak.cpp
+++ b/standins/soak/JobSoak.cpp
@@ -31,6 +31,8 @@
     {
         platform::JobsDeploymentConfig config { .entries = size.entries, .agents = size.agents, .folder = folder };
         config.proxied = true;
+        config.zones = soakZones;
+        config.evacuationLimit = evacuationBound;
         config.drainLimit = stopLimit;
         return config;
     }
@@ -74,6 +76,7 @@
     for (std::size_t worker = 0; worker < this->size.agents; ++worker)
         this->deployment.worker(worker).loseAnswers(0);
     this->crashes.recover();
+    this->restoreZones(TimePoint::max());
     this->injector.recover();
 }
 
@@ -124,6 +127,7 @@
         this->deployment.store().setDown(false);
         this->storeOutageEnd.reset();
     }
+    this->restoreZones(now);
     this->checkWhileRunning(now);
 }
 
@@ -132,9 +136,12 @@
     if (this->deployment.overfilled() > 0)
         this->report.add("a worker exceeded its capacity");
     LongRunningTaskObservation observation { .faultActive = this->faultActive() };
-    for (const platform::WorkerStandinState& state : this->deployment.workerStates()) {
-        observation.running.insert(state.running.begin(), state.running.end());
-        observation.headroom = observation.headroom || state.headroom >= requiredFreeTasks;
+    const std::vector<platform::WorkerStandinState> states = this->deployment.workerStates();
+    for (std::size_t worker = 0; worker < states.size(); ++worker) {
+        const std::string zone = this->deployment.zoneOf(worker);
+        observation.running.insert(states[worker].running.begin(), states[worker].running.end());
+        observation.headroom = observation.headroom || (states[worker].headroom >= requiredFreeTasks && !this->evacuationMonitor.evacuated(zone));
+        this->evacuationMonitor.observe(zone, worker, this->deployment.worker(worker).counts().started, now);
     }
     this->monitor.observe(observation, now);
 }
@@ -158,6 +165,8 @@
     }
     for (const std::string& line : this->monitor.violations())
         this->report.add(line);
+    for (const std::string& line : this->evacuationMonitor.violations())
+        this->report.add(line);
 }
 
 void JobSoak::cancelLongRunningJobs()
@@ -242,4 +251,19 @@
         this->deployment.silenceStoreConnections();
 }
 
+void JobSoak::inject(const Evacuate& fault, TimePoint now)
+{
+    const std::string zone = "zone-" + std::to_string(fault.zone);
+    this->deployment.evacuate(zone);
+    this->evacuationMonitor.evacuate(zone, now, now + fault.length);
+}
+
+void JobSoak::restoreZones(TimePoint now)
+{
+    for (const std::string& zone : this->evacuationMonitor.takeEnded(now)) {
+        this->deployment.restore(zone);
+        this->faultInjected = true;
+    }
+}
+
 }
--- a/standins/soak/JobSoak.h
+++ b/standins/soak/JobSoak.h
@@ -3,6 +3,7 @@
 /// @file
 /// @brief Soak test of entries and agents for jobs.
 
+#include "EvacuationMonitor.h"
 #include "FaultInjector.h"
 #include "JobsDeployment.h"
 #include "LongRunningTaskMonitor.h"
@@ -61,6 +62,8 @@
     void inject(const CrashWorker& fault, TimePoint now);
     void inject(const SendForeignHeartbeat& fault, TimePoint now);
     void inject(const SilenceConnections& fault, TimePoint now);
+    void inject(const Evacuate& fault, TimePoint now);
+    void restoreZones(TimePoint now);
 
     SoakSize size;
     std::string folder;
@@ -68,6 +71,7 @@
     FaultInjector injector;
     WorkerCrashes crashes;
     LongRunningTaskMonitor monitor;
+    EvacuationMonitor evacuationMonitor;
     /// Jobs with long-running tasks; used only by the main thread.
     std::vector<Submitted> longRunning;
     std::size_t answersLost = 0;
--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -31,9 +31,14 @@
     /// Step of a VM's wall clock, and offset of start times in heartbeats of other writers; longer than any soak.
     constexpr Duration clockStep = std::chrono::hours(24);
 
-    /// Silences have a random sequence of their own, so that the other faults of a seed don't depend on them.
+    /// Longer than the bound on starts in an evacuated failure domain.
+    constexpr Duration longestEvacuation = milliseconds(9000);
+    constexpr Duration longestBetweenEvacuations = milliseconds(12000);
+
+    /// Silences and evacuations have random sequences of their own, so that the other faults of a seed don't depend on them.
     constexpr std::uint64_t silenceSequence = 1ULL << 63;
-    constexpr std::size_t kindsWithSilence = 1;
+    constexpr std::uint64_t evacuationSequence = 1ULL << 62;
+    constexpr std::size_t kindsWithOwnSequence = 2;
 
     /// Draws faults and their times from a single random sequence, so that equal seeds give equal plans.
     class FaultGenerator {
@@ -100,6 +105,12 @@
             return { this->entryOrAgent() };
         }
 
+        Evacuate evacuation()
+        {
+            const std::size_t zone = this->below(soakZones);
+            return { zone, this->upTo(longestEvacuation) };
+        }
+
         SendForeignHeartbeat drawForeignHeartbeat()
         {
             const std::size_t agent = this->agent();
@@ -138,7 +149,7 @@
 
     JobFault drawJobFault(FaultGenerator& generator)
     {
-        switch (generator.below(std::variant_size_v<JobFault> - kindsWithSilence)) {
+        switch (generator.below(std::variant_size_v<JobFault> - kindsWithOwnSequence)) {
         case 0:
             return Kill { generator.entryOrAgent(), generator.upTo(longestDown) };
         case 1:
@@ -186,6 +197,16 @@
         return faults;
     }
 
+    std::vector<Planned<JobFault>> planEvacuations(SoakSize size)
+    {
+        size.seed ^= evacuationSequence;
+        FaultGenerator generator(size);
+        std::vector<Planned<JobFault>> faults;
+        for (Duration at = generator.upTo(longestBetweenEvacuations); at < size.length; at += generator.upTo(longestBetweenEvacuations))
+            faults.push_back({ at, generator.evacuation() });
+        return faults;
+    }
+
     std::string lengthOf(Duration duration)
     {
         return " for " + std::to_string(toMilliseconds(duration)) + " ms";
@@ -222,6 +243,7 @@
         {
             return "open connections of " + (fault.process ? describe(*fault.process) : "all processes") + " fall silent for good";
         }
+        std::string operator()(const Evacuate& fault) const { return "zone-" + std::to_string(fault.zone) + " is evacuated" + lengthOf(fault.length); }
     };
 
 }
@@ -234,10 +256,13 @@
 std::vector<Planned<JobFault>> planJobFaults(const SoakSize& size)
 {
     const std::vector<Planned<JobFault>> faults = plan<JobFault>(size, drawJobFault);
-    const std::vector<Planned<JobFault>> silences = planSilences(size);
+    std::vector<Planned<JobFault>> others = planSilences(size);
+    const std::vector<Planned<JobFault>> evacuations = planEvacuations(size);
     const auto earlier = [](const Planned<JobFault>& left, const Planned<JobFault>& right) { return left.at < right.at; };
+    others.insert(others.end(), evacuations.begin(), evacuations.end());
+    std::stable_sort(others.begin(), others.end(), earlier);
     std::vector<Planned<JobFault>> merged;
-    std::merge(faults.begin(), faults.end(), silences.begin(), silences.end(), std::back_inserter(merged), earlier);
+    std::merge(faults.begin(), faults.end(), others.begin(), others.end(), std::back_inserter(merged), earlier);
     return merged;
 }
 
--- a/standins/soak/SoakPlan.h
+++ b/standins/soak/SoakPlan.h
@@ -8,6 +8,9 @@
 
 namespace cowslipdoor::soak {
 
+/// Number of failure domains over which the agents of a soak are spread.
+constexpr std::size_t soakZones = 2;
+
 /// @brief Seed, size and length of a soak.
 struct SoakSize {
     std::uint64_t seed = 1;
