--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -1,6 +1,7 @@
 #include "JobsEntryProcess.h"
 #include "BurnJson.h"
 #include "StatusJson.h"
+#include <algorithm>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/platform/Readiness.h>
 #include <cowslipdoor/platform/StoreAdapter.h>
@@ -23,6 +24,9 @@
         config.lease.holder = settings.text("name");
         config.lease.incarnation = static_cast<std::uint64_t>(newIncarnation());
         config.lease.milliCores = settings.milliCores("cores");
+        config.placement.waits = settings.text("place-wait") == "on";
+        // A deployment without the figure passes zero.
+        config.placement.remoteFactor = std::max(1.0, settings.decimal("remote-factor"));
         return config;
     }
 
@@ -35,6 +39,8 @@
         { "ready-listen", AddressSetting {}, std::nullopt, "Address for the probe of the platform's balancer." },
         { "store", AddressSetting {}, std::nullopt, "Address of the platform's store." },
         { "cores", CoresSetting { 1'000'000 }, "1", "Processor cores of this VM; among several entries, the one with the most cores leads the scheduling of jobs." },
+        { "remote-factor", DecimalSetting { 1, 100, true }, "1", "How many times as long a task takes off the rack of its data, or in a colocated step on several racks; with 1 racks do not matter." },
+        { "place-wait", ChoiceSetting { { "on", "off" } }, "on", "Whether finite tasks wait for a better place as long as that pays; if not, best-effort tasks go to any worker at half of full pace." },
         { "connection-limit", NumberSetting { 1, 1'000'000 }, "3000", "Maximum number of connections of callers." },
         { "drain-grace", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(10) }, "2500ms", "Time for which a draining entry still accepts connections, until two probes of the balancer have failed." },
     };
@@ -103,6 +109,7 @@
         this->metrics.setGauge("cowslipdoor_unmatched_cancellations", "Cancellations known to the leader whose jobs have not arrived", static_cast<double>(status.unmatchedCancellations));
         this->metrics.setGauge("cowslipdoor_knowledge_age_seconds", "How long ago the leader knew all jobs and cancellations", std::chrono::duration<double>(status.knowledgeAge).count());
         this->metrics.setGauge("cowslipdoor_learning_lag_seconds", "How far the leader lags behind the jobs that this entry has stored", std::chrono::duration<double>(this->intake.learningLag()).count());
+        this->metrics.setGauge("cowslipdoor_tasks_awaiting_place", "Tasks that wait for a better place than the available one", static_cast<double>(status.tasksAwaitingPlace));
         this->metrics.setGauge("cowslipdoor_idle_lasting_tasks", "Long-running tasks that no worker has listed for 2 s", static_cast<double>(status.idleLongRunningTasks));
         co_return plainResponse(200, "text/plain; version=0.0.4", this->metrics.expose());
     });
--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -31,6 +31,8 @@
     std::size_t unmatchedCancellations = 0;
     /// Long-running tasks that no worker has listed for longer than the idle limit of SchedulerConfig.
     std::size_t idleLongRunningTasks = 0;
+    /// Tasks that wait for a better place than the available one.
+    std::size_t tasksAwaitingPlace = 0;
     struct WorkerLine {
         std::string agent;
         std::string worker;
--- a/libs/runtime/include/cowslipdoor/runtime/Settings.h
+++ b/libs/runtime/include/cowslipdoor/runtime/Settings.h
@@ -54,6 +54,16 @@
     bool operator==(const CoresSetting&) const = default;
 };
 
+/// @brief Decimal number within a range, such as 3 or 1.5.
+struct DecimalSetting {
+    double minimum = 0;
+    double maximum = 0;
+    /// Whether zero is accepted as well, for a figure that a deployment leaves out.
+    bool acceptsZero = false;
+
+    bool operator==(const DecimalSetting&) const = default;
+};
+
 /// @brief One of several fixed values.
 struct ChoiceSetting {
     std::vector<std::string> choices;
@@ -62,7 +72,7 @@
 };
 
 /// @brief Kind and range of the values that a setting accepts.
-using SettingForm = std::variant<TextSetting, AddressSetting, AddressListSetting, NumberSetting, DurationSetting, CoresSetting, ChoiceSetting>;
+using SettingForm = std::variant<TextSetting, AddressSetting, AddressListSetting, NumberSetting, DurationSetting, CoresSetting, DecimalSetting, ChoiceSetting>;
 
 /// @brief One setting of a program.
 struct SettingSpec {
@@ -101,6 +111,10 @@
     /// @return its value in thousandths of a core
     [[nodiscard]] std::uint64_t milliCores(const std::string& name) const;
 
+    /// @param name name of a DecimalSetting
+    /// @return its value
+    [[nodiscard]] double decimal(const std::string& name) const;
+
     /// @param name name of a DurationSetting
     /// @return its value
     [[nodiscard]] Duration duration(const std::string& name) const;
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -69,6 +69,7 @@
     status.knowledgeAge = this->machine.knowledgeAge(now);
     status.unmatchedCancellations = this->machine.unmatchedCancellationCount();
     status.idleLongRunningTasks = this->machine.idleLongRunningTasks();
+    status.tasksAwaitingPlace = this->machine.tasksAwaitingPlace();
     for (const Workers::value_type& item : this->machine.workers()) {
         const TrackedWorker& worker = item.second;
         status.workers.push_back({ item.first, worker.info ? worker.info->identity.id : "", worker.link.has_value(), worker.usable(now), worker.tasks.size(), worker.free() });
--- a/libs/runtime/src/Settings.cpp
+++ b/libs/runtime/src/Settings.cpp
@@ -41,14 +41,29 @@
         return value;
     }
 
+    std::optional<double> parseDecimal(std::string_view text) noexcept
+    {
+        double value = 0;
+        const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+        if (result.ec != std::errc() || result.ptr != text.data() + text.size() || !std::isfinite(value))
+            return std::nullopt;
+        return value;
+    }
+
+    std::string printDecimal(double value)
+    {
+        std::ostringstream text;
+        text << value;
+        return text.str();
+    }
+
     /// Parses a number of cores into thousandths of a core, at least one.
     std::optional<std::uint64_t> parseCores(std::string_view text) noexcept
     {
-        double cores = 0;
-        const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), cores, std::chars_format::fixed);
-        if (result.ec != std::errc() || result.ptr != text.data() + text.size() || !(cores >= 0.001 && cores <= maximumCores))
+        const std::optional<double> cores = parseDecimal(text);
+        if (!cores || *cores < 0.001 || *cores > maximumCores)
             return std::nullopt;
-        return static_cast<std::uint64_t>(std::llround(cores * 1000));
+        return static_cast<std::uint64_t>(std::llround(*cores * 1000));
     }
 
     struct AcceptedValues {
@@ -64,6 +79,10 @@
             return "a duration such as 300ms, 2s or 5m, from " + printDuration(form.minimum) + " to " + printDuration(form.maximum);
         }
         std::string operator()(const CoresSetting& form) const { return "cores such as 2 or 0.25, up to " + std::to_string(form.maximumMilliCores / 1000); }
+        std::string operator()(const DecimalSetting& form) const
+        {
+            return "a decimal number from " + printDecimal(form.minimum) + " to " + printDecimal(form.maximum) + (form.acceptsZero ? ", or 0 for the default" : "");
+        }
         std::string operator()(const ChoiceSetting& form) const { return joined(form.choices, " or "); }
     };
 
@@ -95,6 +114,11 @@
             const std::optional<std::uint64_t> milliCores = parseCores(this->value);
             return milliCores && *milliCores <= form.maximumMilliCores;
         }
+        bool operator()(const DecimalSetting& form) const
+        {
+            const std::optional<double> decimal = parseDecimal(this->value);
+            return decimal && ((form.acceptsZero && *decimal == 0) || (*decimal >= form.minimum && *decimal <= form.maximum));
+        }
         bool operator()(const ChoiceSetting& form) const
         {
             return std::find(form.choices.begin(), form.choices.end(), this->value) != form.choices.end();
@@ -206,6 +230,11 @@
     return parseCores(this->text(name)).value();
 }
 
+double Settings::decimal(const std::string& name) const
+{
+    return parseDecimal(this->text(name)).value();
+}
+
 Duration Settings::duration(const std::string& name) const
 {
     return parseDuration(this->text(name)).value();
--- a/libs/runtime/tests/SettingsTests.cpp
+++ b/libs/runtime/tests/SettingsTests.cpp
@@ -12,6 +12,7 @@
     { "links", NumberSetting { 1, 64 }, "4", "Links." },
     { "drain-limit", DurationSetting { std::chrono::seconds(1), std::chrono::minutes(1) }, "30s", "Limit." },
     { "cores", CoresSetting { 64'000 }, "1", "Cores." },
+    { "factor", DecimalSetting { 1, 100, true }, "1", "Factor." },
     { "form", ChoiceSetting { { "text", "json" } }, "text", "Form." },
 };
 
@@ -92,3 +93,16 @@
         CHECK(line.settings.text("name") == "x");
     }
 }
+
+TEST_CASE("settings: a decimal may have a leading zero, as deployments put one before a figure that may be absent", "[settings]")
+{
+    const auto factorOf = [](const std::string& value) {
+        return readCommandLine(specs, { "--name=n", "--listen=[::1]:80", "--factor=" + value }, environmentOf({})).settings.decimal("factor");
+    };
+    CHECK(factorOf("01.5") == 1.5);
+    CHECK(factorOf("03") == 3);
+    CHECK(factorOf("0100") == 100);
+    CHECK(factorOf("0") == 0);
+    for (const char* const wrong : { "", "0.5", "100.1", "-2", "2x", "nan", "inf", "1e1" })
+        CHECK_THROWS_AS(factorOf(wrong), SettingsError);
+}
