Placement: tasks of a colocated step go to one rack

The field colocated of a step was not read, so its tasks ran on several racks, where each takes remote-factor times as long. The step now has it, also in the job's row; rows without it are read. The rack is that of the step's other tasks, or else the one on which the last task has a place first; tasks weigh a wait for it as they do for the rack of their data.

--- a/libs/scheduling/include/cowslipdoor/scheduling/ExpectedRelease.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/ExpectedRelease.h
@@ -35,6 +35,12 @@
 /// @return the expected ends of the finite runs there, in order of time
 [[nodiscard]] std::vector<ExpectedEnd> expectedEnds(const TrackedWorker& worker, const JobRegistry& jobRegistry, TimePoint now);
 
+/// @param worker a worker with known capacity
+/// @param step step of a finite task
+/// @param interference effect of best-effort tasks on serving ones
+/// @return the number of tasks of the step that the worker can take now at a useful pace; a hundred stands for more
+[[nodiscard]] std::size_t usefulPlaces(const TrackedWorker& worker, const StepSpec& step, const InterferenceModel& interference);
+
 /// @param worker a worker with known capacity
 /// @param step step of a finite task
 /// @param ends expected ends of the runs there, in order of time
--- a/libs/scheduling/include/cowslipdoor/scheduling/Job.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Job.h
@@ -93,6 +93,8 @@
     Duration target {};
     /// Maximum number of tasks of a long-running step that planned actions may make unavailable at once; zero means no limit.
     std::uint32_t mayMiss = 0;
+    /// Whether the tasks run faster when all of them run on one rack.
+    bool colocated = false;
 
     bool operator==(const StepSpec&) const = default;
 
--- a/libs/scheduling/include/cowslipdoor/scheduling/PlaceCache.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PlaceCache.h
@@ -27,7 +27,7 @@
 struct PlaceKey {
     std::string service;
     std::string requiredLabel;
-    std::string dataRack;
+    std::string nearRack;
     std::string image;
     std::uint32_t milliCores = 0;
     std::uint32_t memoryMb = 0;
--- a/libs/scheduling/include/cowslipdoor/scheduling/PlaceOutlook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PlaceOutlook.h
@@ -6,6 +6,7 @@
 #include "JobRegistry.h"
 #include "PlaceCache.h"
 #include "Placement.h"
+#include "Racks.h"
 #include <array>
 #include <optional>
 #include <vector>
@@ -34,7 +35,7 @@
 /// Tasks that wait take the expected releases in their order of placement, so that one release is not expected by all of them.
 /// @code
 /// outlook.beginPass();
-/// const std::optional<BetterPlace> better = outlook.better(job, step, 20, remaining, 2.5, sources, now);
+/// const std::optional<BetterPlace> better = outlook.better(job, step, rack, 20, remaining, 2.5, sources, now);
 /// @endcode
 class PlaceOutlook {
 public:
@@ -42,23 +43,35 @@
     void beginPass();
 
     /// @brief Forgets everything, as another process leads.
-    void clear() { this->entries.clear(); }
+    void clear();
 
     /// @param job the job
     /// @param step number of a step whose tasks can wait for a place
+    /// @param nearRack rack on which its tasks run fastest, or empty
     /// @param tasks number of its tasks that wait; the release is that for the last of them
     /// @param remaining time that the rest of a task takes at full pace
     /// @param slowdown slowdown of the best available place
     /// @param sources what the leader knows
     /// @param now current time
     /// @return the place on which a task that waits for it is expected to end first, or std::nullopt if there is none
-    [[nodiscard]] std::optional<BetterPlace> better(const TrackedJob& job, std::uint32_t step, std::size_t tasks, Duration remaining, double slowdown, const OutlookSources& sources, TimePoint now);
+    [[nodiscard]] std::optional<BetterPlace> better(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, std::size_t tasks, Duration remaining, double slowdown, const OutlookSources& sources, TimePoint now);
 
     /// @brief Notes that tasks wait, so that the next expected releases are theirs.
     /// @param job the job
     /// @param step number of a step for which better() was called in this pass
+    /// @param nearRack rack on which its tasks run fastest, or empty
     /// @param tasks number of its tasks that wait
-    void claim(const TrackedJob& job, std::uint32_t step, std::size_t tasks);
+    void claim(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, std::size_t tasks);
+
+    /// @brief Chooses the rack for the tasks of a colocated step.
+    /// @param job the job
+    /// @param step number of the step
+    /// @param tasks number of its tasks that are not placed
+    /// @param sources what the leader knows
+    /// @param now current time
+    /// @return the rack that its other tasks run on, or else the one on which all can end first; the rack of its data, if any,
+    /// when they have to spread
+    [[nodiscard]] std::string rackFor(const TrackedJob& job, std::uint32_t step, std::size_t tasks, const OutlookSources& sources, TimePoint now);
 
 private:
     /// Releases of places with the same slowdown.
@@ -80,10 +93,25 @@
         std::size_t claimed = 0;
     };
 
-    [[nodiscard]] static PlaceKey keyOf(const TrackedJob& job, std::uint32_t step);
-    [[nodiscard]] static Entry compute(const TrackedJob& job, std::uint32_t step, const OutlookSources& sources, TimePoint now);
+    [[nodiscard]] static Entry compute(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, const OutlookSources& sources, TimePoint now);
+
+    [[nodiscard]] const RacksByAgent& racksIn(const std::string& service, const OutlookSources& sources, TimePoint now);
+
+    struct KnownRacks {
+        TimePoint computedAt {};
+        RacksByAgent byAgent {};
+    };
+
+    struct RackEntry {
+        TimePoint computedAt {};
+        std::vector<RackPlaces> places {};
+    };
 
     std::map<PlaceKey, Entry> entries;
+    /// Racks of the workers, by service.
+    std::map<std::string, KnownRacks> racks;
+    /// Places on racks for steps that are colocated.
+    std::map<PlaceKey, RackEntry> rackEntries;
 };
 
 }
--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -19,7 +19,8 @@
     /// Whether finite tasks weigh a wait for a better place; if not, best-effort tasks go to any worker at half of full pace,
     /// or after 1 s without an assigned task of the job to any worker.
     bool waits = true;
-    /// Time that a task takes off the rack of its data, as a multiple of its time there; one if the rack does not matter.
+    /// Time that a task takes off the rack of its data, or in a colocated step on several racks, as a multiple of its time
+    /// otherwise; one if racks do not matter.
     double remoteFactor = 1;
     /// Factor by which a best-effort task beside serving runs that slow it down takes longer than expected. The load of serving
     /// runs varies within seconds: with a minimum expected pace of 0.5, a tenth of tasks took 2.5 times as long as at full pace.
@@ -34,16 +35,24 @@
 [[nodiscard]] bool hasLabel(const WorkerInfo& worker, const std::string& label);
 
 /// @param worker a worker with known attributes
-/// @param step the step
+/// @param nearRack rack on which a task runs fastest, or empty
 /// @param config settings
-/// @return how many times as long a task takes there because of the place of its data
-[[nodiscard]] double locationSlowdown(const TrackedWorker& worker, const StepSpec& step, const PlacementConfig& config);
+/// @return how many times as long the task takes on the worker because of its rack
+[[nodiscard]] double locationSlowdown(const TrackedWorker& worker, const std::string& nearRack, const PlacementConfig& config);
+
+/// @param worker a worker
+/// @param job the job
+/// @param step one of its steps
+/// @param now current time
+/// @return whether the worker may take tasks of the step once it has room
+[[nodiscard]] bool isCandidate(const TrackedWorker& worker, const TrackedJob& job, const StepSpec& step, TimePoint now);
 
 /// @param job the job
 /// @param step number of the step
+/// @param nearRack rack on which its tasks run fastest, or empty
 /// @param takesStalled whether stalled workers count as well
 /// @return the requirements of its tasks
-[[nodiscard]] PlaceKey placeKeyOf(const TrackedJob& job, std::uint32_t step, bool takesStalled);
+[[nodiscard]] PlaceKey placeKeyOf(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, bool takesStalled);
 
 /// @param job the job
 /// @return the time after which its end has no value: three times its objective
@@ -97,13 +106,14 @@
 /// @param job the job
 /// @param step number of the step
 /// @param task state of the task
+/// @param nearRack rack on which the task runs fastest, or empty
 /// @param workers all workers
 /// @param interference effect of best-effort tasks on serving ones
 /// @param config settings
 /// @param cache results of this pass
 /// @param now current time
 /// @return the best place, or std::nullopt if no worker can take the task
-[[nodiscard]] std::optional<Place> bestPlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const Workers& workers, const InterferenceModel& interference, const PlacementConfig& config, PlaceCache& cache, TimePoint now);
+[[nodiscard]] std::optional<Place> bestPlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const std::string& nearRack, const Workers& workers, const InterferenceModel& interference, const PlacementConfig& config, PlaceCache& cache, TimePoint now);
 
 /// @param job the job
 /// @param step number of the step
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -323,7 +323,7 @@
     void forgetPlaces();
     /// Places the tasks of a step that weigh a wait for better places.
     void placeWeighing(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects);
-    [[nodiscard]] PlaceDecision decidePlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const Place& place, TimePoint now, Effects& effects);
+    [[nodiscard]] PlaceDecision decidePlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const std::string& nearRack, const Place& place, TimePoint now, Effects& effects);
     void notePlaceWait(const PlaceWaits::key_type& key, const PlaceSituation& situation, std::size_t tasks, TimePoint now, Effects& effects);
     void endPlaceWait(PlaceWaits::iterator wait, const std::string& reason, TimePoint now, Effects& effects);
     void schedulePassAt(TimePoint time);
--- a/libs/scheduling/src/ExpectedRelease.cpp
+++ b/libs/scheduling/src/ExpectedRelease.cpp
@@ -10,6 +10,9 @@
 
     constexpr std::uint32_t completePercent = 100;
 
+    /// Number of places on one worker from which more make no difference.
+    constexpr std::uint32_t maximumUsefulPlaces = 100;
+
     /// Factor by which estimates of run times are wrong at most, either way.
     constexpr double estimateError = 1.9;
 
@@ -27,6 +30,17 @@
         load.pacedDownMilliCores = std::min(load.pacedDownMilliCores, std::accumulate(load.byImage.begin(), load.byImage.end(), 0U, add));
     }
 
+    /// Adds a task of a step to the load of a worker.
+    void takePlace(BestEffortLoad& load, ResourceVector& free, const StepSpec& step)
+    {
+        free = free.minus(step.countedDemand());
+        if (!step.bestEffort)
+            return;
+        ImageLoad& taken = load.byImage[step.image];
+        ++taken.tasks;
+        taken.milliCores += step.demand.milliCores;
+    }
+
     bool hasUsefulPlace(const TrackedWorker& worker, const BestEffortLoad& load, const ResourceVector& free, const StepSpec& step, const InterferenceModel& interference)
     {
         if (!free.covers(step.countedDemand()))
@@ -64,6 +78,17 @@
     return ends;
 }
 
+std::size_t usefulPlaces(const TrackedWorker& worker, const StepSpec& step, const InterferenceModel& interference)
+{
+    const std::size_t most = step.maximumPerWorker == 0 ? maximumUsefulPlaces : std::min(maximumUsefulPlaces, step.maximumPerWorker);
+    BestEffortLoad load = bestEffortLoadOf(worker);
+    ResourceVector free = worker.free();
+    std::size_t places = 0;
+    for (; places < most && hasUsefulPlace(worker, load, free, step, interference); ++places)
+        takePlace(load, free, step);
+    return places;
+}
+
 std::vector<TimePoint> expectedReleases(const TrackedWorker& worker, const StepSpec& step, const std::vector<ExpectedEnd>& ends, const InterferenceModel& interference)
 {
     std::vector<TimePoint> releases;
@@ -77,12 +102,7 @@
         if (!hasUsefulPlace(worker, load, free, step, interference))
             continue;
         releases.push_back(end.at);
-        free = free.minus(step.countedDemand());
-        if (step.bestEffort) {
-            ImageLoad& taken = load.byImage[step.image];
-            ++taken.tasks;
-            taken.milliCores += step.demand.milliCores;
-        }
+        takePlace(load, free, step);
     }
     return releases;
 }
--- a/libs/scheduling/src/PlaceOutlook.cpp
+++ b/libs/scheduling/src/PlaceOutlook.cpp
@@ -1,6 +1,7 @@
 #include "cowslipdoor/scheduling/PlaceOutlook.h"
 #include "cowslipdoor/scheduling/ExpectedRelease.h"
 #include <algorithm>
+#include <set>
 
 namespace cowslipdoor {
 
@@ -13,12 +14,6 @@
     /// How long the releases of a kind of task that nobody asks for are kept.
     constexpr Duration outlookRetention = std::chrono::seconds(10);
 
-    /// Whether a worker may take tasks of a step once it has room.
-    bool isCandidate(const TrackedWorker& worker, const TrackedJob& job, const StepSpec& step, TimePoint now)
-    {
-        return worker.usable(now) && worker.info->service == job.spec->service && hasLabel(*worker.info, step.requiredLabel);
-    }
-
 }
 
 TimePoint PlaceOutlook::Group::release(std::size_t number, Duration estimate) const
@@ -34,12 +29,7 @@
         item.second.claimed = 0;
 }
 
-PlaceKey PlaceOutlook::keyOf(const TrackedJob& job, std::uint32_t step)
-{
-    return placeKeyOf(job, step, false);
-}
-
-PlaceOutlook::Entry PlaceOutlook::compute(const TrackedJob& job, std::uint32_t step, const OutlookSources& sources, TimePoint now)
+PlaceOutlook::Entry PlaceOutlook::compute(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, const OutlookSources& sources, TimePoint now)
 {
     const StepSpec& spec = job.spec->steps[step];
     Entry entry;
@@ -49,7 +39,7 @@
         const TrackedWorker& worker = item.second;
         if (!isCandidate(worker, job, spec, now))
             continue;
-        Group& group = entry.groups[locationSlowdown(worker, spec, sources.config) > 1 ? 1 : 0];
+        Group& group = entry.groups[locationSlowdown(worker, nearRack, sources.config) > 1 ? 1 : 0];
         const std::vector<TimePoint> releases = expectedReleases(worker, spec, expectedEnds(worker, sources.jobRegistry, now), sources.interference);
         group.releases.insert(group.releases.end(), releases.begin(), releases.end());
         // The load of serving runs, which limits the pace here, may fall at any time.
@@ -60,14 +50,21 @@
     return entry;
 }
 
-std::optional<BetterPlace> PlaceOutlook::better(const TrackedJob& job, std::uint32_t step, std::size_t tasks, Duration remaining, double slowdown, const OutlookSources& sources, TimePoint now)
+void PlaceOutlook::clear()
+{
+    this->entries.clear();
+    this->racks.clear();
+    this->rackEntries.clear();
+}
+
+std::optional<BetterPlace> PlaceOutlook::better(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, std::size_t tasks, Duration remaining, double slowdown, const OutlookSources& sources, TimePoint now)
 {
-    const PlaceKey key = keyOf(job, step);
+    const PlaceKey key = placeKeyOf(job, step, nearRack, false);
     std::map<PlaceKey, Entry>::iterator it = this->entries.find(key);
     if (it == this->entries.end() || now >= it->second.computedAt + outlookValidity) {
         std::erase_if(this->entries, [now](const std::map<PlaceKey, Entry>::value_type& item) { return now >= item.second.computedAt + outlookRetention; });
         const std::size_t claimed = it == this->entries.end() ? 0 : this->entries[key].claimed;
-        Entry computed = compute(job, step, sources, now);
+        Entry computed = compute(job, step, nearRack, sources, now);
         computed.claimed = claimed;
         it = this->entries.insert_or_assign(key, std::move(computed)).first;
     }
@@ -90,11 +87,42 @@
     return best;
 }
 
-void PlaceOutlook::claim(const TrackedJob& job, std::uint32_t step, std::size_t tasks)
+void PlaceOutlook::claim(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, std::size_t tasks)
 {
-    const std::map<PlaceKey, Entry>::iterator it = this->entries.find(keyOf(job, step));
+    const std::map<PlaceKey, Entry>::iterator it = this->entries.find(placeKeyOf(job, step, nearRack, false));
     if (it != this->entries.end())
         it->second.claimed += tasks;
 }
 
+const RacksByAgent& PlaceOutlook::racksIn(const std::string& service, const OutlookSources& sources, TimePoint now)
+{
+    KnownRacks& known = this->racks[service];
+    if (now >= known.computedAt + outlookValidity)
+        known = { now, racksOf(sources.workers, service) };
+    return known.byAgent;
+}
+
+std::string PlaceOutlook::rackFor(const TrackedJob& job, std::uint32_t step, std::size_t tasks, const OutlookSources& sources, TimePoint now)
+{
+    const StepSpec& spec = job.spec->steps[step];
+    const RacksByAgent& known = this->racksIn(job.spec->service, sources, now);
+    std::set<std::string> used;
+    for (const TaskState& task : job.steps[step]) {
+        const RacksByAgent::const_iterator it = task.record.assignment ? known.find(task.record.assignment->agent) : known.end();
+        if (it != known.end())
+            used.insert(it->second);
+    }
+    // A step on several racks is slowed down wherever its other tasks run.
+    if (!used.empty())
+        return used.size() == 1 ? *used.begin() : spec.dataRack;
+    std::erase_if(this->rackEntries, [now](const std::map<PlaceKey, RackEntry>::value_type& item) { return now >= item.second.computedAt + outlookRetention; });
+    RackEntry& entry = this->rackEntries[placeKeyOf(job, step, {}, false)];
+    if (now >= entry.computedAt + outlookValidity)
+        entry = { now, rackPlaces(job, step, known, sources.workers, sources.jobRegistry, sources.interference, now) };
+    const auto holdsData = [&spec, tasks](const RackPlaces& rack) { return rack.rack == spec.dataRack && rack.capacity >= tasks; };
+    if (!spec.dataRack.empty() && std::any_of(entry.places.begin(), entry.places.end(), holdsData))
+        return spec.dataRack;
+    return firstRackFor(entry.places, tasks).value_or(spec.dataRack);
+}
+
 }
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -110,23 +110,23 @@
     /// Score of a place for a task that weighs a wait; greater is better, and elements are compared in order.
     using PlaceScore = std::tuple<bool, bool, bool, bool, double, bool, double, double>;
 
-    PlaceScore scoreOf(const Place& place, const StepSpec& step, const TaskState& task, const PlacementConfig& config, TimePoint now)
+    PlaceScore scoreOf(const Place& place, const StepSpec& step, const TaskState& task, const std::string& nearRack, const PlacementConfig& config, TimePoint now)
     {
         const TrackedWorker& worker = *place.worker;
         const bool notExcluded = !worker.exclusionReason(now);
         const bool useful = place.slowdown <= config.paceRisk / minimumUsefulPace;
         const bool preferred = !worker.lastChoice(false, now);
         const bool elsewhere = worker.agent != task.avoidedAgent;
-        const bool nearData = step.dataRack.empty() || hasLabel(*worker.info, step.dataRack);
+        const bool nearData = hasLabel(*worker.info, nearRack);
         const double slowdown = -std::max(place.slowdown, usefulSlowdown);
         if (step.bestEffort)
             return { notExcluded, useful, preferred, elsewhere, slowdown, nearData, -place.slowdown, unusedCores(worker) };
         return { notExcluded, useful, preferred, elsewhere, slowdown, nearData, -static_cast<double>(worker.free().milliCores), 0.0 };
     }
 
-    double slowdownOn(const TrackedWorker& worker, const StepSpec& step, const InterferenceModel& interference, const PlacementConfig& config, PlaceCache::Slowdowns& known)
+    double slowdownOn(const TrackedWorker& worker, const StepSpec& step, const std::string& nearRack, const InterferenceModel& interference, const PlacementConfig& config, PlaceCache::Slowdowns& known)
     {
-        const double location = locationSlowdown(worker, step, config);
+        const double location = locationSlowdown(worker, nearRack, config);
         if (!step.bestEffort)
             return location;
         const PlaceCache::Slowdowns::const_iterator it = known.find(&worker);
@@ -142,15 +142,20 @@
     return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 }
 
-double locationSlowdown(const TrackedWorker& worker, const StepSpec& step, const PlacementConfig& config)
+double locationSlowdown(const TrackedWorker& worker, const std::string& nearRack, const PlacementConfig& config)
+{
+    return hasLabel(*worker.info, nearRack) ? 1 : config.remoteFactor;
+}
+
+bool isCandidate(const TrackedWorker& worker, const TrackedJob& job, const StepSpec& step, TimePoint now)
 {
-    return hasLabel(*worker.info, step.dataRack) ? 1 : config.remoteFactor;
+    return worker.usable(now) && worker.info->service == job.spec->service && hasLabel(*worker.info, step.requiredLabel);
 }
 
-PlaceKey placeKeyOf(const TrackedJob& job, std::uint32_t step, bool takesStalled)
+PlaceKey placeKeyOf(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, bool takesStalled)
 {
     const StepSpec& spec = job.spec->steps[step];
-    return { job.spec->service, spec.requiredLabel, spec.dataRack, spec.image, spec.demand.milliCores, spec.demand.memoryMb, spec.demand.accelerators, spec.bestEffort, takesStalled };
+    return { job.spec->service, spec.requiredLabel, nearRack, spec.image, spec.demand.milliCores, spec.demand.memoryMb, spec.demand.accelerators, spec.bestEffort, takesStalled };
 }
 
 TimePoint valueEnd(const TrackedJob& job)
@@ -160,15 +165,15 @@
 
 bool weighsPlaces(const StepSpec& step, const PlacementConfig& config)
 {
-    return config.waits && !step.longRunning && (step.bestEffort || (config.remoteFactor > 1 && !step.dataRack.empty()));
+    return config.waits && !step.longRunning && (step.bestEffort || (config.remoteFactor > 1 && (step.colocated || !step.dataRack.empty())));
 }
 
-std::optional<Place> bestPlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const Workers& workers, const InterferenceModel& interference, const PlacementConfig& config, PlaceCache& cache, TimePoint now)
+std::optional<Place> bestPlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const std::string& nearRack, const Workers& workers, const InterferenceModel& interference, const PlacementConfig& config, PlaceCache& cache, TimePoint now)
 {
     const StepSpec& spec = job.spec->steps[step];
     // What a single task or job avoids does not hold for others.
     const bool shared = task.avoidedAgent.empty() && spec.maximumPerWorker == 0;
-    const PlaceKey key = placeKeyOf(job, step, jobWaitedTooLong(job, now));
+    const PlaceKey key = placeKeyOf(job, step, nearRack, jobWaitedTooLong(job, now));
     const std::optional<Place>* const known = shared ? cache.find(key) : nullptr;
     if (known)
         return *known;
@@ -178,8 +183,8 @@
     for (const Workers::value_type& item : workers) {
         if (unfitFor(item.second, job, step, now))
             continue;
-        const Place place { &item.second, slowdownOn(item.second, spec, interference, config, slowdowns) };
-        const PlaceScore score = scoreOf(place, spec, task, config, now);
+        const Place place { &item.second, slowdownOn(item.second, spec, nearRack, interference, config, slowdowns) };
+        const PlaceScore score = scoreOf(place, spec, task, nearRack, config, now);
         if (!bestScore || score > *bestScore) {
             best = place;
             bestScore = score;
--- a/libs/scheduling/src/Rows.cpp
+++ b/libs/scheduling/src/Rows.cpp
@@ -33,7 +33,7 @@
         return { { "count", step.count }, { "cores", step.demand.milliCores }, { "memory", step.demand.memoryMb }, { "accelerators", step.demand.accelerators },
             { "estimate", step.estimate.count() }, { "after", step.after }, { "checkpointing", step.checkpointing }, { "speculative", step.speculative },
             { "long_running", step.longRunning }, { "fills", step.bestEffort }, { "label", step.requiredLabel }, { "rack", step.dataRack }, { "image", step.image },
-            { "per_worker", step.maximumPerWorker }, { "target", step.target.count() }, { "may_miss", step.mayMiss } };
+            { "per_worker", step.maximumPerWorker }, { "target", step.target.count() }, { "may_miss", step.mayMiss }, { "colocated", step.colocated } };
     }
 
     /// Encodes a value as text. Bytes in names of workers or agents that are not UTF-8 are replaced, as they must not stop the
@@ -82,6 +82,8 @@
         step.maximumPerWorker = json.at("per_worker").integer<std::uint32_t>();
         step.target = spanFromJson(json.at("target"));
         step.mayMiss = json.at("may_miss").integer<std::uint32_t>();
+        // Rows of earlier versions lack it.
+        step.colocated = json.booleanOr("colocated");
         return step;
     }
 
--- a/libs/scheduling/src/SchedulerPlaces.cpp
+++ b/libs/scheduling/src/SchedulerPlaces.cpp
@@ -90,16 +90,20 @@
 void Scheduler::placeWeighing(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects)
 {
     const std::vector<TaskState>& tasks = job.steps[step];
+    const StepSpec& spec = job.spec->steps[step];
+    const OutlookSources sources { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement };
+    const bool grouped = spec.colocated && this->config.placement.remoteFactor > 1;
+    const std::string nearRack = grouped ? this->placeOutlook.rackFor(job, step, countPlaceable(tasks, now), sources, now) : spec.dataRack;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const TaskState& task = tasks[index];
         if (task.unplaced() && now < task.notBefore)
             this->schedulePassAt(task.notBefore);
         if (!canBePlaced(task, now))
             continue;
-        const std::optional<Place> place = bestPlace(job, step, task, this->knownWorkers, this->interference, this->config.placement, this->placeCache, now);
+        const std::optional<Place> place = bestPlace(job, step, task, nearRack, this->knownWorkers, this->interference, this->config.placement, this->placeCache, now);
         if (!place)
             return;
-        const PlaceDecision decision = this->decidePlace(job, step, task, *place, now, effects);
+        const PlaceDecision decision = this->decidePlace(job, step, task, nearRack, *place, now, effects);
         const PlaceNow* const placeNow = std::get_if<PlaceNow>(&decision);
         if (!placeNow) {
             this->schedulePassAt(now + std::max(this->config.gatherTime, std::get<WaitUntil>(decision).limit));
@@ -112,7 +116,7 @@
     this->placeWaits.erase({ job.spec->id, step });
 }
 
-PlaceDecision Scheduler::decidePlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const Place& place, TimePoint now, Effects& effects)
+PlaceDecision Scheduler::decidePlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const std::string& nearRack, const Place& place, TimePoint now, Effects& effects)
 {
     if (place.slowdown <= usefulSlowdown)
         return PlaceNow { PlaceReason::GoodEnough };
@@ -120,7 +124,7 @@
     const Duration remaining = remainingTime(spec, task);
     const std::size_t tasks = countPlaceable(job.steps[step], now);
     const OutlookSources sources { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement };
-    const std::optional<BetterPlace> better = this->placeOutlook.better(job, step, tasks, remaining, place.slowdown, sources, now);
+    const std::optional<BetterPlace> better = this->placeOutlook.better(job, step, nearRack, tasks, remaining, place.slowdown, sources, now);
     if (!better)
         return PlaceNow { PlaceReason::NoBetterPlace };
     const PlaceWaits::const_iterator wait = this->placeWaits.find({ job.spec->id, step });
@@ -129,7 +133,7 @@
     const PlaceSituation situation { place.slowdown, remaining, better->slowdown, better->release, waited, job.due - after - now, valueEnd(job) - after - now, idleTime(job, now) };
     const PlaceDecision decision = placeOrWait(situation);
     if (std::holds_alternative<WaitUntil>(decision)) {
-        this->placeOutlook.claim(job, step, tasks);
+        this->placeOutlook.claim(job, step, nearRack, tasks);
         this->notePlaceWait({ job.spec->id, step }, situation, tasks, now, effects);
     }
     return decision;
--- a/libs/scheduling/tests/ExpectedReleaseTests.cpp
+++ b/libs/scheduling/tests/ExpectedReleaseTests.cpp
@@ -102,7 +102,7 @@
     // A place may still become available, as the load of serving runs varies.
     known.workers.erase("b");
     const TrackedJob& job = known.waiting("waiting", fills);
-    CHECK(PlaceOutlook().better(job, 0, 1, std::chrono::seconds(1), 2, known.sources(), start) == BetterPlace { 1, std::nullopt });
+    CHECK(PlaceOutlook().better(job, 0, job.spec->steps[0].dataRack, 1, std::chrono::seconds(1), 2, known.sources(), start) == BetterPlace { 1, std::nullopt });
 }
 
 TEST_CASE("place outlook: the release of a full rack is expected from its runs; a rack without workers is not awaited", "[place]")
@@ -114,10 +114,10 @@
     near.dataRack = "r1";
     const TrackedJob& job = known.waiting("waiting", near);
     PlaceOutlook outlook;
-    CHECK(outlook.better(job, 0, 1, std::chrono::seconds(1), 3, known.sources(), start) == BetterPlace { 1, std::chrono::seconds(10) });
+    CHECK(outlook.better(job, 0, job.spec->steps[0].dataRack, 1, std::chrono::seconds(1), 3, known.sources(), start) == BetterPlace { 1, std::chrono::seconds(10) });
     // The rack is lost while the task waits.
     known.workers.at("a").link.reset();
-    CHECK(outlook.better(job, 0, 1, std::chrono::seconds(1), 3, known.sources(), start + milliseconds(500)) == std::nullopt);
+    CHECK(outlook.better(job, 0, job.spec->steps[0].dataRack, 1, std::chrono::seconds(1), 3, known.sources(), start + milliseconds(500)) == std::nullopt);
 }
 
 TEST_CASE("place outlook: tasks that wait do not all expect the same release", "[place]")
@@ -130,11 +130,11 @@
     known.workers.erase("b");
     const TrackedJob& job = known.waiting("waiting", fills);
     PlaceOutlook outlook;
-    const auto expected = [&]() { return outlook.better(job, 0, 1, std::chrono::seconds(2), 5, known.sources(), start)->release; };
+    const auto expected = [&]() { return outlook.better(job, 0, job.spec->steps[0].dataRack, 1, std::chrono::seconds(2), 5, known.sources(), start)->release; };
     CHECK(expected() == std::chrono::seconds(2));
-    outlook.claim(job, 0, 2);
+    outlook.claim(job, 0, {}, 2);
     CHECK(expected() == std::chrono::seconds(4));
-    outlook.claim(job, 0, 3);
+    outlook.claim(job, 0, {}, 3);
     CHECK(expected() == std::chrono::seconds(6));
     outlook.beginPass();
     CHECK(expected() == std::chrono::seconds(2));
--- a/libs/scheduling/tests/PlaceReplayTests.cpp
+++ b/libs/scheduling/tests/PlaceReplayTests.cpp
@@ -382,3 +382,59 @@
     replay.advanceFor(milliseconds(300));
     CHECK(replay.firstStart.contains({ "waiting" }));
 }
+
+namespace {
+
+/// Two racks of two workers with 16 cores, and a colocated step of four tasks that need half a worker each. The first rack has
+/// room for two of them, the second for three.
+struct TwoRacks {
+    Replay replay { PlacementConfig { .waits = true, .remoteFactor = 3 } };
+
+    explicit TwoRacks(Duration fullFor, std::uint32_t count = 4)
+    {
+        for (int number = 0; number < 4; ++number)
+            this->replay.addWorker("a" + std::to_string(number), "", { "r" + std::to_string(number / 2) });
+        for (const char* const agent : { "a0", "a1", "a2" }) {
+            StepSpec filling = stepOf(1, 8000);
+            filling.estimate = std::string(agent) == "a2" ? fullFor : std::chrono::seconds(30);
+            filling.requiredLabel = agent;
+            this->replay.submit(jobOf(std::string("filling-") + agent, { filling }));
+        }
+        this->replay.advanceFor(milliseconds(100));
+        StepSpec step = stepOf(count, 8000);
+        step.demand.memoryMb = 100;
+        step.estimate = milliseconds(1500);
+        step.colocated = true;
+        JobSpec spec = *jobOf("group", { step });
+        spec.dueSlack = std::chrono::seconds(30);
+        this->replay.submit(std::make_shared<const JobSpec>(spec));
+        this->replay.advanceFor(std::chrono::seconds(3));
+    }
+
+    /// Returns the number of tasks of the group that began on a rack.
+    std::size_t onRack(int rack)
+    {
+        const std::string first = "a" + std::to_string(2 * rack);
+        const std::string second = "a" + std::to_string(2 * rack + 1);
+        return this->replay.startsByAgent[first] + this->replay.startsByAgent[second] - (rack == 0 ? 2 : 1);
+    }
+};
+
+}
+
+TEST_CASE("place replay: the tasks of a colocated step all go to one rack and wait for it, although the other has room", "[place]")
+{
+    TwoRacks racks(milliseconds(1000));
+    CHECK(racks.onRack(0) == 0);
+    CHECK(racks.onRack(1) == 4);
+}
+
+TEST_CASE("place replay: a colocated step spreads if its rack is full for long, or if no rack holds all of its tasks", "[place]")
+{
+    TwoRacks fullForLong(std::chrono::seconds(20));
+    CHECK(fullForLong.onRack(0) + fullForLong.onRack(1) == 4);
+    CHECK(fullForLong.onRack(0) > 0);
+    TwoRacks tooMany(milliseconds(100), 5);
+    CHECK(tooMany.onRack(0) > 0);
+    CHECK(tooMany.onRack(0) + tooMany.onRack(1) == 5);
+}
--- a/libs/scheduling/tests/RowsTests.cpp
+++ b/libs/scheduling/tests/RowsTests.cpp
@@ -23,6 +23,7 @@
     step.maximumPerWorker = 3;
     step.target = milliseconds(50);
     step.mayMiss = 1;
+    step.colocated = true;
     JobSpec spec = *jobOf("a", { stepOf(1, 100), step });
     spec.acceptedAtMs = 1'700'000'000'000;
     CHECK(parseJobSpec(print(spec)) == spec);
@@ -36,6 +37,15 @@
     CHECK(parsePendingCounts(print(counts)) == counts);
 }
 
+TEST_CASE("rows: a job of an earlier version, whose steps do not state whether they are colocated, is read", "[jobs]")
+{
+    const JobSpec spec = *jobOf("a", { stepOf(1, 100) });
+    std::string row = print(spec);
+    const std::string field = R"("colocated":false,)";
+    REQUIRE(row.find(field) != std::string::npos);
+    CHECK(parseJobSpec(row.erase(row.find(field), field.size())) == spec);
+}
+
 TEST_CASE("rows: malformed rows of another writer are refused", "[jobs]")
 {
     for (const std::string text : { "", "{", "[]", "{\"epoch\":\"x\"}", "null", "{\"state\":1,\"places\":[],\"tasks\":[[1]]}" }) {
