Relocation: a starving run does not leave the rack of its data for less than that costs

A starving run was moved to any worker at full pace. Off the rack of its data, or of its colocated step, it takes remote-factor times as long there, which may cost more than its lack of pace.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -323,6 +323,10 @@
     void forgetPlaces();
     /// Places the tasks of a step that weigh a wait for better places.
     void placeWeighing(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects);
+    /// Returns the rack on which tasks of a step run fastest, or an empty text if racks do not matter.
+    [[nodiscard]] std::string nearRackOf(const TrackedJob& job, std::uint32_t step, TimePoint now);
+    /// Whether a task that is moved loses at least as much by the rack of its new worker as it gains in pace.
+    [[nodiscard]] bool losesByRack(const TrackedJob& job, std::uint32_t step, const TrackedWorker& from, const TrackedWorker& to, TimePoint now);
     [[nodiscard]] PlaceDecision decidePlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const std::string& nearRack, const Place& place, TimePoint now, Effects& effects);
     void notePlaceWait(const PlaceWaits::key_type& key, const PlaceSituation& situation, std::size_t tasks, TimePoint now, Effects& effects);
     void endPlaceWait(PlaceWaits::iterator wait, const std::string& reason, TimePoint now, Effects& effects);
--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -85,7 +85,7 @@
         if (task.stopping || !task.ordered || isTerminal(job.state) || !this->mayStop(job, item.first.step))
             continue;
         const TrackedWorker* const better = betterWorker(job, item.first, worker, this->knownWorkers, this->interference, this->config.relocation, now);
-        if (!better)
+        if (!better || this->losesByRack(job, item.first.step, worker, *better, now))
             continue;
         this->jobRegistry.task(item.first)->avoidedAgent = worker.agent;
         this->orderStop(worker, item.first, "it starves there and could run at " + better->agent, effects);
--- a/libs/scheduling/src/SchedulerPlaces.cpp
+++ b/libs/scheduling/src/SchedulerPlaces.cpp
@@ -87,13 +87,28 @@
     this->placeWaits.clear();
 }
 
-void Scheduler::placeWeighing(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects)
+std::string Scheduler::nearRackOf(const TrackedJob& job, std::uint32_t step, TimePoint now)
 {
-    const std::vector<TaskState>& tasks = job.steps[step];
     const StepSpec& spec = job.spec->steps[step];
+    if (!spec.colocated || this->config.placement.remoteFactor <= 1)
+        return spec.dataRack;
     const OutlookSources sources { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement };
-    const bool grouped = spec.colocated && this->config.placement.remoteFactor > 1;
-    const std::string nearRack = grouped ? this->placeOutlook.rackFor(job, step, countPlaceable(tasks, now), sources, now) : spec.dataRack;
+    return this->placeOutlook.rackFor(job, step, countPlaceable(job.steps[step], now), sources, now);
+}
+
+bool Scheduler::losesByRack(const TrackedJob& job, std::uint32_t step, const TrackedWorker& from, const TrackedWorker& to, TimePoint now)
+{
+    if (this->config.placement.remoteFactor <= 1)
+        return false;
+    const std::string nearRack = this->nearRackOf(job, step, now);
+    const double gain = static_cast<double>(fullPace) / this->config.relocation.starvingPace;
+    return locationSlowdown(to, nearRack, this->config.placement) >= gain * locationSlowdown(from, nearRack, this->config.placement);
+}
+
+void Scheduler::placeWeighing(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects)
+{
+    const std::vector<TaskState>& tasks = job.steps[step];
+    const std::string nearRack = this->nearRackOf(job, step, now);
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const TaskState& task = tasks[index];
         if (task.unplaced() && now < task.notBefore)
--- a/libs/scheduling/tests/PlaceReplayTests.cpp
+++ b/libs/scheduling/tests/PlaceReplayTests.cpp
@@ -438,3 +438,30 @@
     CHECK(tooMany.onRack(0) > 0);
     CHECK(tooMany.onRack(0) + tooMany.onRack(1) == 5);
 }
+
+TEST_CASE("place replay: a starving run leaves the rack of its data only if that costs less than its lack of pace", "[place]")
+{
+    for (const double factor : { 1.5, 3.0 }) {
+        Replay replay(PlacementConfig { .waits = true, .remoteFactor = factor }, 5);
+        replay.addWorker("near", "strict", { "r1" });
+        replay.advanceFor(milliseconds(600));
+        StepSpec step = stepOf(1, 3500);
+        step.estimate = std::chrono::seconds(3);
+        step.bestEffort = true;
+        step.checkpointing = true;
+        step.image = "render";
+        step.dataRack = "r1";
+        replay.submit(jobOf("task", { step }));
+        replay.advanceFor(milliseconds(200));
+        // The load of the serving task rises.
+        replay.peakSlack = 1.3;
+        replay.peakBegin = replay.now;
+        replay.peakEnd = replay.now + std::chrono::seconds(30);
+        replay.addWorker("remote", "", { "r2" });
+        replay.advanceFor(std::chrono::seconds(3));
+        INFO("remote factor " << factor);
+        const RunId first { { { "task" }, 0, 0 }, 1 };
+        CHECK(replay.workers.at("near").running.contains(first) == (factor > 2));
+        CHECK(replay.startsByAgent["remote"] == (factor < 2 ? 1 : 0));
+    }
+}
