--- /dev/null
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PlaceOutlook.h
@@ -0,0 +1,117 @@
+#pragma once
+
+/// @file
+/// @brief Better places that the leader expects to become available, shared by all tasks that wait.
+
+#include "JobRegistry.h"
+#include "PlaceCache.h"
+#include "Placement.h"
+#include "Racks.h"
+#include <array>
+#include <optional>
+#include <vector>
+
+namespace cowslipdoor {
+
+/// @brief What the leader knows when it expects releases.
+struct OutlookSources {
+    const Workers& workers;
+    const JobRegistry& jobRegistry;
+    const InterferenceModel& interference;
+    const PlacementConfig& config;
+};
+
+/// @brief Place that is better than the available one.
+struct BetterPlace {
+    double slowdown = 1;
+    /// Time until it is expected to be available; std::nullopt if that is not known.
+    std::optional<Duration> release {};
+
+    bool operator==(const BetterPlace&) const = default;
+};
+
+/// @brief Expects when better places become available.
+///
+/// Tasks that wait take the expected releases in their order of placement, so that one release is not expected by all of them.
+/// @code
+/// outlook.beginPass();
+/// const std::optional<BetterPlace> better = outlook.better(job, step, rack, 20, remaining, 2.5, sources, now);
+/// @endcode
+class PlaceOutlook {
+public:
+    /// @brief Makes all expected releases available again to the tasks of a new pass.
+    void beginPass();
+
+    /// @brief Forgets everything, as another process leads.
+    void clear();
+
+    /// @param job the job
+    /// @param step number of a step whose tasks can wait for a place
+    /// @param nearRack rack on which its tasks run fastest, or empty
+    /// @param tasks number of its tasks that wait; the release is that for the last of them
+    /// @param remaining time that the rest of a task takes at full pace
+    /// @param slowdown slowdown of the best available place
+    /// @param sources what the leader knows
+    /// @param now current time
+    /// @return the place on which a task that waits for it is expected to end first, or std::nullopt if there is none
+    [[nodiscard]] std::optional<BetterPlace> better(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, std::size_t tasks, Duration remaining, double slowdown, const OutlookSources& sources, TimePoint now);
+
+    /// @brief Notes that tasks wait, so that the next expected releases are theirs.
+    /// @param job the job
+    /// @param step number of a step for which better() was called in this pass
+    /// @param nearRack rack on which its tasks run fastest, or empty
+    /// @param tasks number of its tasks that wait
+    void claim(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, std::size_t tasks);
+
+    /// @brief Chooses the rack for the tasks of a colocated step.
+    /// @param job the job
+    /// @param step number of the step
+    /// @param tasks number of its tasks that are not placed
+    /// @param sources what the leader knows
+    /// @param now current time
+    /// @return the rack that its other tasks run on, or else the one on which all can end first; the rack of its data, if any,
+    /// when they have to spread
+    [[nodiscard]] std::string rackFor(const TrackedJob& job, std::uint32_t step, std::size_t tasks, const OutlookSources& sources, TimePoint now);
+
+private:
+    /// Releases of places with the same slowdown.
+    struct Group {
+        double slowdown = 1;
+        /// Expected releases, in order of time.
+        std::vector<TimePoint> releases {};
+        /// Whether some worker may have such a place at a time that is not known.
+        bool unknown = false;
+
+        /// Returns the time of the release that comes after as many others.
+        [[nodiscard]] TimePoint release(std::size_t number, Duration estimate) const;
+    };
+
+    struct Entry {
+        TimePoint computedAt {};
+        /// Places near the data, and all others.
+        std::array<Group, 2> groups {};
+        std::size_t claimed = 0;
+    };
+
+    [[nodiscard]] static Entry compute(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, const OutlookSources& sources, TimePoint now);
+
+    [[nodiscard]] const RacksByAgent& racksIn(const std::string& service, const OutlookSources& sources, TimePoint now);
+
+    struct KnownRacks {
+        TimePoint computedAt {};
+        RacksByAgent byAgent {};
+    };
+
+    struct RackEntry {
+        TimePoint computedAt {};
+        std::vector<RackPlaces> places {};
+    };
+
+    std::map<PlaceKey, Entry> entries;
+    /// Racks of the workers, by service.
+    std::map<std::string, KnownRacks> racks;
+    /// Places on racks for steps that are colocated.
+    std::map<PlaceKey, RackEntry> rackEntries;
+};
+
+}
