--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -69,7 +69,9 @@
     status.knowledgeAge = this->machine.knowledgeAge(now);
     status.unmatchedCancellations = this->machine.unmatchedCancellationCount();
     status.idleLongRunningTasks = this->machine.idleLongRunningTasks();
+    status.evacuationKnowledgeAge = this->machine.evacuations().age(now);
     status.evacuatedDomains = this->machine.evacuatedDomains();
+    status.tasksAwaitingPlace = this->machine.tasksAwaitingPlace();
     for (const Workers::value_type& item : this->machine.workers()) {
         const TrackedWorker& worker = item.second;
         status.workers.push_back({ item.first, worker.info ? worker.info->identity.id : "", worker.link.has_value(), worker.usable(now), worker.tasks.size(), worker.free(), worker.failureDomain });
