--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -31,8 +31,9 @@
     /// Step of a VM's wall clock, and offset of start times in heartbeats of other writers; longer than any soak.
     constexpr Duration clockStep = std::chrono::hours(24);
 
-    /// Longer than the bound on starts in an evacuated failure domain.
-    constexpr Duration longestEvacuation = milliseconds(9000);
+    /// Most evacuations last longer than the bound on starts, as only later ones are checked.
+    constexpr Duration shortestEvacuation = milliseconds(3000);
+    constexpr Duration longestEvacuation = milliseconds(12000);
     constexpr Duration longestBetweenEvacuations = milliseconds(12000);
 
     /// Silences and evacuations have random sequences of their own, so that the other faults of a seed don't depend on them.
@@ -108,7 +109,7 @@
         Evacuate evacuation()
         {
             const std::size_t zone = this->below(soakZones);
-            return { zone, this->upTo(longestEvacuation) };
+            return { zone, shortestEvacuation + this->upTo(longestEvacuation - shortestEvacuation) };
         }
 
         SendForeignHeartbeat drawForeignHeartbeat()
