Commands: jobs explain prints where the tasks of a job would go, and why

Why a task goes to a worker, or waits, could be read only from debug events after the job had been sent. The leader now answers POST /jobs/explain at its admin address with the decision for each step, from the same functions as placement; nothing is stored or placed.

--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -30,6 +30,8 @@
                                        "  jobs submit ID FILE, jobs show ID, jobs cancel ID, jobs pending\n"
                                        "                     submit, show and cancel jobs, and count pending jobs\n"
                                        "  jobs list          print all jobs that the leader knows, most urgent first\n"
+                                       "  jobs explain QUEUE FILE\n"
+                                       "                     print where the tasks of a job that has not been sent would go now, and why\n"
                                        "  jobs entry         run an entry that accepts jobs and may lead their scheduling\n"
                                        "  rules check FILE   check a rules file and print all its faults\n"
                                        "  rules show         print the rules in force at an entry, with requesters and reasons\n"
@@ -82,6 +84,14 @@
         return line;
     }
 
+    std::string readFile(const std::string& path)
+    {
+        std::ifstream file(path);
+        if (!file)
+            throw Error(ErrorKind::BadSetting, path + ": the file cannot be read");
+        return { std::istreambuf_iterator<char>(file), {} };
+    }
+
     std::string fetchPage(const std::string& address, const std::string& target)
     {
         const Response response = fetch({ .address = address, .target = target });
@@ -125,12 +135,8 @@
         if (!line)
             return 0;
         std::string body;
-        if (operands == 2) {
-            std::ifstream file(line->operands[1]);
-            if (!file)
-                throw Error(ErrorKind::BadSetting, line->operands[1] + ": the file cannot be read");
-            body.assign(std::istreambuf_iterator<char>(file), {});
-        }
+        if (operands == 2)
+            body = readFile(line->operands[1]);
         return callAboutJob(*line, method, operands == 0 ? "" : line->operands[0], std::move(body));
     }
 
@@ -170,6 +176,14 @@
         std::cout << printTable(rows);
     }
 
+    void expectLeading(const nlohmann::json& json)
+    {
+        if (json.at("leading").get<bool>())
+            return;
+        const std::string leader = json.at("leader");
+        throw Error(ErrorKind::Internal, "this entry does not lead the jobs; " + (leader.empty() ? "the leader is not known" : "ask " + leader));
+    }
+
     int listJobs(const Arguments& words)
     {
         const std::optional<CommandLine> line = readOrHelp(words, "jobs list --admin IP:PORT", clientSettings(), 0);
@@ -177,10 +191,7 @@
             return 0;
         const std::string page = fetchPage(line->settings.text("admin"), "/jobs");
         const nlohmann::json json = nlohmann::json::parse(page);
-        if (!json.at("leading").get<bool>()) {
-            const std::string leader = json.at("leader");
-            throw Error(ErrorKind::Internal, "this entry does not lead the jobs; " + (leader.empty() ? "the leader is not known" : "ask " + leader));
-        }
+        expectLeading(json);
         if (line->settings.text("form") == "json")
             std::cout << page;
         else
@@ -188,6 +199,39 @@
         return 0;
     }
 
+    void printStepTable(const nlohmann::json& steps)
+    {
+        std::vector<TableRow> rows { { "step", "tasks", "worker", "slowdown", "decision", "wait s", "reason", "workers" } };
+        for (const nlohmann::json& step : steps) {
+            const nlohmann::json slowdown = step.value("slowdown", nlohmann::json());
+            const std::string agent = step.at("agent");
+            rows.push_back({ step.at("step").dump(), step.at("tasks").dump(), agent.empty() ? "-" : agent, slowdown.is_null() ? "-" : fixedText(slowdown.get<double>(), 2), step.at("decision"),
+                secondsText(step.value("wait_ms", nlohmann::json())), step.at("reason"), step.at("workers") });
+        }
+        std::cout << printTable(rows);
+    }
+
+    int explainJob(const Arguments& words)
+    {
+        const std::optional<CommandLine> line = readOrHelp(words, "jobs explain QUEUE FILE --admin IP:PORT", clientSettings(), 2);
+        if (!line)
+            return 0;
+        const nlohmann::json question { { "queue", line->operands[0] }, { "job", readFile(line->operands[1]) } };
+        HttpCall call { .address = line->settings.text("admin"), .method = "POST", .target = "/jobs/explain" };
+        call.body = question.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        const Response response = fetch(call);
+        const std::string page(response.body.view());
+        if (response.status != 200)
+            throw Error(ErrorKind::Internal, call.address + call.target + " answered with status " + std::to_string(response.status) + ": " + page);
+        const nlohmann::json json = nlohmann::json::parse(page);
+        expectLeading(json);
+        if (line->settings.text("form") == "json")
+            std::cout << page;
+        else
+            printStepTable(json.at("steps"));
+        return 0;
+    }
+
     int runJobsEntry(const Arguments& words)
     {
         const std::optional<CommandLine> line = readOrHelp(words, "jobs entry --name NAME --failure-domain DOMAIN --listen IP:PORT --ready-listen IP:PORT --admin-listen IP:PORT --store IP:PORT", jobsEntrySettings());
@@ -302,6 +346,7 @@
             { { "jobs", "entry" }, runJobsEntry },
             { { "jobs", "submit" }, submitJob },
             { { "jobs", "list" }, listJobs },
+            { { "jobs", "explain" }, explainJob },
             { { "jobs", "show" }, showJob },
             { { "jobs", "cancel" }, cancelJob },
             { { "jobs", "pending" }, showPendingJobs },
--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -3,10 +3,13 @@
 #include "StatusJson.h"
 #include <algorithm>
 #include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/platform/JobJson.h>
 #include <cowslipdoor/platform/Readiness.h>
 #include <cowslipdoor/platform/StoreAdapter.h>
 #include <cowslipdoor/runtime/Clock.h>
 #include <cowslipdoor/runtime/Process.h>
+#include <cowslipdoor/scheduling/CheckedJson.h>
+#include <cowslipdoor/scheduling/Limits.h>
 
 namespace cowslipdoor::entry {
 
@@ -18,6 +21,9 @@
     /// a slow store may take as long again to answer.
     constexpr Duration storeContactValidity = std::chrono::milliseconds(1600);
 
+    /// Limits of requests to the admin address; the largest is a job whose placement is explained, which fits in a row.
+    constexpr HttpLimits adminLimits { .bodyBytes = maximumRowBytes };
+
     SchedulerConfig schedulerConfig(const Settings& settings)
     {
         SchedulerConfig config;
@@ -57,11 +63,11 @@
           this->store, [this]() { return this->storeReachable(); }, this->log, this->metrics)
     , callers(this->context.get_executor(), settings.text("listen"), settings.number("connection-limit"), this->intake)
     , configuration(
-          this->store, [this](ConfigurationHandle newer) { this->callers.apply(std::move(newer)); }, [this](bool answered) { this->onStoreContact(answered); }, this->log, this->metrics)
+          this->store, [this](ConfigurationHandle newer) { this->rules = newer; this->callers.apply(std::move(newer)); }, [this](bool answered) { this->onStoreContact(answered); }, this->log, this->metrics)
     , scheduler(
           this->context.get_executor(), schedulerConfig(settings), this->store, [this](RowVersion upTo) { this->intake.learned(upTo); }, this->log, this->metrics)
     , readiness(this->context.get_executor(), settings.text("ready-listen"), pageLimits)
-    , admin(this->context.get_executor(), settings.text("admin-listen"), pageLimits)
+    , admin(this->context.get_executor(), settings.text("admin-listen"), adminLimits)
     , stop(this->context, this->log, { [this]() { return this->drain(); }, [this]() { return this->describeInFlight(); } })
 {
     this->addAdminHandlers();
@@ -96,6 +102,7 @@
         const JobList list = co_await this->jobs();
         co_return plainResponse(200, "application/json", printJobs(list));
     });
+    this->admin.handle("POST", "/jobs/explain", [this](const HttpRequest& request) { return this->explain(request); });
     this->admin.handle("GET", "/burn", [this](const HttpRequest&) -> asio::awaitable<Response> {
         const std::vector<BurnSeries> lines = co_await this->burn();
         co_return plainResponse(200, "application/json", printBurn(lines));
@@ -162,6 +169,38 @@
     return ask<SchedulerInput, JobListQuery, JobList>(this->scheduler.inbox());
 }
 
+asio::awaitable<Response> JobsEntryProcess::explain(const HttpRequest& request)
+{
+    JobSpecHandle spec;
+    std::string fault;
+    try {
+        spec = this->jobToExplain(request.body.view());
+    } catch (const Error& error) {
+        fault = error.what();
+    }
+    if (!spec)
+        co_return plainResponse(400, "text/plain", fault + "\n");
+    const Mailbox<PlacementExplanation> reply = makeMailbox<PlacementExplanation>(co_await asio::this_coro::executor, 1);
+    const SchedulerInput query(ExplainQuery { spec, reply });
+    co_await send(this->scheduler.inbox(), query);
+    const std::tuple<error_code, PlacementExplanation> received = co_await reply->async_receive(asTuple);
+    co_return plainResponse(200, "application/json", printExplanation(std::get<1>(received)));
+}
+
+JobSpecHandle JobsEntryProcess::jobToExplain(std::string_view body) const
+{
+    const CheckedJson json = CheckedJson::parse(body);
+    const std::string queue = json.at("queue").text();
+    const std::string job = json.at("job").text();
+    if (!this->rules)
+        throw Error(ErrorKind::BadRequest, "this entry has no configuration yet");
+    const std::vector<QueueRule>& queues = this->rules->queues;
+    const std::vector<QueueRule>::const_iterator it = std::find_if(queues.begin(), queues.end(), [&queue](const QueueRule& rule) { return rule.name == queue; });
+    if (it == queues.end())
+        throw Error(ErrorKind::BadRequest, "there is no queue '" + queue + "'");
+    return std::make_shared<const JobSpec>(platform::parseJob({ "explained" }, *it, job));
+}
+
 asio::awaitable<std::vector<BurnSeries>> JobsEntryProcess::burn()
 {
     return ask<SchedulerInput, BurnQuery, std::vector<BurnSeries>>(this->scheduler.inbox());
--- a/apps/entry/JobsEntryProcess.h
+++ b/apps/entry/JobsEntryProcess.h
@@ -39,6 +39,9 @@
     runtime::asio::awaitable<runtime::SchedulerStatus> status();
     runtime::asio::awaitable<runtime::JobList> jobs();
     runtime::asio::awaitable<std::vector<BurnSeries>> burn();
+    /// Answers where the tasks of a job would go now. The body states the queue and the job's own body as texts.
+    runtime::asio::awaitable<Response> explain(const runtime::HttpRequest& request);
+    [[nodiscard]] JobSpecHandle jobToExplain(std::string_view body) const;
 
     runtime::Settings settings;
     std::string name;
@@ -53,6 +56,7 @@
     runtime::AdminServer readiness;
     runtime::AdminServer admin;
     runtime::GracefulShutdown stop;
+    ConfigurationHandle rules;
     TimePoint storeAnsweredAt {};
     bool storeAnswered = false;
     bool stopping = false;
--- a/apps/entry/StatusJson.cpp
+++ b/apps/entry/StatusJson.cpp
@@ -1,4 +1,5 @@
 #include "StatusJson.h"
+#include <cmath>
 #include <cowslipdoor/core/RulesText.h>
 #include <nlohmann/json.hpp>
 
@@ -22,6 +23,30 @@
         };
     }
 
+    /// A slowdown, or null for a place without any pace.
+    Json printSlowdown(double slowdown)
+    {
+        return std::isfinite(slowdown) ? Json(slowdown) : Json(nullptr);
+    }
+
+    Json printStep(const StepPlacement& step)
+    {
+        Json json { { "step", step.step }, { "tasks", step.tasks }, { "after_others", step.afterOthers }, { "agent", step.agent }, { "decision", "none" }, { "reason", "no worker can take a task" }, { "workers", step.fitness } };
+        if (!step.decision)
+            return json;
+        json["slowdown"] = printSlowdown(step.slowdown);
+        const PlaceNow* const now = std::get_if<PlaceNow>(&*step.decision);
+        json["decision"] = now ? "place" : "wait";
+        json["reason"] = now ? std::string(toString(now->reason)) : "a better place is expected to save more";
+        if (!now)
+            json["wait_ms"] = toMilliseconds(std::get<WaitUntil>(*step.decision).limit);
+        if (step.better) {
+            json["better_slowdown"] = printSlowdown(step.better->slowdown);
+            json["release_ms"] = step.better->release ? Json(toMilliseconds(*step.better->release)) : Json(nullptr);
+        }
+        return json;
+    }
+
 }
 
 std::string printStatus(const runtime::EntryStatus& status, const std::string& name)
@@ -71,6 +96,15 @@
     return json.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
+std::string printExplanation(const runtime::PlacementExplanation& explanation)
+{
+    Json steps = Json::array();
+    for (const StepPlacement& step : explanation.steps)
+        steps.push_back(printStep(step));
+    const Json json { { "leading", explanation.leading }, { "leader", explanation.leader }, { "steps", steps } };
+    return json.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
 std::string printRules(const RuleSet& rules)
 {
     Json list = Json::array();
--- a/apps/entry/StatusJson.h
+++ b/apps/entry/StatusJson.h
@@ -23,6 +23,10 @@
 /// @return a JSON object for /jobs: the leader and, when this entry leads, one line for each job
 [[nodiscard]] std::string printJobs(const runtime::JobList& list);
 
+/// @param explanation where the tasks of a job would go
+/// @return a JSON object for /jobs/explain: the leader and, when this entry leads, one object for each step
+[[nodiscard]] std::string printExplanation(const runtime::PlacementExplanation& explanation);
+
 /// @param rules the rules in force
 /// @return a JSON object for /rules: the version and, for each rule, its text, its requester and the reason
 [[nodiscard]] std::string printRules(const RuleSet& rules);
--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -69,8 +69,25 @@
     Mailbox<JobList> reply;
 };
 
+/// @brief Where the tasks of a job would go now.
+struct PlacementExplanation {
+    /// Whether this entry leads; if not, `steps` is empty.
+    bool leading = false;
+    /// Name of the leading entry, as far as this entry knows.
+    std::string leader {};
+    std::vector<StepPlacement> steps {};
+
+    bool operator==(const PlacementExplanation&) const = default;
+};
+
+/// @brief Asks where the tasks of a job would go now; the job is neither stored nor placed.
+struct ExplainQuery {
+    JobSpecHandle spec;
+    Mailbox<PlacementExplanation> reply;
+};
+
 /// @brief Any message to the scheduler's task.
-using SchedulerInput = std::variant<SchedulerEvent, SchedulerStatusQuery, JobListQuery, BurnQuery>;
+using SchedulerInput = std::variant<SchedulerEvent, SchedulerStatusQuery, JobListQuery, BurnQuery, ExplainQuery>;
 
 /// @brief Runs a Scheduler: passes it the messages and applies its effects.
 /// @code
@@ -106,6 +123,7 @@
     void on(const SchedulerStatusQuery& query);
     void on(const JobListQuery& query);
     void on(const BurnQuery& query);
+    void on(const ExplainQuery& query);
     void carryOut(const ReadLeaderRow& effect);
     void carryOut(const SubmitCommit& effect);
     void carryOut(const ReadTables& effect);
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -90,6 +90,14 @@
     trySend(*query.reply, this->machine.burn().series(bootTimeNow()));
 }
 
+void SchedulerTask::on(const ExplainQuery& query)
+{
+    PlacementExplanation explanation { .leading = this->machine.isActiveLeader(), .leader = this->machine.lease().record().holder };
+    if (explanation.leading)
+        explanation.steps = this->machine.explain(query.spec, bootTimeNow());
+    trySend(*query.reply, std::move(explanation));
+}
+
 void SchedulerTask::carryOut(const ReadLeaderRow&)
 {
     asio::co_spawn(
--- a/libs/scheduling/include/cowslipdoor/scheduling/PlaceOutlook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PlaceOutlook.h
@@ -5,6 +5,7 @@
 
 #include "JobRegistry.h"
 #include "PlaceCache.h"
+#include "PlaceOrWait.h"
 #include "Placement.h"
 #include "Racks.h"
 #include <array>
@@ -30,6 +31,21 @@
     bool operator==(const BetterPlace&) const = default;
 };
 
+/// @param step the step of a waiting task
+/// @param task the task
+/// @return the time that the rest of it takes at full pace; one second if its job does not estimate it
+[[nodiscard]] Duration remainingTime(const StepSpec& step, const TaskState& task);
+
+/// @param job the job
+/// @param step number of the step
+/// @param task a waiting task
+/// @param place the best available place
+/// @param better the better place
+/// @param waited how long the task has waited for a better place
+/// @param now current time
+/// @return what placeOrWait() needs to know
+[[nodiscard]] PlaceSituation situationOf(const TrackedJob& job, std::uint32_t step, const TaskState& task, const Place& place, const BetterPlace& better, Duration waited, TimePoint now);
+
 /// @brief Expects when better places become available.
 ///
 /// Tasks that wait take the expected releases in their order of placement, so that one release is not expected by all of them.
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -3,6 +3,7 @@
 /// @file
 /// @brief Scheduling decisions of an entry: leadership, stored progress and placement of runs.
 
+#include "ExplainPlacement.h"
 #include "InterferenceModel.h"
 #include "JobMessages.h"
 #include "JobRegistry.h"
@@ -261,6 +262,11 @@
     /// @return the number of tasks that wait for a better place than the available one
     [[nodiscard]] std::size_t tasksAwaitingPlace() const noexcept;
 
+    /// @param spec a job that need not be known
+    /// @param now current time
+    /// @return where its tasks would go now; nothing is placed
+    [[nodiscard]] std::vector<StepPlacement> explain(const JobSpecHandle& spec, TimePoint now) const;
+
     /// @param now current time
     /// @return the number of cancellations without a job
     [[nodiscard]] std::size_t unmatchedCancellationCount() const noexcept { return this->unmatchedCancellations.size(); }
--- a/libs/scheduling/src/PlaceOutlook.cpp
+++ b/libs/scheduling/src/PlaceOutlook.cpp
@@ -7,6 +7,20 @@
 
 namespace {
 
+    /// Run time that is assumed for a task whose job does not estimate it.
+    constexpr Duration usualRunTime = std::chrono::seconds(1);
+
+    constexpr std::uint32_t completePercent = 100;
+
+    /// How long a job has had nothing running; std::nullopt if one of its tasks is assigned.
+    std::optional<Duration> idleTime(const TrackedJob& job, TimePoint now)
+    {
+        if (job.assigned > 0)
+            return std::nullopt;
+        // A new leader sees the job later than its caller does.
+        return now - (job.begun ? job.waitingSince : std::min(job.arrived, job.waitingSince));
+    }
+
     /// How long expected releases are used: workers report progress every half second, so they change hardly more often, and a
     /// leader with 0.12 cores cannot compute them in every pass.
     constexpr Duration outlookValidity = std::chrono::milliseconds(500);
@@ -16,6 +30,21 @@
 
 }
 
+Duration remainingTime(const StepSpec& step, const TaskState& task)
+{
+    const Duration whole = step.estimate > Duration {} ? step.estimate : usualRunTime;
+    if (task.record.checkpoint.empty())
+        return whole;
+    return whole * (completePercent - std::min(task.percent, completePercent)) / completePercent;
+}
+
+PlaceSituation situationOf(const TrackedJob& job, std::uint32_t step, const TaskState& task, const Place& place, const BetterPlace& better, Duration waited, TimePoint now)
+{
+    const StepSpec& spec = job.spec->steps[step];
+    const Duration after = std::max(Duration {}, job.remainingChain() - spec.estimate);
+    return { place.slowdown, remainingTime(spec, task), better.slowdown, better.release, waited, job.due - after - now, valueEnd(job) - after - now, idleTime(job, now) };
+}
+
 TimePoint PlaceOutlook::Group::release(std::size_t number, Duration estimate) const
 {
     // Tasks that take the released places are expected to release them again in the same order.
--- a/libs/scheduling/src/SchedulerPlaces.cpp
+++ b/libs/scheduling/src/SchedulerPlaces.cpp
@@ -8,29 +8,6 @@
 
 namespace {
 
-    /// Run time that is assumed for a task whose job does not estimate it.
-    constexpr Duration usualRunTime = std::chrono::seconds(1);
-
-    constexpr std::uint32_t completePercent = 100;
-
-    /// Time that the rest of a waiting task takes at full pace.
-    Duration remainingTime(const StepSpec& step, const TaskState& task)
-    {
-        const Duration whole = step.estimate > Duration {} ? step.estimate : usualRunTime;
-        if (task.record.checkpoint.empty())
-            return whole;
-        return whole * (completePercent - std::min(task.percent, completePercent)) / completePercent;
-    }
-
-    /// How long a job has had nothing running; std::nullopt if one of its tasks is assigned.
-    std::optional<Duration> idleTime(const TrackedJob& job, TimePoint now)
-    {
-        if (job.assigned > 0)
-            return std::nullopt;
-        // A new leader sees the job later than its caller does.
-        return now - (job.begun ? job.waitingSince : std::min(job.arrived, job.waitingSince));
-    }
-
     bool canBePlaced(const TaskState& task, TimePoint now)
     {
         return task.unplaced() && now >= task.notBefore;
@@ -68,6 +45,11 @@
     return std::accumulate(this->placeWaits.begin(), this->placeWaits.end(), std::size_t { 0 }, add);
 }
 
+std::vector<StepPlacement> Scheduler::explain(const JobSpecHandle& spec, TimePoint now) const
+{
+    return explainPlacement(spec, { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement }, now);
+}
+
 void Scheduler::beginPlaces(TimePoint now, Effects& effects)
 {
     this->placeCache.clear();
@@ -135,8 +117,7 @@
 {
     if (place.slowdown <= usefulSlowdown)
         return PlaceNow { PlaceReason::GoodEnough };
-    const StepSpec& spec = job.spec->steps[step];
-    const Duration remaining = remainingTime(spec, task);
+    const Duration remaining = remainingTime(job.spec->steps[step], task);
     const std::size_t tasks = countPlaceable(job.steps[step], now);
     const OutlookSources sources { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement };
     const std::optional<BetterPlace> better = this->placeOutlook.better(job, step, nearRack, tasks, remaining, place.slowdown, sources, now);
@@ -144,8 +125,7 @@
         return PlaceNow { PlaceReason::NoBetterPlace };
     const PlaceWaits::const_iterator wait = this->placeWaits.find({ job.spec->id, step });
     const Duration waited = wait == this->placeWaits.end() ? Duration {} : now - wait->second.since;
-    const Duration after = std::max(Duration {}, job.remainingChain() - spec.estimate);
-    const PlaceSituation situation { place.slowdown, remaining, better->slowdown, better->release, waited, job.due - after - now, valueEnd(job) - after - now, idleTime(job, now) };
+    const PlaceSituation situation = situationOf(job, step, task, place, *better, waited, now);
     const PlaceDecision decision = placeOrWait(situation);
     if (std::holds_alternative<WaitUntil>(decision)) {
         this->placeOutlook.claim(job, step, nearRack, tasks);
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -258,6 +258,34 @@
     CHECK(list(1 - leader, "text") == "1 cowslipdoor: this entry does not lead the jobs; ask entry-" + std::to_string(leader) + "\n");
 }
 
+TEST_CASE("jobs: the placement of a job is explained, and nothing is stored or placed", "[system][jobs]")
+{
+    JobsDeploymentConfig config = configFor("explain");
+    JobsDeployment deployment(config);
+    REQUIRE(deployment.submit(jobId(1), 1));
+    JobsDeployment::await("the job to end", [&deployment]() { return deployment.state(jobId(1)) == "done"; });
+    const std::size_t leader = *deployment.leader();
+    const std::string file = config.folder + "/job.json";
+    std::ofstream(file) << R"({"spec":"x","phases":[{"count":2,"cpu":100,"mem-mb":10},{"count":1,"cpu":10000000}]})";
+    const auto explain = [&deployment, &config, &file](std::size_t entry, const std::string& queue, const std::string& form) {
+        const std::string output = config.folder + "/explain-" + std::to_string(entry) + "-" + queue + "-" + form;
+        const int code = standins::ChildProcess(COWSLIPDOOR_ENTRY, { "jobs", "explain", queue, file, "--admin", deployment.adminAddress(entry), "--form", form }, output).wait();
+        std::ifstream text(output);
+        return std::to_string(code) + " " + std::string(std::istreambuf_iterator<char>(text), {});
+    };
+    const std::string queue = nlohmann::json::parse(runtime::fetch({ .address = deployment.adminAddress(leader), .target = "/jobs" }).body.view()).at("jobs")[0].at("queue");
+    const nlohmann::json json = nlohmann::json::parse(explain(leader, queue, "json").substr(2));
+    REQUIRE(json.at("steps").size() == 2);
+    CHECK(json.at("steps")[0].at("decision") == "place");
+    CHECK_FALSE(json.at("steps")[0].at("agent").get<std::string>().empty());
+    CHECK(json.at("steps")[1].at("decision") == "none");
+    CHECK(json.at("steps")[1].at("workers").get<std::string>().find("without enough headroom") != std::string::npos);
+    CHECK(explain(leader, queue, "text").starts_with("0 step "));
+    CHECK(explain(leader, "none", "text").find("there is no queue 'none'") != std::string::npos);
+    CHECK(explain(1 - leader, queue, "text") == "1 cowslipdoor: this entry does not lead the jobs; ask entry-" + std::to_string(leader) + "\n");
+    CHECK(nlohmann::json::parse(runtime::fetch({ .address = deployment.adminAddress(leader), .target = "/jobs" }).body.view()).at("jobs").size() == 1);
+}
+
 TEST_CASE("jobs: a cancelled job stops its tasks and starts no others", "[system][jobs]")
 {
     JobsDeploymentConfig config = configFor("cancel");
