--- a/libs/scheduling/include/cowslipdoor/scheduling/PlaceCache.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PlaceCache.h
@@ -6,6 +6,7 @@
 #include "BestEffortPace.h"
 #include "InterferenceModel.h"
 #include "Workers.h"
+#include <compare>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,7 +37,7 @@
     /// Whether stalled workers count as well.
     bool takesStalled = false;
 
-    auto operator<=>(const PlaceKey&) const = default;
+    std::strong_ordering operator<=>(const PlaceKey&) const = default;
 };
 
 /// @brief Caches slowdowns and best places until the load of a worker changes.
