--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -3,10 +3,13 @@
 #include "StatusJson.h"
 #include <algorithm>
 #include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/platform/JobJson.h>
 #include <cowslipdoor/platform/Readiness.h>
 #include <cowslipdoor/platform/StoreAdapter.h>
 #include <cowslipdoor/runtime/Clock.h>
 #include <cowslipdoor/runtime/Process.h>
+#include <cowslipdoor/scheduling/CheckedJson.h>
+#include <cowslipdoor/scheduling/Limits.h>
 
 namespace cowslipdoor::entry {
 
@@ -45,6 +48,9 @@
     /// Three quarters hold the largest body that the configuration permits by default, 262,144 bytes.
     constexpr std::uint64_t smallestReceiveLimit = std::uint64_t { 1 } * 1024 * 1024;
 
+    /// Limits of requests to the admin address; the largest is a job whose placement is explained, which fits in a row.
+    constexpr HttpLimits adminLimits { .bodyBytes = maximumRowBytes };
+
     SchedulerConfig schedulerConfig(const Settings& settings)
     {
         SchedulerConfig config;
@@ -92,7 +98,7 @@
     , scheduler(
           this->context.get_executor(), schedulerConfig(settings), this->store, [this](RowVersion upTo) { this->intake.learned(upTo); }, this->log, this->metrics)
     , readiness(this->context.get_executor(), settings.text("ready-listen"), pageLimits, this->limiter)
-    , admin(this->context.get_executor(), settings.text("admin-listen"), pageLimits, this->limiter)
+    , admin(this->context.get_executor(), settings.text("admin-listen"), adminLimits, this->limiter)
     , stop(this->context, this->log, { [this]() { return this->drain(); }, [this]() { return this->describeInFlight(); } })
 {
     this->addAdminHandlers();
@@ -118,7 +124,10 @@
 platform::ConfigurationHandlers JobsEntryProcess::configurationHandlers()
 {
     return {
-        [this](ConfigurationHandle newer) { this->callers.apply(std::move(newer)); },
+        [this](ConfigurationHandle newer) {
+            this->rules = newer;
+            this->callers.apply(std::move(newer));
+        },
         [this](EvacuationsFollowed followed) { return this->postEvacuations(std::move(followed)); },
         [this](bool answered) { this->onStoreContact(answered); },
     };
@@ -142,6 +151,7 @@
         const JobList list = co_await this->jobs();
         co_return plainResponse(200, "application/json", printJobs(list));
     });
+    this->admin.handle("POST", "/jobs/explain", [this](const HttpRequest& request) { return this->explain(request); });
     this->admin.handle("GET", "/burn", [this](const HttpRequest&) -> asio::awaitable<Response> {
         const std::vector<BurnSeries> lines = co_await this->burn();
         co_return plainResponse(200, "application/json", printBurn(lines));
@@ -215,6 +225,38 @@
     return ask<SchedulerInput, JobListQuery, JobList>(this->scheduler.inbox());
 }
 
+asio::awaitable<Response> JobsEntryProcess::explain(const HttpRequest& request)
+{
+    JobSpecHandle spec;
+    std::string fault;
+    try {
+        spec = this->jobToExplain(request.body.view());
+    } catch (const Error& error) {
+        fault = error.what();
+    }
+    if (!spec)
+        co_return plainResponse(400, "text/plain", fault + "\n");
+    const Mailbox<PlacementExplanation> reply = makeMailbox<PlacementExplanation>(co_await asio::this_coro::executor, 1);
+    const SchedulerInput query(ExplainQuery { spec, reply });
+    co_await send(this->scheduler.inbox(), query);
+    const std::tuple<error_code, PlacementExplanation> received = co_await reply->async_receive(asTuple);
+    co_return plainResponse(200, "application/json", printExplanation(std::get<1>(received)));
+}
+
+JobSpecHandle JobsEntryProcess::jobToExplain(std::string_view body) const
+{
+    const CheckedJson json = CheckedJson::parse(body);
+    const std::string queue = json.at("queue").text();
+    const std::string job = json.at("job").text();
+    if (!this->rules)
+        throw Error(ErrorKind::BadRequest, "this entry has no configuration yet");
+    const std::vector<QueueRule>& queues = this->rules->queues;
+    const std::vector<QueueRule>::const_iterator it = std::find_if(queues.begin(), queues.end(), [&queue](const QueueRule& rule) { return rule.name == queue; });
+    if (it == queues.end())
+        throw Error(ErrorKind::BadRequest, "there is no queue '" + queue + "'");
+    return std::make_shared<const JobSpec>(platform::parseJob({ "explained" }, *it, job));
+}
+
 asio::awaitable<std::vector<BurnSeries>> JobsEntryProcess::burn()
 {
     return ask<SchedulerInput, BurnQuery, std::vector<BurnSeries>>(this->scheduler.inbox());
