--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -91,10 +91,6 @@
     ConnectionFailed = 646,
     PlaceAwaited = 650,
     PlaceWaitEnded = 651,
-    JobHeld = 655,
-    JobAdmitted = 656,
-    ForecastRejection = 657,
-    ForecastChecked = 658,
 };
 
 /// @brief Effect: write a log event.
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -79,10 +79,6 @@
         EventDescription { EventId::ConnectionFailed, "connection_failed", EventLevel::Error, "An unexpected error ended the service of one connection, which is closed; the detail says why." },
         EventDescription { EventId::PlaceAwaited, "place_awaited", EventLevel::Debug, "A task waits for a place on which it is expected to end earlier than on the one available now." },
         EventDescription { EventId::PlaceWaitEnded, "place_wait_ended", EventLevel::Debug, "A task no longer waits for a better place; the detail has the expected and the actual wait." },
-        EventDescription { EventId::JobHeld, "job_held", EventLevel::Info, "A job waits without having begun because other jobs need the best-effort capacity to end in time." },
-        EventDescription { EventId::JobAdmitted, "job_admitted", EventLevel::Info, "A job that was held may begin." },
-        EventDescription { EventId::ForecastRejection, "forecast_rejection", EventLevel::Warning, "This entry begins or ends to reject jobs that the leader expects to end too late; the detail has the forecast." },
-        EventDescription { EventId::ForecastChecked, "forecast_checked", EventLevel::Debug, "A job has ended; the detail compares the forecast at its arrival with the outcome." },
     };
 
 }
