Admission: while best-effort tasks of all jobs do not fit, capacity goes to jobs that can end in time

In a burst of large jobs every job began at once, shared the places with all others, and none ended in time. Order alone changed nothing, because running tasks hold the capacity.

The leader now measures the capacity for best-effort tasks (what runs at its pace, and what is unused at a useful pace) and decides every 100 ms which jobs may place tasks: those that run and can end in time, then by priority those that can end in time with equal shares for queues and for the largest tenth of each, then late ones. A tenth of the capacity serves the oldest of the rest, a held job with nothing running gets a task in time, and clearly late jobs give back places by checkpoint. While all fit, nothing changes.

--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -23,6 +23,7 @@
         config.lease.holder = settings.text("name");
         config.lease.incarnation = static_cast<std::uint64_t>(newIncarnation());
         config.lease.milliCores = settings.milliCores("cores");
+        config.admission.enabled = settings.text("job-admission") == "on";
         return config;
     }
 
@@ -35,6 +36,7 @@
         { "ready-listen", AddressSetting {}, std::nullopt, "Address for the probe of the platform's balancer." },
         { "store", AddressSetting {}, std::nullopt, "Address of the platform's store." },
         { "cores", CoresSetting { 1'000'000 }, "1", "Processor cores of this VM; among several entries, the one with the most cores leads the scheduling of jobs." },
+        { "job-admission", ChoiceSetting { { "on", "off" } }, "on", "Whether the leader holds jobs with best-effort tasks while the capacity does not suffice for all of them." },
         { "connection-limit", NumberSetting { 1, 1'000'000 }, "3000", "Maximum number of connections of callers." },
         { "drain-grace", DurationSetting { std::chrono::milliseconds(0), std::chrono::minutes(10) }, "2500ms", "Time for which a draining entry still accepts connections, until two probes of the balancer have failed." },
     };
@@ -104,6 +106,8 @@
         this->metrics.setGauge("cowslipdoor_knowledge_age_seconds", "How long ago the leader knew all jobs and cancellations", std::chrono::duration<double>(status.knowledgeAge).count());
         this->metrics.setGauge("cowslipdoor_learning_lag_seconds", "How far the leader lags behind the jobs that this entry has stored", std::chrono::duration<double>(this->intake.learningLag()).count());
         this->metrics.setGauge("cowslipdoor_idle_lasting_tasks", "Long-running tasks that no worker has listed for 2 s", static_cast<double>(status.idleLongRunningTasks));
+        this->metrics.setGauge("cowslipdoor_held_jobs", "Jobs with best-effort tasks that wait because others need the capacity", static_cast<double>(status.heldJobs));
+        this->metrics.setGauge("cowslipdoor_best_effort_room_cores", "Cores that best-effort tasks can use at a useful pace", status.bestEffortMilliCores / 1000);
         co_return plainResponse(200, "text/plain; version=0.0.4", this->metrics.expose());
     });
 }
--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -31,6 +31,9 @@
     std::size_t unmatchedCancellations = 0;
     /// Long-running tasks that no worker has listed for longer than the idle limit of SchedulerConfig.
     std::size_t idleLongRunningTasks = 0;
+    /// Jobs that admission holds, and milli-cores for best-effort tasks as of its last decision.
+    std::size_t heldJobs = 0;
+    double bestEffortMilliCores = 0;
     struct WorkerLine {
         std::string agent;
         std::string worker;
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -69,6 +69,8 @@
     status.knowledgeAge = this->machine.knowledgeAge(now);
     status.unmatchedCancellations = this->machine.unmatchedCancellationCount();
     status.idleLongRunningTasks = this->machine.idleLongRunningTasks();
+    status.heldJobs = this->machine.admission().decision().heldJobs();
+    status.bestEffortMilliCores = this->machine.admission().roomMilliCores();
     for (const Workers::value_type& item : this->machine.workers()) {
         const TrackedWorker& worker = item.second;
         status.workers.push_back({ item.first, worker.info ? worker.info->identity.id : "", worker.link.has_value(), worker.usable(now), worker.tasks.size(), worker.free() });
--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -23,6 +23,23 @@
 /// @return the jobs in the order of placement
 [[nodiscard]] std::vector<const TrackedJob*> placementOrder(const std::set<JobId>& jobs, const JobRegistry& jobRegistry, TimePoint now);
 
+/// @brief Whether best-effort tasks that a worker already has are taken into account.
+enum class BesideBestEffort : unsigned char {
+    Counted,
+    Ignored,
+};
+
+/// @param worker a worker with known capacity
+/// @return the milli-cores that further best-effort tasks can use there; negative if those there need more than exist
+[[nodiscard]] double unusedCores(const TrackedWorker& worker);
+
+/// @param worker a worker with known capacity
+/// @param step step of a best-effort task
+/// @param interference effect of best-effort tasks on serving ones
+/// @param others whether the best-effort tasks that the worker has take their part
+/// @return how many such tasks serving tasks on the worker would let run at full pace; infinite if none of them is affected
+[[nodiscard]] double tasksAtFullPace(const TrackedWorker& worker, const StepSpec& step, const InterferenceModel& interference, BesideBestEffort others);
+
 /// @param worker a worker with known capacity
 /// @param step step of a best-effort task
 /// @param interference effect of best-effort tasks on serving ones
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -4,6 +4,7 @@
 /// @brief Scheduling decisions of an entry: leadership, stored progress and placement of runs.
 
 #include "InterferenceModel.h"
+#include "JobAdmission.h"
 #include "JobMessages.h"
 #include "JobRegistry.h"
 #include "LeaderLease.h"
@@ -25,6 +26,7 @@
     LeaseConfig lease {};
     WorkerHealthConfig health {};
     RelocationConfig relocation {};
+    AdmissionConfig admission {};
     /// How long after the last renewal grant runs may still be active: the validity of a grant at the agent, the lease of the
     /// worker with 2% for its clock, and the time that a call may take to arrive.
     Duration silenceLimit = std::chrono::milliseconds(4900);
@@ -252,6 +254,9 @@
     /// @return ends of jobs against their objectives, counted while this process leads
     [[nodiscard]] const BurnTracker& burn() const noexcept { return this->burnTracker; }
 
+    /// @return admission of jobs with best-effort tasks, for status pages
+    [[nodiscard]] const JobAdmission& admission() const noexcept { return this->jobAdmission; }
+
     /// @return the number of long-running tasks that no worker has listed for a while, as of the last check
     [[nodiscard]] std::size_t idleLongRunningTasks() const noexcept { return this->idleTasks; }
 
@@ -310,6 +315,14 @@
     void leadershipLost(Effects& effects);
     void committed(TimePoint now, Effects& effects);
     void placeTasks(TimePoint now, Effects& effects);
+    /// Decides anew which jobs may place tasks if that is due.
+    void updateAdmission(TimePoint now, Effects& effects);
+    /// Returns whether a job may get another assignment.
+    [[nodiscard]] bool mayPlace(const TrackedJob& job, TimePoint now);
+    /// Notes the run time of a task that is done, for the correction of estimates.
+    void noteRunTime(const RunId& run, const TaskState& task, TimePoint now);
+    /// Stops one run of a worker whose job gives back its places.
+    void takeBackOnePlace(const TrackedWorker& worker, TimePoint now, Effects& effects);
     void placeJob(const TrackedJob& job, TimePoint now, Effects& effects);
     void placeStep(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects);
     void assignTask(const TrackedJob& job, const TaskId& id, const TrackedWorker& chosen, TimePoint now, Effects& effects);
@@ -371,6 +384,7 @@
     BurnTracker burnTracker;
     Workers knownWorkers;
     InterferenceModel interference;
+    JobAdmission jobAdmission;
     bool tablesRead = false;
     /// Latest time at which an earlier leader may have given a renewal grant.
     TimePoint earlierGrantsEnd {};
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -89,6 +89,8 @@
     std::int64_t lastPing = 0;
     ResourceVector used {};
     std::uint32_t longRunningMilliCores = 0;
+    /// Milli-cores of long-running best-effort tasks, which no other best-effort task can use.
+    std::uint32_t lastingBestEffortMilliCores = 0;
     /// Best-effort tasks and serving tasks here, by image.
     std::map<std::string, ImageLoad> bestEffortByImage {};
     std::map<std::string, ImageLoad> servingByImage {};
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -1,6 +1,7 @@
 #include "cowslipdoor/scheduling/Placement.h"
 #include "cowslipdoor/scheduling/PaceControl.h"
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <tuple>
 
@@ -40,12 +41,6 @@
         return label.empty() || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
     }
 
-    /// Milli-cores that further best-effort tasks can use on a worker.
-    double unusedCores(const TrackedWorker& worker)
-    {
-        return static_cast<double>(worker.free().milliCores) + longRunningUnusedShare * worker.longRunningMilliCores + worker.pacedDownMilliCores - worker.bestEffortMilliCores();
-    }
-
     /// Slack of a serving image without best-effort tasks, assumed until its worker has listed it: that at half the load.
     constexpr double usualSlack = 2.5;
 
@@ -126,10 +121,15 @@
 
 }
 
-double expectedPace(const TrackedWorker& worker, const StepSpec& step, const InterferenceModel& interference)
+double unusedCores(const TrackedWorker& worker)
+{
+    return static_cast<double>(worker.free().milliCores) + longRunningUnusedShare * worker.longRunningMilliCores + worker.pacedDownMilliCores - worker.bestEffortMilliCores();
+}
+
+double tasksAtFullPace(const TrackedWorker& worker, const StepSpec& step, const InterferenceModel& interference, BesideBestEffort others)
 {
     const double cores = std::max(1U, worker.info->capacity.milliCores);
-    double pace = 1;
+    double tasks = std::numeric_limits<double>::infinity();
     for (const std::map<std::string, ImageLoad>::value_type& serving : worker.servingByImage) {
         const std::map<std::string, double>::const_iterator alone = worker.baselineSlack.find(serving.first);
         double left = (alone == worker.baselineSlack.end() ? usualSlack : alone->second) - PaceConfig {}.minimumSlack;
@@ -140,12 +140,16 @@
         // Agents share slack among best-effort runs by increasing loss, so only runs with no greater loss come before this one.
         for (const std::map<std::string, ImageLoad>::value_type& bestEffort : worker.bestEffortByImage) {
             const double earlier = interference.lossOf(serving.first, bestEffort.first);
-            left -= earlier <= lossPerWorker ? earlier * bestEffort.second.milliCores / cores : 0;
+            left -= others == BesideBestEffort::Counted && earlier <= lossPerWorker ? earlier * bestEffort.second.milliCores / cores : 0;
         }
-        if (loss * pace > left)
-            pace = std::max(0.0, left) / loss;
+        tasks = std::min(tasks, std::max(0.0, left) / loss);
     }
-    return pace;
+    return tasks;
+}
+
+double expectedPace(const TrackedWorker& worker, const StepSpec& step, const InterferenceModel& interference)
+{
+    return std::min(1.0, tasksAtFullPace(worker, step, interference, BesideBestEffort::Counted));
 }
 
 bool waitedTooLong(const TrackedJob& job, std::uint32_t step, const TaskState& task, TimePoint now)
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -19,6 +19,7 @@
 Scheduler::Scheduler(SchedulerConfig config)
     : config(std::move(config))
     , leaderLease(this->config.lease)
+    , jobAdmission(this->config.admission)
 {
 }
 
@@ -258,6 +259,7 @@
     this->jobRegistry = JobRegistry();
     this->knownWorkers.clear();
     this->interference = InterferenceModel();
+    this->jobAdmission = JobAdmission(this->config.admission);
     this->tablesRead = false;
     this->earlierGrantsEnd = this->leaderLease.earlierLeaseEnd(now);
     this->silentSince = this->leaderLease.earlierSilence();
@@ -288,6 +290,7 @@
     effects.emplace_back(StopLeading {});
     this->jobRegistry = JobRegistry();
     this->knownWorkers.clear();
+    this->jobAdmission = JobAdmission(this->config.admission);
     this->unansweredPings.clear();
     this->unmatchedCancellations.clear();
     this->tablesRead = false;
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -75,6 +75,7 @@
     this->notePace(worker, listed, now);
     this->leaveStalledWorker(worker, listed, now, effects);
     this->relocateOneStarvingRun(worker, now, effects);
+    this->takeBackOnePlace(worker, now, effects);
     if (!this->jobRegistry.waiting().empty())
         this->schedulePass(now);
 }
@@ -99,6 +100,8 @@
     TrackedWorker* const holder = this->holderOf(end.run);
     if (holder)
         holder->noteAcceptance(open->startedAt);
+    if (open && end.kind == RunEndKind::Done)
+        this->noteRunTime(end.run, *open, now);
     const RunVerdict verdict = this->jobRegistry.end(end.run, end.kind, end.checkpoint, now);
     const TrackedJob* const job = this->jobRegistry.find(end.run.task.job);
     if (verdict == RunVerdict::Unknown || !job)
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -26,7 +26,10 @@
     this->placementHeldBack = !this->knowledgeCurrent(now);
     if (this->placementHeldBack)
         return;
+    this->updateAdmission(now, effects);
     for (const TrackedJob* const job : placementOrder(this->jobRegistry.waiting(), this->jobRegistry, now)) {
+        if (!this->mayPlace(*job, now))
+            continue;
         // An assignment reserves room, but its order is sent only once it is stored.
         if (job->spec->isLongRunning() || this->jobRegistry.unwrittenAssignments() < this->config.rowsPerWrite || this->jobRegistry.hasUnwrittenAssignment(job->spec->id))
             this->placeJob(*job, now, effects);
@@ -58,6 +61,8 @@
         const bool waited = waitedTooLong(job, step, task, now);
         if (recentTasksWait && !waited)
             continue;
+        if (!this->mayPlace(job, now))
+            return;
         const TrackedWorker* const chosen = chooseWorker(job, step, task, this->knownWorkers, this->interference, now);
         if (chosen)
             this->assignTask(job, { job.spec->id, step, index }, *chosen, now, effects);
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -96,6 +96,7 @@
         return;
     this->used = this->used.plus(step.countedDemand());
     this->longRunningMilliCores += step.longRunning ? step.demand.milliCores : 0;
+    this->lastingBestEffortMilliCores += step.longRunning && step.bestEffort ? step.demand.milliCores : 0;
     if (step.bestEffort)
         addTask(this->bestEffortByImage, step);
     else if (step.target > Duration {})
@@ -108,6 +109,7 @@
         return;
     this->used = this->used.minus(step.countedDemand());
     this->longRunningMilliCores -= step.longRunning ? step.demand.milliCores : 0;
+    this->lastingBestEffortMilliCores -= step.longRunning && step.bestEffort ? step.demand.milliCores : 0;
     if (step.bestEffort)
         removeTask(this->bestEffortByImage, step);
     else if (step.target > Duration {})
