--- a/libs/scheduling/include/cowslipdoor/scheduling/AdmissionDecision.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/AdmissionDecision.h
@@ -103,8 +103,8 @@
 ///
 /// While the capacity suffices for the ready tasks of all jobs, all are admitted. Otherwise jobs that run and can end in time go
 /// on. The others follow by priority; within one first those that can end in time, from the queue that has got the least share of
-/// its demand, and in it the job with the least remaining work, then late ones. The largest tenth of the jobs of a queue counts
-/// as a queue of its own, so that it gets the same share as the others. A share of the capacity is left for the oldest of the rest.
+/// its demand, and in it the job with the least remaining work, then late ones. Jobs much larger than the median of
+/// their queue count as a queue of their own, so that they get the same share as the others. A share of the capacity is left for the oldest of the rest.
 /// @param candidates the jobs
 /// @param before the decision before this one
 /// @param room capacity for best-effort tasks
--- a/libs/scheduling/src/AdmissionDecision.cpp
+++ b/libs/scheduling/src/AdmissionDecision.cpp
@@ -220,22 +220,19 @@
             return { job.queue, least != this->largestFrom.end() && job.totalWork >= least->second };
         }
 
-        /// Finds the work from which a job counts among the largest tenth of its queue, where sizes differ.
+        /// Finds the work from which a job counts as one of the largest of its queue. The largest tenth is not always among the jobs
+        /// that are known now, so the limit is a size and not a rank.
         void findLargest()
         {
-            constexpr std::size_t fewestJobs = 10;
             constexpr double largerThanMedian = 1.5;
             std::map<std::string, std::vector<double>> works;
             for (const AdmissionCandidate* const job : this->jobs)
                 works[job->queue].push_back(job->totalWork);
             for (std::map<std::string, std::vector<double>>::value_type& item : works) {
                 std::vector<double>& sizes = item.second;
-                if (sizes.size() < fewestJobs)
-                    continue;
-                std::sort(sizes.begin(), sizes.end());
-                const double least = sizes[sizes.size() * 9 / 10];
-                if (least >= largerThanMedian * sizes[sizes.size() / 2])
-                    this->largestFrom[item.first] = least;
+                const std::vector<double>::iterator middle = sizes.begin() + static_cast<std::ptrdiff_t>(sizes.size() / 2);
+                std::nth_element(sizes.begin(), middle, sizes.end());
+                this->largestFrom[item.first] = largerThanMedian * *middle;
             }
         }
 
--- a/libs/scheduling/tests/AdmissionReplayTests.cpp
+++ b/libs/scheduling/tests/AdmissionReplayTests.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr unsigned seeds = 6;
+constexpr unsigned usualSeeds = 6;
 
 /// Shares over several seeds without and with admission.
 struct Comparison {
@@ -26,7 +26,7 @@
 
 /// Plays a load without and with admission on 40 workers.
 Comparison compare(
-    const std::function<std::vector<ReplayJob>(unsigned)>& load, const std::function<void(BurstReplay&)>& prepare = [](BurstReplay&) {})
+    const std::function<std::vector<ReplayJob>(unsigned)>& load, const std::function<void(BurstReplay&)>& prepare = [](BurstReplay&) {}, unsigned seeds = usualSeeds)
 {
     Comparison result;
     for (unsigned seed = 1; seed <= seeds; ++seed) {
@@ -116,12 +116,12 @@
 
 TEST_CASE("admission: the largest tenth of a queue is served at least half as often as all jobs", "[jobs][replay]")
 {
+    // Guards against a limit by rank among the jobs known now, with which 6 seeds passed and 24 did not.
     const Comparison result = compare([](unsigned seed) {
         std::vector<ReplayJob> load = burstLoad(milliseconds(1800), true, seed);
         for (std::size_t number = 4; number < load.size(); number += 10)
             load[number].spec = largeJob("huge-" + std::to_string(number), milliseconds(2500), 40);
-        return load;
-    });
+        return load; }, [](BurstReplay&) {}, 24);
     CHECK(result.largeInTime >= result.inTimeOn / 2);
     CHECK(result.allEnded);
 }
