Evacuation: the time that a run has left comes from its progress, as for expected releases

EvacuationMoves had an expectation of its own, the part of the estimate that progress leaves, beside expectedRunEnd(). The new test fails before (the run stays) and passes after. The fixture of these tests stated half of the work done in no time, which no worker reports; its runs are now as fast as estimated. The constant for complete progress stands once, in Worker.h.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Worker.h
@@ -82,6 +82,9 @@
 /// @brief Progress in percent of a serving run that handles requests; below it, the tail latency has no meaning.
 constexpr std::uint32_t readyPercent = 100;
 
+/// @brief Progress in percent of a finite run that has done all its work.
+constexpr std::uint32_t completePercent = 100;
+
 /// @brief Pace in percent of a run that is not slowed down.
 constexpr std::uint32_t fullPace = 100;
 
--- a/libs/scheduling/src/EvacuationMoves.cpp
+++ b/libs/scheduling/src/EvacuationMoves.cpp
@@ -1,4 +1,5 @@
 #include "cowslipdoor/scheduling/EvacuationMoves.h"
+#include "cowslipdoor/scheduling/ExpectedRelease.h"
 #include "cowslipdoor/scheduling/Relocation.h"
 #include <algorithm>
 #include <set>
@@ -20,11 +21,6 @@
         return job.steps[id.step][id.index];
     }
 
-    Duration remainingTime(const StepSpec& step, const TaskState& task)
-    {
-        return step.estimate * (fullPace - std::min(fullPace, task.percent)) / fullPace;
-    }
-
     /// Position in the order of moves.
     unsigned rankOf(const Candidate& candidate, TimePoint now)
     {
@@ -87,7 +83,7 @@
     // A run that no worker has listed may not have started.
     if (isTerminal(job.state) || task.stopping || !task.ordered || task.listedAt <= task.startedAt)
         return RunsToEnd {};
-    if (!step.longRunning && (!step.checkpointing || remainingTime(step, task) <= config.minimumRemaining))
+    if (!step.longRunning && (!step.checkpointing || expectedRunEnd(step, task, now) <= now + config.minimumRemaining))
         return RunsToEnd {};
     if (step.longRunning && (stepMoves(id, ongoing) || !mayStopTask(job, id.step)))
         return AwaitsTurn {};
--- a/libs/scheduling/src/ExpectedRelease.cpp
+++ b/libs/scheduling/src/ExpectedRelease.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    constexpr std::uint32_t completePercent = 100;
-
     /// Number of places on one worker from which more make no difference.
     constexpr std::uint32_t maximumUsefulPlaces = 100;
 
--- a/libs/scheduling/tests/EvacuationMovesTests.cpp
+++ b/libs/scheduling/tests/EvacuationMovesTests.cpp
@@ -68,6 +68,9 @@
         task.ordered = true;
         task.listedAt = this->now;
         task.percent = percent;
+        // As fast as estimated.
+        task.startedAt = this->now - this->jobs.find(id.job)->spec->steps[id.step].estimate * percent / completePercent;
+        task.progressedAt = this->now;
         this->workers.at(agent).allocate(id, this->jobs.find(id.job)->spec->steps[id.step], firstIncarnation);
     }
 
@@ -99,6 +102,18 @@
 
 }
 
+// Guards against: the estimate of a run decides alone, so that one which takes many times as long stays until its end.
+TEST_CASE("evacuation moves: a run that is slower than its estimate moves although little of the estimate is left", "[evacuation]")
+{
+    DomainUnderTest test;
+    test.addRunning(jobOf("j", { savingStep(1, seconds(2)) }));
+    test.addWorker("new", "b", 8000);
+    const TaskId id { { "j" }, 0, 0 };
+    CHECK(test.verdict(id) == EvacuationVerdict(RunsToEnd {}));
+    test.jobs.task(id)->startedAt = test.now - seconds(6);
+    CHECK(test.verdict(id) == EvacuationVerdict(MovesTo { "new" }));
+}
+
 TEST_CASE("evacuation moves: a finite task moves only with checkpoints, with more than 2 s left, and with a place elsewhere", "[evacuation]")
 {
     DomainUnderTest test;
