Placement: tasks and explanations weigh places by the same function

The rule for the rack of a step and the sequence of decisions stood in the scheduler and again in explainPlacement(), so an explanation could have differed from what is done. PlaceOutlook::weigh() and nearRackOf() have them now. A pass is scheduled in one place, and comments no longer tell how a value was found.

--- a/libs/scheduling/include/cowslipdoor/scheduling/PlaceOrWait.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PlaceOrWait.h
@@ -11,8 +11,7 @@
 
 namespace cowslipdoor {
 
-/// @brief Slowdown up to which a place counts as one at full pace. Trials served callers better when best-effort tasks waited
-/// for a pace of 0.9 than when they accepted 0.5.
+/// @brief Slowdown up to which a place counts as one at full pace, as expected paces are not more exact.
 constexpr double usefulSlowdown = 1 / 0.9;
 
 /// @brief How long a job may have nothing running because of this decision: the 3 s that the platform permits, less 0.4 s to
@@ -39,6 +38,8 @@
     Duration untilValueEnds = Duration::max();
     /// How long the job has had nothing running; std::nullopt if one of its tasks has a place.
     std::optional<Duration> idle {};
+
+    bool operator==(const PlaceSituation&) const = default;
 };
 
 /// @brief Why a task takes the available place.
--- a/libs/scheduling/include/cowslipdoor/scheduling/PlaceOutlook.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PlaceOutlook.h
@@ -46,6 +46,15 @@
 /// @return what placeOrWait() needs to know
 [[nodiscard]] PlaceSituation situationOf(const TrackedJob& job, std::uint32_t step, const TaskState& task, const Place& place, const BetterPlace& better, Duration waited, TimePoint now);
 
+/// @brief Outcome of weighing the best available place of a task against a better one.
+struct WeighedPlace {
+    PlaceDecision decision {};
+    /// What the decision rests on; std::nullopt if no better place was weighed.
+    std::optional<PlaceSituation> situation {};
+
+    bool operator==(const WeighedPlace&) const = default;
+};
+
 /// @brief Expects when better places become available.
 ///
 /// Tasks that wait take the expected releases in their order of placement, so that one release is not expected by all of them.
@@ -79,17 +88,31 @@
     /// @param tasks number of its tasks that wait
     void claim(const TrackedJob& job, std::uint32_t step, const std::string& nearRack, std::size_t tasks);
 
-    /// @brief Chooses the rack for the tasks of a colocated step.
     /// @param job the job
     /// @param step number of the step
     /// @param tasks number of its tasks that are not placed
     /// @param sources what the leader knows
     /// @param now current time
-    /// @return the rack that its other tasks run on, or else the one on which all can end first; the rack of its data, if any,
-    /// when they have to spread
-    [[nodiscard]] std::string rackFor(const TrackedJob& job, std::uint32_t step, std::size_t tasks, const OutlookSources& sources, TimePoint now);
+    /// @return the rack on which its tasks run fastest, or empty. For a colocated step that is the rack that its other tasks run
+    /// on, or else the one on which all can end first; the rack of its data, if any, when they have to spread
+    [[nodiscard]] std::string nearRackOf(const TrackedJob& job, std::uint32_t step, std::size_t tasks, const OutlookSources& sources, TimePoint now);
+
+    /// @brief Decides whether a task takes the best available place or waits.
+    /// @param job the job
+    /// @param step number of the step
+    /// @param task a waiting task of it
+    /// @param nearRack rack on which it runs fastest, or empty
+    /// @param place the best available place
+    /// @param tasks number of tasks of the step that wait
+    /// @param waited how long they have waited for a better place
+    /// @param sources what the leader knows
+    /// @param now current time
+    /// @return the decision, and what it rests on
+    [[nodiscard]] WeighedPlace weigh(const TrackedJob& job, std::uint32_t step, const TaskState& task, const std::string& nearRack, const Place& place, std::size_t tasks, Duration waited, const OutlookSources& sources, TimePoint now);
 
 private:
+    [[nodiscard]] std::string rackFor(const TrackedJob& job, std::uint32_t step, std::size_t tasks, const OutlookSources& sources, TimePoint now);
+
     /// Releases of places with the same slowdown.
     struct Group {
         double slowdown = 1;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -22,8 +22,8 @@
     /// Time that a task takes off the rack of its data, or in a colocated step on several racks, as a multiple of its time
     /// otherwise; one if racks do not matter.
     double remoteFactor = 1;
-    /// Factor by which a best-effort task beside serving runs that slow it down takes longer than expected. The load of serving
-    /// runs varies within seconds: with a minimum expected pace of 0.5, a tenth of tasks took 2.5 times as long as at full pace.
+    /// Factor by which a best-effort task beside serving runs that slow it down takes longer than expected, as the load of serving
+    /// runs varies within seconds.
     double paceRisk = 1.5;
 
     bool operator==(const PlacementConfig&) const = default;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -352,6 +352,7 @@
     void placeTasks(TimePoint now, Effects& effects);
     void placeJob(const TrackedJob& job, TimePoint now, Effects& effects);
     void placeStep(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects);
+    [[nodiscard]] OutlookSources outlookSources() const noexcept { return { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement }; }
     /// Forgets what held for the last placement pass, and waits that are over.
     void beginPlaces(TimePoint now, Effects& effects);
     void forgetPlaces();
--- a/libs/scheduling/src/ExplainPlacement.cpp
+++ b/libs/scheduling/src/ExplainPlacement.cpp
@@ -9,22 +9,17 @@
     {
         PlaceOutlook outlook;
         PlaceCache cache;
-        const StepSpec& spec = job.spec->steps[placement.step];
         const TaskState& task = job.steps[placement.step].front();
-        const std::string nearRack = spec.colocated && sources.config.remoteFactor > 1 ? outlook.rackFor(job, placement.step, spec.count, sources, now) : spec.dataRack;
+        const std::string nearRack = outlook.nearRackOf(job, placement.step, placement.tasks, sources, now);
         const std::optional<Place> place = bestPlace(job, placement.step, task, nearRack, sources.workers, sources.interference, sources.config, cache, now);
         if (!place)
             return;
+        const WeighedPlace weighed = outlook.weigh(job, placement.step, task, nearRack, *place, placement.tasks, Duration {}, sources, now);
         placement.agent = place->worker->agent;
         placement.slowdown = place->slowdown;
-        placement.decision = PlaceNow { PlaceReason::GoodEnough };
-        if (place->slowdown <= usefulSlowdown)
-            return;
-        placement.better = outlook.better(job, placement.step, nearRack, spec.count, remainingTime(spec, task), place->slowdown, sources, now);
-        if (placement.better)
-            placement.decision = placeOrWait(situationOf(job, placement.step, task, *place, *placement.better, Duration {}, now));
-        else
-            placement.decision = PlaceNow { PlaceReason::NoBetterPlace };
+        placement.decision = weighed.decision;
+        if (weighed.situation)
+            placement.better = BetterPlace { weighed.situation->betterSlowdown, weighed.situation->release };
     }
 
 }
--- a/libs/scheduling/src/PlaceOutlook.cpp
+++ b/libs/scheduling/src/PlaceOutlook.cpp
@@ -10,8 +10,6 @@
     /// Run time that is assumed for a task whose job does not estimate it.
     constexpr Duration usualRunTime = std::chrono::seconds(1);
 
-    constexpr std::uint32_t completePercent = 100;
-
     /// How long a job has had nothing running; std::nullopt if one of its tasks is assigned.
     std::optional<Duration> idleTime(const TrackedJob& job, TimePoint now)
     {
@@ -131,6 +129,23 @@
     return known.byAgent;
 }
 
+std::string PlaceOutlook::nearRackOf(const TrackedJob& job, std::uint32_t step, std::size_t tasks, const OutlookSources& sources, TimePoint now)
+{
+    const StepSpec& spec = job.spec->steps[step];
+    return spec.colocated && sources.config.remoteFactor > 1 ? this->rackFor(job, step, tasks, sources, now) : spec.dataRack;
+}
+
+WeighedPlace PlaceOutlook::weigh(const TrackedJob& job, std::uint32_t step, const TaskState& task, const std::string& nearRack, const Place& place, std::size_t tasks, Duration waited, const OutlookSources& sources, TimePoint now)
+{
+    if (place.slowdown <= usefulSlowdown)
+        return { PlaceNow { PlaceReason::GoodEnough }, std::nullopt };
+    const std::optional<BetterPlace> better = this->better(job, step, nearRack, tasks, remainingTime(job.spec->steps[step], task), place.slowdown, sources, now);
+    if (!better)
+        return { PlaceNow { PlaceReason::NoBetterPlace }, std::nullopt };
+    const PlaceSituation situation = situationOf(job, step, task, place, *better, waited, now);
+    return { placeOrWait(situation), situation };
+}
+
 std::string PlaceOutlook::rackFor(const TrackedJob& job, std::uint32_t step, std::size_t tasks, const OutlookSources& sources, TimePoint now)
 {
     const StepSpec& spec = job.spec->steps[step];
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -395,9 +395,12 @@
 
 void Scheduler::schedulePass(TimePoint now)
 {
-    const TimePoint wanted = now + this->config.gatherTime;
-    if (!this->passAt || *this->passAt > wanted)
-        this->passAt = wanted;
+    this->schedulePassAt(now + this->config.gatherTime);
+}
+
+void Scheduler::schedulePassAt(TimePoint time)
+{
+    this->passAt = this->passAt ? std::min(*this->passAt, time) : time;
 }
 
 }
--- a/libs/scheduling/src/SchedulerPlaces.cpp
+++ b/libs/scheduling/src/SchedulerPlaces.cpp
@@ -47,7 +47,7 @@
 
 std::vector<StepPlacement> Scheduler::explain(const JobSpecHandle& spec, TimePoint now) const
 {
-    return explainPlacement(spec, { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement }, now);
+    return explainPlacement(spec, this->outlookSources(), now);
 }
 
 void Scheduler::beginPlaces(TimePoint now, Effects& effects)
@@ -71,11 +71,7 @@
 
 std::string Scheduler::nearRackOf(const TrackedJob& job, std::uint32_t step, TimePoint now)
 {
-    const StepSpec& spec = job.spec->steps[step];
-    if (!spec.colocated || this->config.placement.remoteFactor <= 1)
-        return spec.dataRack;
-    const OutlookSources sources { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement };
-    return this->placeOutlook.rackFor(job, step, countPlaceable(job.steps[step], now), sources, now);
+    return this->placeOutlook.nearRackOf(job, step, countPlaceable(job.steps[step], now), this->outlookSources(), now);
 }
 
 bool Scheduler::losesByRack(const TrackedJob& job, std::uint32_t step, const TrackedWorker& from, const TrackedWorker& to, TimePoint now)
@@ -115,23 +111,15 @@
 
 PlaceDecision Scheduler::decidePlace(const TrackedJob& job, std::uint32_t step, const TaskState& task, const std::string& nearRack, const Place& place, TimePoint now, Effects& effects)
 {
-    if (place.slowdown <= usefulSlowdown)
-        return PlaceNow { PlaceReason::GoodEnough };
-    const Duration remaining = remainingTime(job.spec->steps[step], task);
     const std::size_t tasks = countPlaceable(job.steps[step], now);
-    const OutlookSources sources { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement };
-    const std::optional<BetterPlace> better = this->placeOutlook.better(job, step, nearRack, tasks, remaining, place.slowdown, sources, now);
-    if (!better)
-        return PlaceNow { PlaceReason::NoBetterPlace };
     const PlaceWaits::const_iterator wait = this->placeWaits.find({ job.spec->id, step });
     const Duration waited = wait == this->placeWaits.end() ? Duration {} : now - wait->second.since;
-    const PlaceSituation situation = situationOf(job, step, task, place, *better, waited, now);
-    const PlaceDecision decision = placeOrWait(situation);
-    if (std::holds_alternative<WaitUntil>(decision)) {
+    const WeighedPlace weighed = this->placeOutlook.weigh(job, step, task, nearRack, place, tasks, waited, this->outlookSources(), now);
+    if (std::holds_alternative<WaitUntil>(weighed.decision)) {
         this->placeOutlook.claim(job, step, nearRack, tasks);
-        this->notePlaceWait({ job.spec->id, step }, situation, tasks, now, effects);
+        this->notePlaceWait({ job.spec->id, step }, *weighed.situation, tasks, now, effects);
     }
-    return decision;
+    return weighed.decision;
 }
 
 void Scheduler::notePlaceWait(const PlaceWaits::key_type& key, const PlaceSituation& situation, std::size_t tasks, TimePoint now, Effects& effects)
@@ -156,9 +144,4 @@
     wait->second.awaitedSince.reset();
 }
 
-void Scheduler::schedulePassAt(TimePoint time)
-{
-    this->passAt = this->passAt ? std::min(*this->passAt, time) : time;
-}
-
 }
