Entry: one wait for feeds that orders depend on, one holder of the configuration

The wait of the feeds of jobs and of the operator's table had the same reason and value in two files. JobsEntryProcess kept a second handle of the configuration for explanations, and a second way to fetch a page. An error of jobs explain is reported as before.

--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -92,12 +92,18 @@
         return { std::istreambuf_iterator<char>(file), {} };
     }
 
-    std::string fetchPage(const std::string& address, const std::string& target)
+    std::string fetchPage(const HttpCall& call)
     {
-        const Response response = fetch({ .address = address, .target = target });
+        const Response response = fetch(call);
+        const std::string page(response.body.view());
         if (response.status != 200)
-            throw Error(ErrorKind::Internal, address + target + " answered with status " + std::to_string(response.status));
-        return std::string(response.body.view());
+            throw Error(ErrorKind::Internal, call.address + call.target + " answered with status " + std::to_string(response.status) + ": " + page);
+        return page;
+    }
+
+    std::string fetchPage(const std::string& address, const std::string& target)
+    {
+        return fetchPage({ .address = address, .target = target });
     }
 
     int runEntry(const Arguments& words)
@@ -219,10 +225,7 @@
         const nlohmann::json question { { "queue", line->operands[0] }, { "job", readFile(line->operands[1]) } };
         HttpCall call { .address = line->settings.text("admin"), .method = "POST", .target = "/jobs/explain" };
         call.body = question.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-        const Response response = fetch(call);
-        const std::string page(response.body.view());
-        if (response.status != 200)
-            throw Error(ErrorKind::Internal, call.address + call.target + " answered with status " + std::to_string(response.status) + ": " + page);
+        const std::string page = fetchPage(call);
         const nlohmann::json json = nlohmann::json::parse(page);
         expectLeading(json);
         if (line->settings.text("form") == "json")
--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -21,16 +21,12 @@
     /// a slow store may take as long again to answer.
     constexpr Duration storeContactValidity = std::chrono::milliseconds(1600);
 
-    /// Wait of the feed of the operator's table where evacuations have a limit. Orders then need knowledge of evacuations that is
-    /// at most 2 s old, also when each answer takes 400 ms longer.
-    constexpr Duration boundedFeedWait = std::chrono::milliseconds(400);
-
     /// Minimum limit on evacuations beyond the time that a start takes: the wait of the feed, and two slow answers.
     constexpr Duration minimumEvacuationSlack = std::chrono::milliseconds(1000);
 
     Duration operatorFeedWait(const Settings& settings)
     {
-        return settings.duration("evacuation-limit") > Duration {} ? boundedFeedWait : TableFeedConfig {}.wait;
+        return settings.duration("evacuation-limit") > Duration {} ? orderFeedWait : TableFeedConfig {}.wait;
     }
 
     EvacuationConfig evacuationConfig(const Settings& settings)
@@ -124,10 +120,7 @@
 platform::ConfigurationHandlers JobsEntryProcess::configurationHandlers()
 {
     return {
-        [this](ConfigurationHandle newer) {
-            this->rules = newer;
-            this->callers.apply(std::move(newer));
-        },
+        [this](ConfigurationHandle newer) { this->callers.apply(std::move(newer)); },
         [this](EvacuationsFollowed followed) { return this->postEvacuations(std::move(followed)); },
         [this](bool answered) { this->onStoreContact(answered); },
     };
@@ -248,9 +241,10 @@
     const CheckedJson json = CheckedJson::parse(body);
     const std::string queue = json.at("queue").text();
     const std::string job = json.at("job").text();
-    if (!this->rules)
+    const ConfigurationHandle& configuration = this->callers.inForce();
+    if (!configuration)
         throw Error(ErrorKind::BadRequest, "this entry has no configuration yet");
-    const std::vector<QueueRule>& queues = this->rules->queues;
+    const std::vector<QueueRule>& queues = configuration->queues;
     const std::vector<QueueRule>::const_iterator it = std::find_if(queues.begin(), queues.end(), [&queue](const QueueRule& rule) { return rule.name == queue; });
     if (it == queues.end())
         throw Error(ErrorKind::BadRequest, "there is no queue '" + queue + "'");
--- a/apps/entry/JobsEntryProcess.h
+++ b/apps/entry/JobsEntryProcess.h
@@ -60,7 +60,6 @@
     runtime::AdminServer readiness;
     runtime::AdminServer admin;
     runtime::GracefulShutdown stop;
-    ConfigurationHandle rules;
     TimePoint storeAnsweredAt {};
     bool storeAnswered = false;
     bool stopping = false;
--- a/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
+++ b/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
@@ -14,6 +14,10 @@
 
 namespace cowslipdoor::runtime {
 
+/// @brief Wait of a feed whose contents orders depend on. Orders need knowledge that is at most 2 s old, also when each answer takes
+/// 400 ms longer.
+constexpr Duration orderFeedWait = std::chrono::milliseconds(400);
+
 /// @brief Parts of a table.
 struct TableParts {
     std::vector<std::string> names {};
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -14,9 +14,6 @@
     /// Delay before a failed read is retried.
     constexpr Duration tableRetryDelay = std::chrono::milliseconds(150);
 
-    /// Wait of the feed of jobs. Orders need knowledge of jobs that is at most 2 s old, also when each answer takes 400 ms longer.
-    constexpr Duration jobFeedWait = std::chrono::milliseconds(400);
-
 }
 
 SchedulerTask::SchedulerTask(asio::any_io_executor executor, SchedulerConfig config, StorePort store, LearnedHandler onLearned, const Log& log, Metrics& metrics)
@@ -221,7 +218,7 @@
 
 void SchedulerTask::followJobs(const std::shared_ptr<TableFollower>& follower, RowVersion after)
 {
-    const TableFeedConfig config { .table = jobTable, .wait = jobFeedWait, .comesFirst = [](const Row& row) { return cancelledJob(row.key).has_value(); } };
+    const TableFeedConfig config { .table = jobTable, .wait = orderFeedWait, .comesFirst = [](const Row& row) { return cancelledJob(row.key).has_value(); } };
     this->followTable(follower, config, after, [this, follower](RowVersion version, TimePoint asOf) {
         return this->post(JobsFollowed { follower->epoch, version, asOf });
     });
