--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -188,23 +188,15 @@
         return faults;
     }
 
-    std::vector<Planned<JobFault>> planSilences(SoakSize size)
-    {
-        size.seed ^= silenceSequence;
-        FaultGenerator generator(size);
-        std::vector<Planned<JobFault>> faults;
-        for (Duration at = generator.upTo(longestBetweenSilences); at < size.length; at += generator.upTo(longestBetweenSilences))
-            faults.push_back({ at, generator.silence() });
-        return faults;
-    }
-
-    std::vector<Planned<JobFault>> planEvacuations(SoakSize size)
+    /// Plans faults of one kind, with a random sequence of its own.
+    template <typename Fault>
+    std::vector<Planned<JobFault>> planSeries(SoakSize size, std::uint64_t sequence, Duration longestBetween, Fault (FaultGenerator::*draw)())
     {
-        size.seed ^= evacuationSequence;
+        size.seed ^= sequence;
         FaultGenerator generator(size);
         std::vector<Planned<JobFault>> faults;
-        for (Duration at = generator.upTo(longestBetweenEvacuations); at < size.length; at += generator.upTo(longestBetweenEvacuations))
-            faults.push_back({ at, generator.evacuation() });
+        for (Duration at = generator.upTo(longestBetween); at < size.length; at += generator.upTo(longestBetween))
+            faults.push_back({ at, (generator.*draw)() });
         return faults;
     }
 
@@ -257,8 +249,8 @@
 std::vector<Planned<JobFault>> planJobFaults(const SoakSize& size)
 {
     const std::vector<Planned<JobFault>> faults = plan<JobFault>(size, drawJobFault);
-    std::vector<Planned<JobFault>> others = planSilences(size);
-    const std::vector<Planned<JobFault>> evacuations = planEvacuations(size);
+    std::vector<Planned<JobFault>> others = planSeries(size, silenceSequence, longestBetweenSilences, &FaultGenerator::silence);
+    const std::vector<Planned<JobFault>> evacuations = planSeries(size, evacuationSequence, longestBetweenEvacuations, &FaultGenerator::evacuation);
     const auto earlier = [](const Planned<JobFault>& left, const Planned<JobFault>& right) { return left.at < right.at; };
     others.insert(others.end(), evacuations.begin(), evacuations.end());
     std::stable_sort(others.begin(), others.end(), earlier);
