--- a/apps/entry/Commands.cpp
+++ b/apps/entry/Commands.cpp
@@ -95,7 +95,7 @@
     std::string fetchPage(const HttpCall& call)
     {
         const Response response = fetch(call);
-        const std::string page(response.body.view());
+        std::string page(response.body.view());
         if (response.status != 200)
             throw Error(ErrorKind::Internal, call.address + call.target + " answered with status " + std::to_string(response.status) + ": " + page);
         return page;
