Pace: a serving run that starts pauses harmful runs until it is measured

Cause: best-effort runs started at full pace beside serving runs that started as well, and the first measurement came up to 0.7 s after those were ready. A serving run has no slack to spare until it is measured, at most 1.5 s from its start; meanwhile polls wait 0.1 s, not 0.5 s.

--- a/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/PaceControl.h
@@ -31,6 +31,9 @@
     Duration stopAllAfter = std::chrono::milliseconds(2400);
     /// Time until a measurement shows a change of pace: the window of the measurement and the time until the pace takes effect.
     Duration measurementLag = std::chrono::milliseconds(600);
+    /// How long a serving run that starts keeps harmful runs paused. Starts take 0.3 to 0.5 s, and the first measurement comes
+    /// a poll later; a run that takes much longer is stuck, and best-effort runs must not wait for it.
+    Duration startLimit = std::chrono::milliseconds(1500);
 
     bool operator==(const PaceConfig&) const = default;
 };
@@ -70,9 +73,13 @@
     void forget(const RunId& run);
 
     /// @brief Notes the start of a run, which has full pace until another one is set.
+    ///
+    /// A serving run has no slack to spare until it is measured: harmful runs would take it over its target as soon as it is
+    /// ready, and pausing them takes effect only after its first measurement.
     /// @param run the run
+    /// @param now current time
     /// @return paces to set because they differ from those in force
-    [[nodiscard]] std::vector<PaceOrder> started(const RunId& run);
+    [[nodiscard]] std::vector<PaceOrder> started(const RunId& run, TimePoint now);
 
     /// @brief Processes the answer to a poll.
     /// @param running all runs of the worker
@@ -91,6 +98,10 @@
     /// @return the least slack of all serving runs as of the last poll, or std::nullopt if there are none
     [[nodiscard]] std::optional<double> worstSlack() const noexcept { return this->worst; }
 
+    /// @param now current time
+    /// @return whether best-effort runs wait for the first measurement of a serving run
+    [[nodiscard]] bool awaitsMeasurement(TimePoint now) const;
+
     /// @return the share of the spare slack that best-effort runs may take, from zero to one
     [[nodiscard]] double spareSlackShare() const noexcept { return this->spareShare; }
 
@@ -101,7 +112,7 @@
         double slack = 0;
     };
 
-    void measure(const std::vector<RunStatus>& running);
+    void measure(const std::vector<RunStatus>& running, TimePoint now);
     void adjustSpareShare(TimePoint now);
     [[nodiscard]] double slackLostBy(const std::vector<RunStatus>& running, const std::string& image) const;
     [[nodiscard]] double paceFor(const PaceTraits& bestEffort, const std::vector<Allowance>& left) const;
@@ -115,6 +126,8 @@
     /// Since when a target has been missed.
     std::optional<TimePoint> overSince {};
     std::vector<Allowance> allowances;
+    /// Since when serving runs that have not been measured yet have been starting.
+    std::map<RunId, TimePoint> startingSince;
     std::map<RunId, PaceTraits> traits;
     /// Paces of the best-effort runs that are running; std::nullopt if an earlier incarnation of the agent may have set the
     /// pace, or if the last order had no answer.
--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -38,6 +38,8 @@
     Duration pingInterval = std::chrono::milliseconds(400);
     /// How long a poll waits for the end of a run, and so the interval at which tail latencies are read.
     Duration pollWait = std::chrono::milliseconds(500);
+    /// The same while best-effort runs wait for the first measurement of a serving run.
+    Duration measurementPollWait = std::chrono::milliseconds(100);
     /// Maximum delay between polls while ends wait for the leader's acknowledgement.
     Duration acknowledgeWait = std::chrono::milliseconds(300);
     /// Delay before an unanswered poll is repeated.
@@ -324,9 +326,9 @@
     void onMessage(LinkId link, const AcknowledgeEnds& message, TimePoint now, Effects& effects);
     void onMessage(LinkId link, const Pong& message, TimePoint now, Effects& effects);
 
-    void onOrderAnswered(const StartOrder& order, const OrderAnswered& event, Effects& effects);
-    void onOrderAnswered(const StopOrder& order, const OrderAnswered& event, Effects& effects);
-    void onOrderAnswered(const ChangePace& order, const OrderAnswered& event, Effects& effects);
+    void onOrderAnswered(const StartOrder& order, const OrderAnswered& event, TimePoint now, Effects& effects);
+    void onOrderAnswered(const StopOrder& order, const OrderAnswered& event, TimePoint now, Effects& effects);
+    void onOrderAnswered(const ChangePace& order, const OrderAnswered& event, TimePoint now, Effects& effects);
     /// Makes the order in flight invalid by a higher token, and asks the worker for its state.
     void voidOrder(const std::string& reason, TimePoint now, Effects& effects);
     void onOrderUnanswered(const StartOrder& order);
--- a/libs/scheduling/src/PaceControl.cpp
+++ b/libs/scheduling/src/PaceControl.cpp
@@ -33,20 +33,26 @@
 {
     this->traits.erase(run);
     this->pacesInForce.erase(run);
+    this->startingSince.erase(run);
 }
 
-std::vector<PaceOrder> PaceControl::started(const RunId& run)
+std::vector<PaceOrder> PaceControl::started(const RunId& run, TimePoint now)
 {
     const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(run);
-    if (it == this->traits.end() || !it->second.bestEffort)
+    if (it == this->traits.end())
         return {};
-    this->pacesInForce.try_emplace(run, fullPace);
+    if (it->second.bestEffort) {
+        this->pacesInForce.try_emplace(run, fullPace);
+    } else if (it->second.target > Duration {}) {
+        this->startingSince.try_emplace(run, now);
+        this->allowances.push_back({ it->second.image, 0 });
+    }
     return this->assignPaces();
 }
 
 std::vector<PaceOrder> PaceControl::update(const std::vector<RunStatus>& running, TimePoint now)
 {
-    this->measure(running);
+    this->measure(running, now);
     this->adjustSpareShare(now);
     for (const RunStatus& status : running) {
         const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
@@ -69,19 +75,33 @@
     return it == this->pacesInForce.end() ? fullPace : it->second.value_or(fullPace);
 }
 
-void PaceControl::measure(const std::vector<RunStatus>& running)
+bool PaceControl::awaitsMeasurement(TimePoint now) const
+{
+    return !this->pacesInForce.empty() && std::any_of(this->startingSince.begin(), this->startingSince.end(), [&](const std::map<RunId, TimePoint>::value_type& item) { return now < item.second + this->config.startLimit; });
+}
+
+void PaceControl::measure(const std::vector<RunStatus>& running, TimePoint now)
 {
     this->allowances.clear();
     this->worst.reset();
     for (const RunStatus& status : running) {
         const std::map<RunId, PaceTraits>::const_iterator it = this->traits.find(status.run);
-        if (it == this->traits.end() || it->second.target <= Duration {} || status.percent < readyPercent)
+        if (it == this->traits.end() || it->second.target <= Duration {})
+            continue;
+        if (status.percent < readyPercent) {
+            this->startingSince.try_emplace(status.run, now);
             continue;
+        }
+        this->startingSince.erase(status.run);
         const double slack = slackOf(status.measurement, it->second.target);
         this->worst = this->worst ? std::min(*this->worst, slack) : slack;
         const double alone = slack + this->slackLostBy(running, it->second.image);
         this->allowances.push_back({ it->second.image, std::max(0.0, alone - this->config.minimumSlack) });
     }
+    for (const std::map<RunId, TimePoint>::value_type& item : this->startingSince) {
+        if (now < item.second + this->config.startLimit)
+            this->allowances.push_back({ this->traits.at(item.first).image, 0 });
+    }
 }
 
 void PaceControl::adjustSpareShare(TimePoint now)
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -175,7 +175,7 @@
     this->incarnation->lastContact = now;
     if (this->acknowledgementDue())
         this->nextPollAt = now;
-    std::visit([this, &event, &effects](const auto& alternative) { this->onOrderAnswered(alternative, event, effects); }, order);
+    std::visit([this, &event, now, &effects](const auto& alternative) { this->onOrderAnswered(alternative, event, now, effects); }, order);
 }
 
 void WorkerMachine::on(const CallUnanswered& event, TimePoint now, Effects& effects)
@@ -378,7 +378,7 @@
     const bool unsettled = this->incarnation->settledToken != this->token();
     const bool answerSoon = unsettled || !this->incarnationConfirmed() || this->signedOffAt || !this->incarnation->ended.empty() || (this->acknowledgementDue() && !this->mayAcknowledge());
     if (!this->pollInFlight && now >= this->nextPollAt)
-        this->poll(now, answerSoon ? Duration {} : this->config.pollWait, effects);
+        this->poll(now, answerSoon ? Duration {} : this->paceControl.awaitsMeasurement(now) ? this->config.measurementPollWait : this->config.pollWait, effects);
     if (!unsettled && !this->orderInFlight && !this->orders.empty())
         this->sendOrder(now, effects);
 }
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -4,7 +4,7 @@
 
 namespace cowslipdoor {
 
-void WorkerMachine::onOrderAnswered(const StartOrder& order, const OrderAnswered& event, Effects& effects)
+void WorkerMachine::onOrderAnswered(const StartOrder& order, const OrderAnswered& event, TimePoint now, Effects& effects)
 {
     const RunId& run = order.order.run;
     effects.emplace_back(RecordEvent { event.accepted ? EventId::RunStarted : EventId::RunRejectedByWorker, describe(run) + (event.accepted ? "" : ": " + event.reason) });
@@ -13,14 +13,14 @@
         return;
     }
     this->incarnation->started.insert_or_assign(run, CallNumber { this->lastCall + 1 });
-    this->orderPaces(this->paceControl.started(run));
+    this->orderPaces(this->paceControl.started(run, now));
 }
 
-void WorkerMachine::onOrderAnswered(const StopOrder&, const OrderAnswered&, Effects&)
+void WorkerMachine::onOrderAnswered(const StopOrder&, const OrderAnswered&, TimePoint, Effects&)
 {
 }
 
-void WorkerMachine::onOrderAnswered(const ChangePace& order, const OrderAnswered& event, Effects&)
+void WorkerMachine::onOrderAnswered(const ChangePace& order, const OrderAnswered& event, TimePoint, Effects&)
 {
     if (!event.accepted)
         this->paceControl.markPaceUnknown(order.run);
