Placement: best-effort tasks wait for serving runs that start, and for agents after a takeover

The test of the interference model now reports the serving run before the best-effort one is placed. Tests failed before: 'scheduler: after a loss of power of all VMs ...', 'scheduler: a harmful best-effort task waits for the slack ...'.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Placement.h
@@ -61,9 +61,9 @@
 /// @brief Orders jobs for placement.
 ///
 /// The order decides which jobs meet their objectives when the load peaks and not all can. Higher priority comes first;
-/// within a priority first the jobs that can still meet their objective, by due time, then those that are late in any case,
-/// as they lose little by waiting. Jobs older than three times their objective come last of all, since finishing them
-/// sooner has no value; they still run.
+/// within a priority first long-running jobs, as best-effort tasks are placed by what runs beside them, then the jobs that can
+/// still meet their objective, by due time, then those that are late in any case, as they lose little by waiting. Jobs older
+/// than three times their objective come last of all, since finishing them sooner has no value; they still run.
 /// @param jobs the jobs to order
 /// @param jobRegistry registry that holds the jobs
 /// @param now current time
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -62,6 +62,12 @@
     Duration loggedKnowledgeAge = std::chrono::seconds(1);
     /// Delay before a refused run is placed again.
     Duration rejectionDelay = std::chrono::milliseconds(100);
+    /// How long a new leader places no finite best-effort tasks while agents with long-running tasks have not reported their
+    /// runs. After a loss of power of all VMs those tasks have to start again, and best-effort tasks that are placed first
+    /// start beside them at full pace.
+    Duration settleTime = std::chrono::milliseconds(200);
+    /// Time from the assignment of a serving run to the first report of its slack: 0.5 s to start, a poll and a progress report.
+    Duration servingStartTime = std::chrono::milliseconds(1500);
     /// Delay before a run is placed again whose assignment the store refuses for its content.
     Duration unstorableDelay = std::chrono::seconds(1);
     /// How long an ended job can be queried: the 120 s that the platform requires, and time for late duplicates of its request.
@@ -350,6 +356,8 @@
     void leadershipLost(Effects& effects);
     void committed(TimePoint now, Effects& effects);
     void placeTasks(TimePoint now, Effects& effects);
+    /// Updates what keeps best-effort tasks from being placed while long-running tasks start.
+    void beginBestEffort(TimePoint now);
     void placeJob(const TrackedJob& job, TimePoint now, Effects& effects);
     void placeStep(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects);
     [[nodiscard]] OutlookSources outlookSources() const noexcept { return { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement }; }
@@ -444,6 +452,11 @@
     PlaceOutlook placeOutlook;
     PlaceWaits placeWaits;
     bool tablesRead = false;
+    /// Whether finite best-effort tasks wait until agents with long-running tasks have reported their runs, and how long at most.
+    bool agentsSettle = false;
+    TimePoint settleUntil {};
+    /// Until when they wait for long-running tasks that have lost their runs.
+    TimePoint bestEffortFrom {};
     /// Latest time at which an earlier leader may have given a renewal grant.
     TimePoint earlierGrantsEnd {};
     /// Agents that the stored row and the one in flight name as silent, and a time after which no leader has given them a grant.
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -71,6 +71,9 @@
     bool operator==(const ImageLoad&) const = default;
 };
 
+/// Slack of a serving image without best-effort tasks, assumed until its worker has listed it: that at half the load.
+constexpr double usualSlack = 2.5;
+
 /// @brief State of an agent and its worker as known to the leader.
 struct TrackedWorker {
     std::string agent {};
@@ -101,6 +104,10 @@
     std::map<std::string, ImageLoad> servingByImage {};
     /// Least slack that runs of each serving image would have here without best-effort runs, as of the last progress report.
     std::map<std::string, double> baselineSlack {};
+    /// Until when serving runs that were assigned last start and are measured.
+    TimePoint servingStartsUntil {};
+    /// Slack that is assumed for serving images that have not been measured.
+    double assumedSlack = usualSlack;
     /// When the last progress report was received.
     TimePoint listedAt {};
     /// Milli-cores that best-effort runs here leave unused because of their pace, as of the last progress report.
--- a/libs/scheduling/src/BestEffortPace.cpp
+++ b/libs/scheduling/src/BestEffortPace.cpp
@@ -10,9 +10,6 @@
     /// Share of its cores that a long-running task leaves unused at its peak load.
     constexpr double longRunningUnusedShare = 0.4;
 
-    /// Slack of a serving image without best-effort tasks, assumed until its worker has listed it: that at half the load.
-    constexpr double usualSlack = 2.5;
-
     double unusedCores(const TrackedWorker& worker, const std::map<std::string, ImageLoad>& bestEffort, std::uint32_t pacedDownMilliCores)
     {
         double unused = static_cast<double>(worker.free().milliCores) + longRunningUnusedShare * worker.longRunningMilliCores + pacedDownMilliCores;
@@ -27,7 +24,7 @@
         double pace = 1;
         for (const std::map<std::string, ImageLoad>::value_type& serving : worker.servingByImage) {
             const std::map<std::string, double>::const_iterator alone = worker.baselineSlack.find(serving.first);
-            double left = (alone == worker.baselineSlack.end() ? usualSlack : alone->second) - PaceConfig {}.minimumSlack;
+            double left = (alone == worker.baselineSlack.end() ? worker.assumedSlack : alone->second) - PaceConfig {}.minimumSlack;
             const double lossPerWorker = interference.lossOf(serving.first, step.image);
             const double loss = lossPerWorker * step.demand.milliCores / cores;
             if (loss <= PaceConfig {}.negligibleLoss)
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -207,7 +207,7 @@
     order.reserve(jobs.size());
     for (const JobId& id : jobs)
         order.push_back(jobRegistry.find(id));
-    const auto key = [now](const TrackedJob* job) { return std::tuple(hasNoValueLeft(*job, now), job->spec->priority, tardy(*job, now), job->due, job->spec->id); };
+    const auto key = [now](const TrackedJob* job) { return std::tuple(hasNoValueLeft(*job, now), job->spec->priority, !job->spec->isLongRunning(), tardy(*job, now), job->due, job->spec->id); };
     std::sort(order.begin(), order.end(), [&key](const TrackedJob* left, const TrackedJob* right) { return key(left) < key(right); });
     return order;
 }
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -26,6 +26,7 @@
     this->placementHeldBack = !this->knowledgeCurrent(now);
     if (this->placementHeldBack)
         return;
+    this->beginBestEffort(now);
     this->beginPlaces(now, effects);
     for (const TrackedJob* const job : placementOrder(this->jobRegistry.waiting(), this->jobRegistry, now)) {
         // An assignment reserves room, but its order is sent only once it is stored.
@@ -36,6 +37,20 @@
     }
 }
 
+void Scheduler::beginBestEffort(TimePoint now)
+{
+    bool settling = false;
+    for (Workers::value_type& item : this->knownWorkers) {
+        TrackedWorker& worker = item.second;
+        const bool servingRunsStart = now < worker.servingStartsUntil;
+        worker.assumedSlack = servingRunsStart ? 0 : usualSlack;
+        if (servingRunsStart)
+            this->schedulePassAt(worker.servingStartsUntil);
+        settling |= !worker.settled && worker.longRunningMilliCores > 0;
+    }
+    this->agentsSettle = settling && now < this->settleUntil;
+}
+
 void Scheduler::placeJob(const TrackedJob& job, TimePoint now, Effects& effects)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
@@ -46,6 +61,12 @@
 
 void Scheduler::placeStep(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects)
 {
+    const StepSpec& spec = job.spec->steps[step];
+    const TimePoint bestEffortFrom = this->agentsSettle ? this->settleUntil : this->bestEffortFrom;
+    if (spec.bestEffort && !spec.longRunning && now < bestEffortFrom) {
+        this->schedulePassAt(bestEffortFrom);
+        return;
+    }
     if (weighsPlaces(job.spec->steps[step], this->config.placement)) {
         this->placeWeighing(job, step, now, effects);
         return;
@@ -78,6 +99,10 @@
     TrackedWorker& worker = this->knownWorkers[chosen.agent];
     const RunId run = this->jobRegistry.assign(id, { worker.agent, worker.info->identity }, now);
     worker.allocate(id, job.spec->steps[id.step], worker.info->identity);
+    if (job.spec->steps[id.step].target > Duration {}) {
+        worker.servingStartsUntil = now + this->config.servingStartTime;
+        worker.assumedSlack = 0;
+    }
     effects.emplace_back(RecordEvent { EventId::RunAssigned, describe(run) + " to " + worker.agent + "; " + describeUrgency(job, now) + "; free there " + std::to_string(worker.free().milliCores) + " milli-cores, " + std::to_string(worker.free().memoryMb) + " MB" });
 }
 
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -584,6 +584,10 @@
     test.becomeLeader({ jobOf("a", { longRunningStep }), jobOf("b", { bestEffortStep }) });
     static_cast<void>(test.awaitWrite());
     test.commit();
+    // The best-effort task is placed once the slack of the serving run is known.
+    test.step(AgentReportReceived { "agent", LinkId { 1 }, RunProgress { firstIncarnation, { { { { { "a" }, 0, 0 }, 1 }, "", 100, 25 } } } });
+    static_cast<void>(test.awaitWrite());
+    test.commit();
     const RunProgress report { firstIncarnation, { { { { { "a" }, 0, 0 }, 1 }, "", 100, 25 }, { { { { "b" }, 0, 0 }, 1 }, "", 10, 500 } } };
     test.step(AgentReportReceived { "agent", LinkId { 1 }, report });
     const auto writesModel = [&test] {
