Takeover: a new leader reads all tables at the same time

Only the leader writes progress and models, and a job that is stored meanwhile comes with the feed from the version before the read, so the order of the reads does not matter. Test failed before: 'scheduler task: a new leader asks for all tables ...'.

--- a/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
+++ b/libs/runtime/include/cowslipdoor/runtime/SchedulerTask.h
@@ -140,6 +140,8 @@
     asio::awaitable<void> readLeaderRow();
     asio::awaitable<void> submit(Transaction transaction);
     asio::awaitable<void> readTables(std::shared_ptr<TableFollower> follower);
+    /// Reads the table of agents and posts its rows.
+    asio::awaitable<RowPage> readAgents(std::shared_ptr<TableFollower> follower);
     asio::awaitable<RowPage> readTableUntilDone(std::shared_ptr<TableFollower> follower, std::string table);
     asio::awaitable<TableParts> listPartsUntilDone(std::shared_ptr<TableFollower> follower, std::string table);
     asio::awaitable<void> readPartInto(std::shared_ptr<TableFollower> follower, RowRange part, Mailbox<RowPage> pages);
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -190,14 +190,16 @@
 
 asio::awaitable<void> SchedulerTask::readTables(std::shared_ptr<TableFollower> follower)
 {
-    // Agents are read first, so that they are linked and get renewal grants while the other tables are read.
-    const RowPage agents = co_await this->readTableUntilDone(follower, agentTable);
-    for (const Row& row : agents.rows)
-        co_await this->postRow(row);
+    using namespace asio::experimental::awaitable_operators;
+
+    // Only the leader writes progress and models, and its earlier holder can no longer do so; a job that is stored meanwhile
+    // comes with the feed. So the tables can be read at the same time, which takes the round trips of one table only.
     const TimePoint jobsAsOf = bootTimeNow();
-    const RowPage jobs = co_await this->readTableUntilDone(follower, jobTable);
-    const RowPage progress = co_await this->readTableUntilDone(follower, progressTable);
-    const RowPage models = co_await this->readTableUntilDone(follower, modelTable);
+    const std::tuple<RowPage, RowPage, RowPage, RowPage> pages = co_await (this->readAgents(follower) && this->readTableUntilDone(follower, jobTable) && this->readTableUntilDone(follower, progressTable) && this->readTableUntilDone(follower, modelTable));
+    const RowPage& agents = std::get<0>(pages);
+    const RowPage& jobs = std::get<1>(pages);
+    const RowPage& progress = std::get<2>(pages);
+    const RowPage& models = std::get<3>(pages);
     if (follower->stopped)
         co_return;
     std::vector<Row> rows = jobs.rows;
@@ -216,6 +218,15 @@
     this->followTable(follower, { .table = agentTable }, agents.version, {});
 }
 
+asio::awaitable<RowPage> SchedulerTask::readAgents(std::shared_ptr<TableFollower> follower)
+{
+    const RowPage agents = co_await this->readTableUntilDone(follower, agentTable);
+    // Agents are linked and get renewal grants while the other tables are read.
+    for (const Row& row : agents.rows)
+        co_await this->postRow(row);
+    co_return agents;
+}
+
 void SchedulerTask::followJobs(const std::shared_ptr<TableFollower>& follower, RowVersion after)
 {
     const TableFeedConfig config { .table = jobTable, .wait = orderFeedWait, .comesFirst = [](const Row& row) { return cancelledJob(row.key).has_value(); } };
