Placement: long-running tasks start again as soon as all agents have reported after a takeover

They waited 0.1 s from the loss of their run, so that a pass did not crowd them on the workers that had reported first. They now wait for the agents instead, at most 0.2 s; after a loss of power of all VMs these report within 0.02 s of each other.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -62,9 +62,9 @@
     Duration loggedKnowledgeAge = std::chrono::seconds(1);
     /// Delay before a refused run is placed again.
     Duration rejectionDelay = std::chrono::milliseconds(100);
-    /// How long a new leader places no finite best-effort tasks while agents with long-running tasks have not reported their
-    /// runs. After a loss of power of all VMs those tasks have to start again, and best-effort tasks that are placed first
-    /// start beside them at full pace.
+    /// How long a new leader places no long-running or best-effort tasks while agents with long-running tasks have not reported
+    /// their runs. After a loss of power of all VMs those tasks have to start again: placed at once they would crowd on the
+    /// workers that report first, and best-effort tasks that are placed before them start beside them at full pace.
     Duration settleTime = std::chrono::milliseconds(200);
     /// Time from the assignment of a serving run to the first report of its slack: 0.5 s to start, a poll and a progress report.
     Duration servingStartTime = std::chrono::milliseconds(1500);
@@ -452,7 +452,7 @@
     PlaceOutlook placeOutlook;
     PlaceWaits placeWaits;
     bool tablesRead = false;
-    /// Whether finite best-effort tasks wait until agents with long-running tasks have reported their runs, and how long at most.
+    /// Whether placement waits until agents with long-running tasks have reported their runs, and how long at most.
     bool agentsSettle = false;
     TimePoint settleUntil {};
     /// Until when they wait for long-running tasks that have lost their runs.
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -233,10 +233,13 @@
         if (!task->ordered || task->order > std::max(snapshot.lastOrder, worker.ordersBeforeLink))
             continue;
         const bool sameIncarnation = snapshot.worker && snapshot.worker->identity == item.second;
-        if (!sameIncarnation && this->jobRegistry.find(item.first.job)->spec->steps[item.first.step].longRunning)
-            this->bestEffortFrom = std::max(this->bestEffortFrom, now + this->config.rejectionDelay);
+        const bool longRunning = this->jobRegistry.find(item.first.job)->spec->steps[item.first.step].longRunning;
+        // While agents settle after a takeover, long-running tasks wait for that instead.
+        const TimePoint notBefore = longRunning && !sameIncarnation && now < this->settleUntil ? now : now + this->config.rejectionDelay;
+        if (longRunning && !sameIncarnation)
+            this->bestEffortFrom = std::max(this->bestEffortFrom, notBefore);
         if (!sameIncarnation || !named.contains({ item.first, task->record.run }))
-            this->markRunLost(worker, item.first, sameIncarnation ? "the worker does not list it" : "that incarnation of the worker has ended", now + this->config.rejectionDelay, now, effects);
+            this->markRunLost(worker, item.first, sameIncarnation ? "the worker does not list it" : "that incarnation of the worker has ended", notBefore, now, effects);
         else if (task->stopping || isTerminal(this->jobRegistry.find(item.first.job)->state))
             this->send(worker, StopRun { { item.first, task->record.run } }, effects);
     }
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -62,9 +62,12 @@
 void Scheduler::placeStep(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects)
 {
     const StepSpec& spec = job.spec->steps[step];
-    const TimePoint bestEffortFrom = this->agentsSettle ? this->settleUntil : this->bestEffortFrom;
-    if (spec.bestEffort && !spec.longRunning && now < bestEffortFrom) {
-        this->schedulePassAt(bestEffortFrom);
+    if (this->agentsSettle && (spec.longRunning || spec.bestEffort)) {
+        this->schedulePassAt(this->settleUntil);
+        return;
+    }
+    if (spec.bestEffort && !spec.longRunning && now < this->bestEffortFrom) {
+        this->schedulePassAt(this->bestEffortFrom);
         return;
     }
     if (weighsPlaces(job.spec->steps[step], this->config.placement)) {
