Soak: bursts of large best-effort jobs beside serving tasks

The soak submitted small jobs evenly, so waiting, throttling and checkpoints of best-effort tasks were never met by faults. Each plan now has bursts from a random sequence of their own; the other faults of a seed are as before. The clients keep their connections, come over all entries and repeat a request beyond an outage of the store, as bursts during one would otherwise not be played. Two jobs of each burst are cancelled, one right away and one when its tasks may wait or run.

A cancelled job that ends as failed is now a violation too.

--- a/standins/soak/Fault.h
+++ b/standins/soak/Fault.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cowslipdoor/core/Time.h>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -175,11 +176,34 @@
     bool operator==(const Evacuate&) const = default;
 };
 
+/// @brief Large best-effort job with two steps of equal tasks.
+struct BurstJob {
+    /// Time since the begin of the burst.
+    Duration after {};
+    unsigned tasksPerStep = 0;
+    /// Time that a task takes at full pace.
+    Duration work {};
+    std::uint32_t milliCores = 0;
+    /// Slack that a task would take from serving tasks if it used the whole worker.
+    double loss = 0;
+    /// How long after its acceptance its client cancels it, or nothing if it does not.
+    std::optional<Duration> cancelledAfter {};
+
+    bool operator==(const BurstJob&) const = default;
+};
+
+/// @brief Submits large best-effort jobs within a short time; load, but no fault.
+struct SubmitBurst {
+    std::vector<BurstJob> jobs;
+
+    bool operator==(const SubmitBurst&) const = default;
+};
+
 /// @brief Fault of a deployment that serves requests.
 using RequestFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SilenceLinks, SlowConnections, DuplicateAndDelayAnswers, ChangeRules>;
 
-/// @brief Fault of a deployment that runs jobs.
-using JobFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SlowConnections, StoreOutage, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers, CrashWorker, SendForeignHeartbeat, SilenceConnections, Evacuate>;
+/// @brief Fault of a deployment that runs jobs, or a burst of jobs.
+using JobFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SlowConnections, StoreOutage, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers, CrashWorker, SendForeignHeartbeat, SilenceConnections, Evacuate, SubmitBurst>;
 
 /// @brief A fault and its time.
 template <typename Fault>
--- a/standins/soak/JobSoak.cpp
+++ b/standins/soak/JobSoak.cpp
@@ -1,6 +1,8 @@
 #include "JobSoak.h"
+#include "RunHistory.h"
 #include "Timeline.h"
 #include <algorithm>
+#include <boost/asio/use_future.hpp>
 #include <random>
 #include <thread>
 #include <utility>
@@ -20,6 +22,11 @@
     constexpr unsigned tasksOfLongRunningJob = 6;
     /// Larger than the number of any other job.
     constexpr std::size_t firstLongRunningNumber = 900'000;
+    constexpr std::size_t firstBurstNumber = 500'000;
+    /// How long a client of a burst repeats a request; exceeds the longest faults, so that bursts during an outage are played after it.
+    constexpr Duration repeatLimit = std::chrono::seconds(30);
+    /// How long a client of a burst keeps its connection; bounds the number of clients of a long soak.
+    constexpr Duration connectionTime = std::chrono::seconds(10);
     /// Headroom on one worker, in tasks, from which the platform requires that long-running tasks run.
     constexpr std::size_t requiredFreeTasks = 2;
     /// Allowance for late checks: they run every 20 ms, and less often on a busy VM.
@@ -37,6 +44,17 @@
         return config;
     }
 
+    std::string bodyOf(const BurstJob& job)
+    {
+        const nlohmann::json payload { { "work-ms", toMilliseconds(job.work) }, { "cpu", job.milliCores }, { "loss", job.loss } };
+        nlohmann::json step { { "count", job.tasksPerStep }, { "cpu", job.milliCores }, { "mem-mb", platform::bestEffortMemoryMb }, { "estimate-ms", toMilliseconds(job.work) },
+            { "fills", true }, { "checkpointing", true }, { "image", "loss-" + std::to_string(job.loss) } };
+        nlohmann::json steps = nlohmann::json::array({ step });
+        step["after"] = nlohmann::json::array({ 0 });
+        steps.push_back(step);
+        return nlohmann::json { { "spec", payload.dump() }, { "phases", steps } }.dump();
+    }
+
 }
 
 JobSoak::JobSoak(const SoakSize& size, const std::string& folder)
@@ -62,6 +80,10 @@
     this->recover();
     this->stopping = true;
     callers.join();
+    for (std::future<std::optional<Submitted>>& client : this->burstClients) {
+        if (const std::optional<Submitted> job = client.get())
+            this->accepted.push_back(*job);
+    }
     this->observeQuietPeriod();
     this->cancelLongRunningJobs();
     this->checkAtEnd();
@@ -84,7 +106,7 @@
 {
     for (std::size_t number = 0; number < longRunningJobs; ++number) {
         const Submitted submitted { platform::jobId(firstLongRunningNumber + number), tasksOfLongRunningJob, true };
-        JobsDeployment::await("a long-running job to be accepted", [this, &submitted]() { return this->deployment.submitLongRunning(submitted.job, submitted.tasks); });
+        JobsDeployment::await("a long-running job to be accepted", [this, &submitted, number]() { return this->deployment.submitLongRunning(submitted.job, submitted.tasks, number > 0); });
         this->longRunning.push_back(submitted);
         for (unsigned task = 0; task < submitted.tasks; ++task)
             this->monitor.track(submitted.job + ".0.0." + std::to_string(task), runtime::monotonicNow());
@@ -105,14 +127,51 @@
             return;
         if (random() % 100 < cancelledPercent)
             submitted.cancelled = this->deployment.call(random() % this->size.entries, "DELETE", submitted.job).first == 200;
+        if (submitted.cancelled)
+            submitted.cancelledAt = runtime::monotonicNow();
         this->accepted.push_back(submitted);
     }
 }
 
+std::optional<JobSoak::Submitted> JobSoak::runBurstClient(const BurstJob& planned, std::size_t number) const
+{
+    std::this_thread::sleep_for(planned.after);
+    Submitted submitted { platform::jobId(firstBurstNumber + number), planned.tasksPerStep * 2, planned.cancelledAfter.has_value() };
+    runtime::asio::io_context context;
+    std::unique_ptr<runtime::KeepAliveClient> connection;
+    // Repeats a request until it succeeds, over the open connection or to the next entry.
+    auto repeat = [this, &submitted, &context, &connection, entry = number](const std::string& method, const std::string& body) mutable {
+        for (const TimePoint end = runtime::monotonicNow() + repeatLimit; runtime::monotonicNow() < end;) {
+            if (!connection)
+                connection = std::make_unique<runtime::KeepAliveClient>(context.get_executor(), this->deployment.callerAddress(entry++ % this->size.entries));
+            std::future<runtime::PeerResult> result = runtime::asio::co_spawn(context, connection->call(JobsDeployment::requestOf(method, submitted.job, body)), runtime::asio::use_future);
+            context.restart();
+            context.run();
+            const runtime::PeerResult outcome = result.get();
+            const runtime::PeerAnswer* const answer = std::get_if<runtime::PeerAnswer>(&outcome);
+            if (answer && answer->status == 200)
+                return true;
+            connection.reset();
+            std::this_thread::sleep_for(pauseBetweenJobs);
+        }
+        return false;
+    };
+    if (!repeat("POST", bodyOf(planned)))
+        return std::nullopt;
+    std::this_thread::sleep_for(planned.cancelledAfter.value_or(Duration {}));
+    if (submitted.cancelled && repeat("DELETE", ""))
+        submitted.cancelledAt = runtime::monotonicNow();
+    for (const TimePoint end = runtime::monotonicNow() + connectionTime; runtime::monotonicNow() < end && !this->stopping;)
+        std::this_thread::sleep_for(pauseBetweenJobs);
+    return submitted;
+}
+
 void JobSoak::runPlan(const std::vector<Planned<JobFault>>& plan)
 {
     const auto inject = [this](TimePoint now, const auto& alternative) {
-        this->faultInjected = true;
+        // A burst does not postpone the checks that wait for the end of faults.
+        if constexpr (!std::is_same_v<std::decay_t<decltype(alternative)>, SubmitBurst>)
+            this->faultInjected = true;
         this->inject(alternative, now);
     };
     const auto tick = [this](TimePoint now) { this->tick(now); };
@@ -174,6 +233,7 @@
     for (const Submitted& submitted : this->longRunning) {
         JobsDeployment::await("a long-running job to be cancelled", [this, &submitted]() { return this->deployment.call(0, "DELETE", submitted.job).first == 200; });
         this->accepted.push_back(submitted);
+        this->accepted.back().cancelledAt = runtime::monotonicNow();
     }
 }
 
@@ -190,8 +250,14 @@
         }
     }
     const std::map<std::string, std::size_t> done = this->deployment.done();
-    for (const Submitted& submitted : this->accepted)
+    std::map<std::string, TimePoint> cancellations;
+    for (const Submitted& submitted : this->accepted) {
         this->checkJob(submitted, done);
+        if (submitted.cancelledAt)
+            cancellations[submitted.job] = *submitted.cancelledAt;
+    }
+    for (const std::string& line : findRunViolations(this->deployment.runs(), cancellations))
+        this->report.add(line);
     for (const std::string& task : this->deployment.completedTwice())
         this->report.add("task " + task + " ran to its end " + std::to_string(done.at(task)) + " times");
     this->checkWhileRunning(runtime::monotonicNow());
@@ -207,7 +273,7 @@
     const std::size_t ended = static_cast<std::size_t>(std::count_if(done.begin(), done.end(), ofJob));
     if (state == "done" && ended != submitted.tasks)
         this->report.add("job " + submitted.job + " is done after " + std::to_string(ended) + " of " + std::to_string(submitted.tasks) + " tasks");
-    if (!submitted.cancelled && state != "done")
+    if (state != "done" && !(submitted.cancelled && state == "cancelled"))
         this->report.add("job " + submitted.job + " was accepted but is " + state);
 }
 
@@ -258,6 +324,12 @@
     this->evacuationMonitor.evacuate(zone, now, now + fault.length);
 }
 
+void JobSoak::inject(const SubmitBurst& burst, TimePoint)
+{
+    for (const BurstJob& job : burst.jobs)
+        this->burstClients.push_back(std::async(std::launch::async, [this, job, number = this->burstClients.size()]() { return this->runBurstClient(job, number); }));
+}
+
 void JobSoak::restoreZones(TimePoint now)
 {
     for (const std::string& zone : this->evacuationMonitor.takeEnded(now)) {
--- a/standins/soak/JobSoak.h
+++ b/standins/soak/JobSoak.h
@@ -34,10 +34,13 @@
         std::string job;
         unsigned tasks = 0;
         bool cancelled = false;
+        /// When the cancellation was acknowledged.
+        std::optional<TimePoint> cancelledAt {};
     };
 
     void submitLongRunningJobs();
     void submitJobs();
+    [[nodiscard]] std::optional<Submitted> runBurstClient(const BurstJob& planned, std::size_t number) const;
     void runPlan(const std::vector<Planned<JobFault>>& plan);
     void recover();
     void tick(TimePoint now);
@@ -63,6 +66,7 @@
     void inject(const SendForeignHeartbeat& fault, TimePoint now);
     void inject(const SilenceConnections& fault, TimePoint now);
     void inject(const Evacuate& fault, TimePoint now);
+    void inject(const SubmitBurst& burst, TimePoint now);
     void restoreZones(TimePoint now);
 
     SoakSize size;
@@ -80,6 +84,8 @@
     std::atomic<bool> stopping = false;
     /// Written by the submitting thread until run() has joined it.
     std::vector<Submitted> accepted;
+    /// One client for each job of a burst; its result is the job if it was accepted.
+    std::vector<std::future<std::optional<Submitted>>> burstClients;
     SoakReport report;
 };
 
--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -36,10 +36,19 @@
     constexpr Duration longestEvacuation = milliseconds(12000);
     constexpr Duration longestBetweenEvacuations = milliseconds(12000);
 
-    /// Silences and evacuations have random sequences of their own, so that the other faults of a seed don't depend on them.
+    // Sized so that three workers of 8 cores, with long-running tasks on them, end the jobs in time.
+    constexpr Duration longestBetweenBursts = milliseconds(9000);
+    constexpr Duration longestBurst = milliseconds(1500);
+    constexpr Duration longestBurstTask = milliseconds(2600);
+    /// Losses of slack per worker: one harmful task of 3 cores takes a serving task below its target, several harmless ones do not.
+    constexpr double harmfulLoss = 6;
+    constexpr double harmlessLoss = 0.3;
+
+    /// Silences, evacuations and bursts have random sequences of their own, so that the other faults of a seed don't depend on them.
     constexpr std::uint64_t silenceSequence = 1ULL << 63;
     constexpr std::uint64_t evacuationSequence = 1ULL << 62;
-    constexpr std::size_t kindsWithOwnSequence = 2;
+    constexpr std::uint64_t burstSequence = 1ULL << 61;
+    constexpr std::size_t kindsWithOwnSequence = 3;
 
     /// Draws faults and their times from a single random sequence, so that equal seeds give equal plans.
     class FaultGenerator {
@@ -112,6 +121,17 @@
             return { zone, shortestEvacuation + this->upTo(longestEvacuation - shortestEvacuation) };
         }
 
+        SubmitBurst burst()
+        {
+            SubmitBurst burst { std::vector<BurstJob>(4 + this->below(3)) };
+            for (BurstJob& job : burst.jobs)
+                job = { this->upTo(longestBurst), 2 + static_cast<unsigned>(this->below(2)), this->upTo(longestBurstTask), 2000 + 500 * static_cast<std::uint32_t>(this->below(4)), this->below(2) == 0 ? harmfulLoss : harmlessLoss };
+            // One is cancelled right away, and one when its tasks may wait or run.
+            burst.jobs.front().cancelledAfter = Duration {};
+            burst.jobs.back().cancelledAfter = this->upTo(longestBurst);
+            return burst;
+        }
+
         SendForeignHeartbeat drawForeignHeartbeat()
         {
             const std::size_t agent = this->agent();
@@ -237,6 +257,7 @@
             return "open connections of " + (fault.process ? describe(*fault.process) : "all processes") + " fall silent for good";
         }
         std::string operator()(const Evacuate& fault) const { return "zone-" + std::to_string(fault.zone) + " is evacuated" + lengthOf(fault.length); }
+        std::string operator()(const SubmitBurst& burst) const { return "a burst of " + std::to_string(burst.jobs.size()) + " best-effort jobs begins"; }
     };
 
 }
@@ -252,7 +273,9 @@
     std::vector<Planned<JobFault>> others = planSeries(size, silenceSequence, longestBetweenSilences, &FaultGenerator::silence);
     const std::vector<Planned<JobFault>> evacuations = planSeries(size, evacuationSequence, longestBetweenEvacuations, &FaultGenerator::evacuation);
     const auto earlier = [](const Planned<JobFault>& left, const Planned<JobFault>& right) { return left.at < right.at; };
+    const std::vector<Planned<JobFault>> bursts = planSeries(size, burstSequence, longestBetweenBursts, &FaultGenerator::burst);
     others.insert(others.end(), evacuations.begin(), evacuations.end());
+    others.insert(others.end(), bursts.begin(), bursts.end());
     std::stable_sort(others.begin(), others.end(), earlier);
     std::vector<Planned<JobFault>> merged;
     std::merge(faults.begin(), faults.end(), others.begin(), others.end(), std::back_inserter(merged), earlier);
--- a/standins/soak/tests/PlanTests.cpp
+++ b/standins/soak/tests/PlanTests.cpp
@@ -55,3 +55,29 @@
     CHECK(killed(plan, Role::Entry) == std::set<std::size_t> { 0, 1 });
     CHECK(killed(plan, Role::Agent) == std::set<std::size_t> { 0, 1, 2, 3 });
 }
+
+// Guards against bursts that draw from the sequence of other faults, so that a known seed no longer gives its plan.
+TEST_CASE("soak plan: bursts leave the other faults of a seed as they were without them", "[soak]")
+{
+    std::vector<Planned<JobFault>> plan = planJobFaults(size);
+    std::erase_if(plan, [](const Planned<JobFault>& planned) { return std::holds_alternative<SubmitBurst>(planned.fault); });
+    REQUIRE(plan.size() == 281);
+    CHECK(describe(plan[49].fault) == "the store is unavailable for 1849 ms");
+    CHECK(toMilliseconds(plan.back().at) == 118597);
+}
+
+// Guards against bursts that are not the load in question: small jobs, all or none cancelled, or none at all in the soak that CI plays.
+TEST_CASE("soak plan: a burst has large jobs of which some are cancelled", "[soak]")
+{
+    std::vector<Planned<JobFault>> plan = planJobFaults({ .seed = 1, .length = std::chrono::seconds(8) });
+    std::erase_if(plan, [](const Planned<JobFault>& planned) { return !std::holds_alternative<SubmitBurst>(planned.fault); });
+    CHECK_FALSE(plan.empty());
+    for (const Planned<JobFault>& planned : plan) {
+        const std::vector<BurstJob>& jobs = std::get<SubmitBurst>(planned.fault).jobs;
+        const auto isCancelled = [](const BurstJob& job) { return job.cancelledAfter.has_value(); };
+        CHECK(jobs.size() >= 4);
+        CHECK(jobs.front().cancelledAfter == Duration {});
+        CHECK(std::count_if(jobs.begin(), jobs.end(), isCancelled) == 2);
+        CHECK(std::all_of(jobs.begin(), jobs.end(), [](const BurstJob& job) { return job.after < std::chrono::seconds(2) && job.tasksPerStep >= 2 && job.milliCores >= 2000; }));
+    }
+}
