--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -40,8 +40,8 @@
     constexpr Duration longestBetweenBursts = milliseconds(9000);
     constexpr Duration longestBurst = milliseconds(1500);
     constexpr Duration longestBurstTask = milliseconds(2600);
-    /// Losses of slack per worker: one harmful task of 3 cores takes a serving task below its target, several harmless ones do not.
-    constexpr double harmfulLoss = 6;
+    /// Losses of slack per worker: two harmful tasks on a worker take a serving task below its target, several harmless ones do not.
+    constexpr double harmfulLoss = 4;
     constexpr double harmlessLoss = 0.3;
 
     /// Silences, evacuations and bursts have random sequences of their own, so that the other faults of a seed don't depend on them.
