--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -87,6 +87,7 @@
     DomainEvacuated = 640,
     DomainRestored = 641,
     EvacuationProgress = 642,
+    AgentsSettled = 643,
     ClientLimited = 645,
     ConnectionFailed = 646,
     PlaceAwaited = 650,
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -75,6 +75,7 @@
         EventDescription { EventId::DomainEvacuated, "domain_evacuated", EventLevel::Info, "The operator evacuates a failure domain; no run is started there until it is restored. The detail has the workers and runs there." },
         EventDescription { EventId::DomainRestored, "domain_restored", EventLevel::Info, "The operator has returned an evacuated failure domain to service." },
         EventDescription { EventId::EvacuationProgress, "evacuation_progress", EventLevel::Info, "Runs are left in an evacuated failure domain; the detail says how many, and how many tasks wait." },
+        EventDescription { EventId::AgentsSettled, "agents_settled", EventLevel::Info, "A new leader no longer waits for agents to report their runs before it places long-running and best-effort tasks; the detail has the wait and the agents that have not reported." },
         EventDescription { EventId::ClientLimited, "client_limited", EventLevel::Warning, "Connections of clients were closed or refused because of a limit; the detail has the limit and how many." },
         EventDescription { EventId::ConnectionFailed, "connection_failed", EventLevel::Error, "An unexpected error ended the service of one connection, which is closed; the detail says why." },
         EventDescription { EventId::PlaceAwaited, "place_awaited", EventLevel::Debug, "A task waits for a place on which it is expected to end earlier than on the one available now." },
--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -356,8 +356,8 @@
     void leadershipLost(Effects& effects);
     void committed(TimePoint now, Effects& effects);
     void placeTasks(TimePoint now, Effects& effects);
-    /// Updates what keeps best-effort tasks from being placed while long-running tasks start.
-    void beginBestEffort(TimePoint now);
+    /// Updates what keeps tasks from being placed while agents report after a takeover, or while serving runs start.
+    void updatePlacementHolds(TimePoint now, Effects& effects);
     void placeJob(const TrackedJob& job, TimePoint now, Effects& effects);
     void placeStep(const TrackedJob& job, std::uint32_t step, TimePoint now, Effects& effects);
     [[nodiscard]] OutlookSources outlookSources() const noexcept { return { this->knownWorkers, this->jobRegistry, this->interference, this->config.placement }; }
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -26,7 +26,7 @@
     this->placementHeldBack = !this->knowledgeCurrent(now);
     if (this->placementHeldBack)
         return;
-    this->beginBestEffort(now);
+    this->updatePlacementHolds(now, effects);
     this->beginPlaces(now, effects);
     for (const TrackedJob* const job : placementOrder(this->jobRegistry.waiting(), this->jobRegistry, now)) {
         // An assignment reserves room, but its order is sent only once it is stored.
@@ -37,18 +37,22 @@
     }
 }
 
-void Scheduler::beginBestEffort(TimePoint now)
+void Scheduler::updatePlacementHolds(TimePoint now, Effects& effects)
 {
-    bool settling = false;
+    std::size_t silentAgents = 0;
     for (Workers::value_type& item : this->knownWorkers) {
         TrackedWorker& worker = item.second;
         const bool servingRunsStart = now < worker.servingStartsUntil;
         worker.assumedSlack = servingRunsStart ? 0 : usualSlack;
         if (servingRunsStart)
             this->schedulePassAt(worker.servingStartsUntil);
-        settling |= !worker.settled && worker.longRunningMilliCores > 0;
+        if (!worker.settled && worker.longRunningMilliCores > 0)
+            ++silentAgents;
     }
-    this->agentsSettle = settling && now < this->settleUntil;
+    const bool settled = silentAgents == 0 || now >= this->settleUntil;
+    if (this->agentsSettle && settled)
+        effects.emplace_back(RecordEvent { EventId::AgentsSettled, std::to_string(toMilliseconds(this->config.settleTime - (this->settleUntil - now))) + " ms after the tables were read; " + std::to_string(silentAgents) + " agents with long-running tasks have not reported" });
+    this->agentsSettle = !settled;
 }
 
 void Scheduler::placeJob(const TrackedJob& job, TimePoint now, Effects& effects)
