Agent: a link whose welcome comes after the links were asked to close is closed at once

Cause: EntryDialer opened the link although it had been stopped. Nothing would close that link, so the agent waited 5 s for it. Change: such a connection is closed before it counts as a link. Links that were open stay open until their queues are written.

The exit code stays 1 when a link cannot be closed within the 5 s, as answers may still wait on it; E104 names the links beside the calls now, so the line no longer says that nothing was cut off.

--- a/apps/agent/AgentProcess.cpp
+++ b/apps/agent/AgentProcess.cpp
@@ -134,7 +134,8 @@
 asio::awaitable<std::string> AgentProcess::describeInFlight()
 {
     const AgentStatus status = co_await this->status();
-    co_return std::to_string(status.activeCalls) + " calls";
+    // Messages that wait on an open link, such as answers, are lost too.
+    co_return std::to_string(status.activeCalls) + " calls and " + std::to_string(this->entryDialer.openLinks()) + " links";
 }
 
 asio::awaitable<Response> AgentProcess::announce(const HttpRequest& request)
--- a/libs/runtime/include/cowslipdoor/runtime/EntryDialer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/EntryDialer.h
@@ -40,7 +40,7 @@
     /// @brief Starts the links; this object must outlive the run of the executor.
     void start();
 
-    /// @brief Stops opening links; open ones stay.
+    /// @brief Stops opening links; open ones stay, and a connection whose welcome arrives later is closed.
     void stop() noexcept { this->stopping = true; }
 
     /// @return the number of open links
--- a/libs/runtime/src/EntryDialer.cpp
+++ b/libs/runtime/src/EntryDialer.cpp
@@ -65,6 +65,11 @@
         const Welcome* const welcome = std::get_if<Welcome>(&first);
         if (!welcome)
             throw Error(ErrorKind::BadFrame, "the first message from the entry is not a Welcome");
+        // The links have been asked to close already, so nothing would close this one.
+        if (this->stopping) {
+            stream->close();
+            co_return;
+        }
         stream->extendSilenceLimit(welcome->heartbeatInterval);
         link = LinkId { ++this->lastLink };
         this->log.record(EventId::LinkOpened, welcome->entry + " at " + address);
--- a/tests/StopTests.cpp
+++ b/tests/StopTests.cpp
@@ -80,3 +80,18 @@
     CHECK_THROWS_AS(aborted.get(), Error);
     CHECK(readText(deployment.logPath("entry", 0)).find("E104 drain_cut [entry-0] second signal, 1 requests cut off") != std::string::npos);
 }
+
+TEST_CASE("stops: an agent logs how many calls and links a second signal cut off", "[system]")
+{
+    // An agent whose links stay open after its last call exits with code 1, and the log said only that no call was cut off.
+    TestDeployment deployment({ .agents = 1, .entries = 1 });
+    std::future<Response> aborted = deployment.callLater(0, "/batch?n=c&ms=20000");
+    Deployment::await("the long request to run", [&deployment]() { return deployment.counts().running == 1; });
+    deployment.agent(0).signal(SIGTERM);
+    Deployment::await("the drain to start", [&deployment]() { return readText(deployment.logPath("agent", 0)).find("E102 drain_started") != std::string::npos; });
+    deployment.agent(0).signal(SIGTERM);
+    CHECK(deployment.agent(0).wait() == 1);
+    CHECK(readText(deployment.logPath("agent", 0)).find("E104 drain_cut [agent-0] second signal, 1 calls and 1 links cut off") != std::string::npos);
+    deployment.entry(0).signal(SIGKILL);
+    CHECK_THROWS_AS(aborted.get(), Error);
+}
