--- a/apps/agent/AgentProcess.cpp
+++ b/apps/agent/AgentProcess.cpp
@@ -83,9 +83,7 @@
     this->admin.start();
     this->stop.start();
     this->log.record(EventId::ProcessStarted, "announcements at " + this->settings.text("admin-listen"));
-    this->context.run();
-    this->log.record(EventId::ProcessStopped, "exit code " + std::to_string(this->stop.exitCode()));
-    return this->stop.exitCode();
+    return this->stop.run();
 }
 
 void AgentProcess::addAdminHandlers()
@@ -134,7 +132,8 @@
 asio::awaitable<std::string> AgentProcess::describeInFlight()
 {
     const AgentStatus status = co_await this->status();
-    co_return std::to_string(status.activeCalls) + " calls";
+    // Messages that wait on an open link, such as answers, are lost too.
+    co_return std::to_string(status.activeCalls) + " calls and " + std::to_string(this->entryDialer.openLinks()) + " links";
 }
 
 asio::awaitable<Response> AgentProcess::announce(const HttpRequest& request)
--- a/standins/soak/JobSoak.cpp
+++ b/standins/soak/JobSoak.cpp
@@ -80,8 +80,8 @@
     this->recover();
     this->stopping = true;
     callers.join();
-    for (std::future<std::optional<Submitted>>& client : this->burstClients) {
-        if (const std::optional<Submitted> job = client.get())
+    for (std::future<std::optional<SubmittedJob>>& client : this->burstClients) {
+        if (const std::optional<SubmittedJob> job = client.get())
             this->accepted.push_back(*job);
     }
     this->observeQuietPeriod();
@@ -105,7 +105,7 @@
 void JobSoak::submitLongRunningJobs()
 {
     for (std::size_t number = 0; number < longRunningJobs; ++number) {
-        const Submitted submitted { platform::jobId(firstLongRunningNumber + number), tasksOfLongRunningJob, true };
+        const SubmittedJob submitted { platform::jobId(firstLongRunningNumber + number), tasksOfLongRunningJob, Cancellation::Acknowledged };
         JobsDeployment::await("a long-running job to be accepted", [this, &submitted, number]() { return this->deployment.submitLongRunning(submitted.job, submitted.tasks, number > 0); });
         this->longRunning.push_back(submitted);
         for (unsigned task = 0; task < submitted.tasks; ++task)
@@ -117,7 +117,7 @@
 {
     std::mt19937_64 random(this->size.seed);
     for (std::size_t number = 0; !this->stopping; ++number) {
-        Submitted submitted { platform::jobId(number), 1 + static_cast<unsigned>(random() % maximumTasks), false };
+        SubmittedJob submitted { platform::jobId(number), 1 + static_cast<unsigned>(random() % maximumTasks) };
         bool isAccepted = false;
         while (!isAccepted && !this->stopping) {
             isAccepted = this->deployment.submit(submitted.job, submitted.tasks);
@@ -126,17 +126,17 @@
         if (!isAccepted)
             return;
         if (random() % 100 < cancelledPercent)
-            submitted.cancelled = this->deployment.call(random() % this->size.entries, "DELETE", submitted.job).first == 200;
-        if (submitted.cancelled)
+            submitted.cancellation = this->cancel(submitted.job, random() % this->size.entries);
+        if (submitted.cancellation == Cancellation::Acknowledged)
             submitted.cancelledAt = runtime::monotonicNow();
         this->accepted.push_back(submitted);
     }
 }
 
-std::optional<JobSoak::Submitted> JobSoak::runBurstClient(const BurstJob& planned, std::size_t number) const
+std::optional<SubmittedJob> JobSoak::runBurstClient(const BurstJob& planned, std::size_t number) const
 {
     std::this_thread::sleep_for(planned.after);
-    Submitted submitted { platform::jobId(firstBurstNumber + number), planned.tasksPerStep * 2, planned.cancelledAfter.has_value() };
+    SubmittedJob submitted { platform::jobId(firstBurstNumber + number), planned.tasksPerStep * 2, planned.cancelledAfter ? Cancellation::Possible : Cancellation::None };
     runtime::asio::io_context context;
     std::unique_ptr<runtime::KeepAliveClient> connection;
     // Repeats a request until it succeeds, over the open connection or to the next entry.
@@ -159,13 +159,21 @@
     if (!repeat("POST", bodyOf(planned)))
         return std::nullopt;
     std::this_thread::sleep_for(planned.cancelledAfter.value_or(Duration {}));
-    if (submitted.cancelled && repeat("DELETE", ""))
+    if (planned.cancelledAfter && repeat("DELETE", "")) {
+        submitted.cancellation = Cancellation::Acknowledged;
         submitted.cancelledAt = runtime::monotonicNow();
+    }
     for (const TimePoint end = runtime::monotonicNow() + connectionTime; runtime::monotonicNow() < end && !this->stopping;)
         std::this_thread::sleep_for(pauseBetweenJobs);
     return submitted;
 }
 
+Cancellation JobSoak::cancel(const std::string& job, std::size_t entry)
+{
+    const std::pair<unsigned, nlohmann::json> answer = this->deployment.call(entry, "DELETE", job);
+    return cancellationOf(answer.first, answer.second);
+}
+
 void JobSoak::runPlan(const std::vector<Planned<JobFault>>& plan)
 {
     const auto inject = [this](TimePoint now, const auto& alternative) {
@@ -230,7 +238,7 @@
 
 void JobSoak::cancelLongRunningJobs()
 {
-    for (const Submitted& submitted : this->longRunning) {
+    for (const SubmittedJob& submitted : this->longRunning) {
         JobsDeployment::await("a long-running job to be cancelled", [this, &submitted]() { return this->deployment.call(0, "DELETE", submitted.job).first == 200; });
         this->accepted.push_back(submitted);
         this->accepted.back().cancelledAt = runtime::monotonicNow();
@@ -239,7 +247,7 @@
 
 void JobSoak::checkAtEnd()
 {
-    for (const Submitted& submitted : this->accepted) {
+    for (const SubmittedJob& submitted : this->accepted) {
         try {
             JobsDeployment::await(submitted.job, [this, &submitted]() {
                 const std::string state = this->deployment.state(submitted.job);
@@ -251,7 +259,7 @@
     }
     const std::map<std::string, std::size_t> done = this->deployment.done();
     std::map<std::string, TimePoint> cancellations;
-    for (const Submitted& submitted : this->accepted) {
+    for (const SubmittedJob& submitted : this->accepted) {
         this->checkJob(submitted, done);
         if (submitted.cancelledAt)
             cancellations[submitted.job] = *submitted.cancelledAt;
@@ -266,15 +274,14 @@
     this->report.checked = this->accepted.size();
 }
 
-void JobSoak::checkJob(const Submitted& submitted, const std::map<std::string, std::size_t>& done)
+void JobSoak::checkJob(const SubmittedJob& submitted, const std::map<std::string, std::size_t>& done)
 {
     const std::string state = this->deployment.state(submitted.job);
     const auto ofJob = [&submitted](const std::map<std::string, std::size_t>::value_type& item) { return item.first.starts_with(submitted.job); };
     const std::size_t ended = static_cast<std::size_t>(std::count_if(done.begin(), done.end(), ofJob));
-    if (state == "done" && ended != submitted.tasks)
-        this->report.add("job " + submitted.job + " is done after " + std::to_string(ended) + " of " + std::to_string(submitted.tasks) + " tasks");
-    if (state != "done" && !(submitted.cancelled && state == "cancelled"))
-        this->report.add("job " + submitted.job + " was accepted but is " + state);
+    const std::optional<std::string> violation = violationOf(submitted, state, ended);
+    if (violation)
+        this->report.add(*violation);
 }
 
 void JobSoak::inject(const StoreOutage& fault, TimePoint now)
