--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -94,6 +94,7 @@
     if (!this->leaderLease.leading() || event.epoch != this->leaderLease.epoch() || this->tablesRead)
         return;
     this->tablesRead = true;
+    this->agentsSettle = false;
     this->settleUntil = now + this->config.settleTime;
     this->leaderLease.resume();
     this->noteJobsKnown(event.version, event.asOf == TimePoint {} ? now : event.asOf, now, effects);
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -74,7 +74,7 @@
         this->schedulePassAt(this->bestEffortFrom);
         return;
     }
-    if (weighsPlaces(job.spec->steps[step], this->config.placement)) {
+    if (weighsPlaces(spec, this->config.placement)) {
         this->placeWeighing(job, step, now, effects);
         return;
     }
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -377,8 +377,9 @@
         return;
     const bool unsettled = this->incarnation->settledToken != this->token();
     const bool answerSoon = unsettled || !this->incarnationConfirmed() || this->signedOffAt || !this->incarnation->ended.empty() || (this->acknowledgementDue() && !this->mayAcknowledge());
+    const Duration longestWait = this->paceControl.awaitsMeasurement(now) ? this->config.measurementPollWait : this->config.pollWait;
     if (!this->pollInFlight && now >= this->nextPollAt)
-        this->poll(now, answerSoon ? Duration {} : this->paceControl.awaitsMeasurement(now) ? this->config.measurementPollWait : this->config.pollWait, effects);
+        this->poll(now, answerSoon ? Duration {} : longestWait, effects);
     if (!unsettled && !this->orderInFlight && !this->orders.empty())
         this->sendOrder(now, effects);
 }
