--- a/review/harness-3/Cases.cpp
+++ b/review/harness-3/Cases.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 #include <unistd.h>
 
-// The cases 11, 13 and 14. Usage: case NUMBER TROUBLE RECORD. The exit code is 1 if the rule was broken, 0 if it held, and 2 if the case
+// The cases 11 and 13 to 15. Usage: case NUMBER TROUBLE RECORD. The exit code is 1 if the rule was broken, 0 if it held, and 2 if the case
 // could not run.
 
 namespace {
@@ -197,6 +197,39 @@
     return lost > 0 ? broken : held;
 }
 
+/// Case 15: the leader is killed while the store holds the rows that some hours of ordinary traffic leave.
+int playHistory(Deployment& deployment, Record& record, std::size_t workers, bool trouble)
+{
+    constexpr std::size_t endedJobs = 200'000;
+    constexpr std::size_t jobsAtOnce = 500;
+    Client client(deployment, record);
+    std::uint64_t number = 1;
+    const std::function<void()> supervise = [&deployment, &record]() { deployment.supervise(record); };
+    sendOrdinary(client, number, nowMs() + 4'000, supervise);
+    while (client.state(1) != "done" && nowMs() < 20'000)
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    for (std::size_t added = 0; added < endedJobs; added += jobsAtOnce) {
+        deployment.store().repeatJob(jobId(1), 0x1000000 + added, jobsAtOnce);
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    record.line("the store holds " + std::to_string(deployment.store().jobRows()) + " rows of jobs and of their progress");
+    sendOrdinary(client, number, nowMs() + 3'000, supervise);
+    const std::optional<std::size_t> leader = deployment.leader();
+    if (!leader)
+        return couldNotRun;
+    if (trouble) {
+        deployment.entry(*leader).signal(SIGKILL);
+        record.line("front-" + std::to_string(*leader) + ", which leads, is killed");
+    }
+    sendOrdinary(client, number, nowMs() + 12'000, supervise);
+    record.line("end of the traffic; " + std::to_string(client.accepted.size()) + " jobs were accepted");
+    waitMs(finishMs, supervise);
+    const std::size_t lost = countLost(deployment, client, record, workers, supervise);
+    recordRuns(deployment, record);
+    record.line(std::to_string(lost) + " accepted jobs break LOST");
+    return lost > 0 ? broken : held;
+}
+
 /// Case 13: in spans of 3 s, two of 33 jobs can never be done, as no worker has the label that it requires.
 int playPoison(Deployment& deployment, Record& record, std::size_t workers, bool trouble)
 {
@@ -254,6 +287,8 @@
             return playLargeJob(deployment, record, workers, trouble, largeJob(40, 1, ""));
         if (number == 14)
             return playLargeJob(deployment, record, workers, trouble, largeJob(6, 2, "only-0"));
+        if (number == 15)
+            return playHistory(deployment, record, workers, trouble);
         if (number == 13)
             return playPoison(deployment, record, workers, trouble);
         return couldNotRun;
--- a/review/harness-3/Harness.cpp
+++ b/review/harness-3/Harness.cpp
@@ -1,10 +1,12 @@
 #include "Harness.h"
+#include <algorithm>
 #include <array>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 #include <cowslipdoor/runtime/Clock.h>
 #include <cowslipdoor/runtime/HttpClient.h>
 #include <cowslipdoor/runtime/Process.h>
+#include <cowslipdoor/scheduling/Rows.h>
 #include <csignal>
 #include <filesystem>
 #include <sstream>
@@ -69,6 +71,14 @@
         return text;
     }
 
+    std::string fromBase64(const std::string& text)
+    {
+        namespace base64 = boost::beast::detail::base64;
+        std::string bytes(base64::decoded_size(text.size()), '\0');
+        bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+        return bytes;
+    }
+
     std::string configuration()
     {
         const Json queue { { "name", "queue" }, { "host", host }, { "prefix", prefix }, { "route-type", "unsafe" }, { "timeout-ms", 3000 }, { "slo-ms", 250 },
@@ -135,6 +145,35 @@
     return this->server.call([this]() { return this->callCount; });
 }
 
+void Store::repeatJob(const std::string& job, std::uint64_t first, std::size_t count)
+{
+    this->server.call([this, &job, first, count]() {
+        const RowKey jobKey = jobRowKey({ job });
+        const RowKey progressKey = progressRowKey({ job });
+        const std::string jobText = fromBase64(this->rows.at({ jobKey.table, jobKey.part, jobKey.key }).value);
+        const std::string progress = this->rows.at({ progressKey.table, progressKey.part, progressKey.key }).value;
+        const std::size_t place = jobText.find(job);
+        for (std::size_t index = 0; index < count; ++index) {
+            const std::string id = jobId(first + index);
+            const RowKey key = jobRowKey({ id });
+            const RowKey progressOf = progressRowKey({ id });
+            std::string text = jobText;
+            text.replace(place, job.size(), id);
+            ++this->version;
+            this->rows[{ key.table, key.part, key.key }] = { toBase64(text), this->version };
+            this->rows[{ progressOf.table, progressOf.part, progressOf.key }] = { progress, this->version };
+        }
+        return true;
+    });
+}
+
+std::size_t Store::jobRows()
+{
+    return this->server.call([this]() {
+        return static_cast<std::size_t>(std::count_if(this->rows.begin(), this->rows.end(), [](const std::map<Key, StoredRow>::value_type& item) { return std::get<0>(item.first) == jobTable || std::get<0>(item.first) == progressTable; }));
+    });
+}
+
 asio::awaitable<Response> Store::respond(StandinCall call)
 {
     ++this->callCount;
--- a/review/harness-3/Harness.h
+++ b/review/harness-3/Harness.h
@@ -51,6 +51,13 @@
     void put(const std::string& table, const std::string& key, const std::string& value);
     /// @return number of calls so far
     [[nodiscard]] std::size_t calls();
+    /// @brief Repeats the rows that the system has written for an ended job under other identifiers, as many such jobs leave them.
+    /// @param job the ended job
+    /// @param first number of the first identifier
+    /// @param count number of jobs
+    void repeatJob(const std::string& job, std::uint64_t first, std::size_t count);
+    /// @return number of rows of jobs and of their progress, with and without those of repeatJob()
+    [[nodiscard]] std::size_t jobRows();
 
 private:
     using Key = std::tuple<std::string, std::string, std::string>;
