--- a/review/harness-3/Cases.cpp
+++ b/review/harness-3/Cases.cpp
@@ -20,10 +20,9 @@
 constexpr int broken = 1;
 constexpr int couldNotRun = 2;
 
-/// Bounds of the small sites: finish_s, the span of the rule on jobs with nothing running, and memory-mb of an entry.
+/// Bounds of the small sites: finish_s and the span of the rule on jobs with nothing running.
 constexpr std::int64_t finishMs = 14'000;
 constexpr std::int64_t idleSpanMs = 3'000;
-constexpr std::size_t entryMemoryMb = 260;
 
 constexpr std::int64_t ordinaryTaskMs = 300;
 constexpr std::size_t ordinaryTasks = 4;
@@ -230,59 +229,61 @@
     return lost > 0 ? broken : held;
 }
 
-/// Case 13: in spans of 3 s, two of 33 jobs can never be done, as no worker has the label that it requires.
-int playPoison(Deployment& deployment, Record& record, std::size_t workers, bool trouble)
+/// Case 13: a full service in which one place becomes free while three jobs wait for it.
+int playFullService(Deployment& deployment, Record& record, std::size_t workers, bool trouble)
 {
-    constexpr std::size_t spans = 9;
-    constexpr std::size_t endsOfFault = 3;
-    Client client(deployment, record);
-    std::vector<std::size_t> ends(deployment.size(), 0);
-    const std::function<void()> supervise = [&deployment, &record, &ends]() {
-        for (std::size_t index = 0; index < ends.size(); ++index)
-            ends[index] += deployment.superviseOne(index, record) ? 1 : 0;
+    const auto submit = [&deployment, &record](std::uint64_t number, std::size_t queue, std::size_t count, std::int64_t takesMs, const std::string& label, const std::string& rack) {
+        constexpr std::size_t cpu = workerCpu / 4;
+        Json step { { "count", count }, { "cpu", cpu }, { "mem-mb", 1000 }, { "estimate-ms", takesMs } };
+        if (!label.empty())
+            step["requires"] = label;
+        if (!rack.empty())
+            step["data-rack"] = rack;
+        const std::string body = Json { { "spec", Json { { "ms", takesMs }, { "cpu", cpu } }.dump() }, { "phases", Json::array({ step }) } }.dump();
+        const unsigned status = deployment.call(number % deployment.size(), "POST", jobId(number), body, std::chrono::milliseconds(3000), queue).first;
+        record.line("POST job " + jobId(number) + " of priority " + std::to_string(queue) + ": " + body + ": " + std::to_string(status));
+        return status == 200;
     };
-    const std::string poison = largeJob(64, 1, "no-such-label");
-    const std::string ordinary = ordinaryJob();
-    std::uint64_t number = 1;
-    std::uint64_t poisonNumber = 0xb000000;
-    for (std::size_t span = 0; span < spans; ++span) {
-        // 33 jobs in 3 s, two of which can never be done; then a second of ordinary ones.
-        for (int job = 0; job < 44; ++job) {
-            const std::int64_t next = nowMs() + 90;
-            if (trouble && (job == 10 || job == 25))
-                client.submit(poisonNumber++, poison, "poison");
-            else
-                client.submit(number++, ordinary, "ordinary");
-            supervise();
-            while (nowMs() < next)
-                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    const std::int64_t begin = nowMs();
+    const auto until = [begin](std::int64_t atMs) {
+        while (nowMs() < begin + atMs)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    };
+    // Four tasks of a quarter of its cores fill each worker; one on i-1 ends after 6.5 s, and those on i-0 after 8 s.
+    bool accepted = submit(1, 0, 4, 8'000, "only-0", "") && submit(2, 0, 3, 12'000, "only-1", "") && submit(3, 0, 1, 6'500, "only-1", "");
+    until(1'500);
+    accepted = accepted && submit(4, 2, 1, 4'000, "", "r1-0");
+    until(2'500);
+    accepted = accepted && submit(5, 1, 1, 4'000, "", "");
+    until(4'800);
+    if (trouble)
+        accepted = accepted && submit(6, 0, 1, 4'000, "", "r1-0");
+    until(16'000);
+    std::size_t overfills = 0;
+    for (std::size_t index = 0; index < workers; ++index) {
+        for (const Overfill& overfill : deployment.worker(index).overfills()) {
+            ++overfills;
+            record.line(std::to_string(overfill.atMs) + " ms: the start of " + overfill.task + " brings " + overfill.worker + " to " + std::to_string(overfill.milliCores) + " of " + std::to_string(overfill.capacity) + " thousandths of a core");
         }
-        record.line("resident memory of the entries: " + std::to_string(deployment.residentMb(0)) + ", " + std::to_string(deployment.residentMb(1)) + ", " + std::to_string(deployment.residentMb(2)) + " MB");
     }
-    record.line("end of the traffic; " + std::to_string(client.accepted.size()) + " jobs were accepted");
-    std::erase_if(client.accepted, [](std::uint64_t accepted) { return accepted >= 0xb000000; });
-    waitMs(finishMs, supervise);
-    const std::size_t lost = countLost(deployment, client, record, workers, supervise);
-    recordRuns(deployment, record);
-    std::size_t faulty = 0;
-    for (std::size_t index = 0; index < ends.size(); ++index) {
-        record.line("front-" + std::to_string(index) + " has ended " + std::to_string(ends[index]) + " times");
-        faulty += ends[index] >= endsOfFault ? 1 : 0;
-    }
-    record.line(std::to_string(faulty) + " machines on which processes ended three times or more; " + std::to_string(lost) + " accepted ordinary jobs break LOST");
-    return faulty >= 2 || lost > 0 ? broken : held;
+    for (const SeenRun& run : deployment.seen())
+        record.line(run.task + " run " + std::to_string(run.number) + " on " + run.worker + " from " + std::to_string(run.startedAtMs) + " to " + std::to_string(run.endedAtMs) + " ms: " + run.how);
+    if (!accepted)
+        return couldNotRun;
+    record.line(std::to_string(overfills) + " starts break LIMIT");
+    return overfills > 0 ? broken : held;
 }
 
 int play(int number, bool trouble, Record& record, const std::string& folder)
 {
-    constexpr std::size_t workers = 11;
+    const std::size_t workers = number == 13 ? 2 : 11;
     for (int attempt = 0; attempt < 3; ++attempt) {
-        Deployment deployment({ .entries = 3, .agents = workers, .folder = folder, .entryMemoryMb = number == 13 ? entryMemoryMb : 0 });
+        Deployment deployment({ .entries = 3, .agents = workers, .workersPerRack = number == 13 ? std::size_t { 1 } : std::size_t { 3 }, .folder = folder });
         if (!deployment.awaitReady(std::chrono::seconds(8))) {
             record.line("the deployment is not ready; starting it again");
             continue;
         }
-        record.line("3 entries and 11 agents are ready");
+        record.line("3 entries and " + std::to_string(workers) + " agents are ready");
         if (number == 11)
             return playLargeJob(deployment, record, workers, trouble, largeJob(40, 1, ""));
         if (number == 14)
@@ -290,7 +291,7 @@
         if (number == 15)
             return playHistory(deployment, record, workers, trouble);
         if (number == 13)
-            return playPoison(deployment, record, workers, trouble);
+            return playFullService(deployment, record, workers, trouble);
         return couldNotRun;
     }
     return couldNotRun;
--- a/review/harness-3/Harness.cpp
+++ b/review/harness-3/Harness.cpp
@@ -22,7 +22,8 @@
 namespace {
 
     constexpr const char* host = "jobs.example";
-    constexpr const char* prefix = "/jobs/";
+    /// One queue for each priority from zero on.
+    constexpr std::array<const char*, 3> queuePrefixes { "/jobs/", "/later/", "/last/" };
     constexpr std::size_t rowsPerAnswer = 500;
     constexpr std::size_t bytesPerAnswer = 1'000'000;
     constexpr std::size_t rowBytes = 65'536;
@@ -71,6 +72,12 @@
         return text;
     }
 
+    /// Percent of its work that a task has done.
+    std::int64_t progressOf(std::int64_t leftMs, std::int64_t takesMs)
+    {
+        return std::clamp<std::int64_t>(100 - leftMs * 100 / std::max<std::int64_t>(takesMs, 1), 0, 99);
+    }
+
     std::string fromBase64(const std::string& text)
     {
         namespace base64 = boost::beast::detail::base64;
@@ -81,9 +88,12 @@
 
     std::string configuration()
     {
-        const Json queue { { "name", "queue" }, { "host", host }, { "prefix", prefix }, { "route-type", "unsafe" }, { "timeout-ms", 3000 }, { "slo-ms", 250 },
-            { "priority", 0 }, { "service", "service" }, { "attempts", 2 }, { "stretch", 1.5 } };
-        return Json { { "version", 7 }, { "routes", { queue } }, { "services", { { { "name", "service" }, { "enforces-capacity", false }, { "standby", false } } } },
+        Json queues = Json::array();
+        for (std::size_t priority = 0; priority < queuePrefixes.size(); ++priority) {
+            queues.push_back({ { "name", "queue-" + std::to_string(priority) }, { "host", host }, { "prefix", queuePrefixes[priority] }, { "route-type", "unsafe" }, { "timeout-ms", 3000 },
+                { "slo-ms", 250 }, { "priority", priority }, { "service", "service" }, { "attempts", 2 }, { "stretch", 1.5 } });
+        }
+        return Json { { "version", 7 }, { "routes", queues }, { "services", { { { "name", "service" }, { "enforces-capacity", false }, { "standby", false } } } },
             { "limits", { { "max-header-bytes", 16384 }, { "max-body-bytes", 262144 }, { "header-timeout-ms", 3000 }, { "idle-timeout-ms", 15000 } } } }
             .dump();
     }
@@ -317,6 +327,11 @@
     });
 }
 
+std::vector<Overfill> Worker::overfills()
+{
+    return this->server.call([this]() { return this->overfilled; });
+}
+
 asio::awaitable<Response> Worker::respond(StandinCall call)
 {
     if (!call.targetInstance.empty() && call.targetInstance != this->config.id)
@@ -354,8 +369,14 @@
         return this->answer(409, { { "reason", "old" } });
     const Json spec = Json::parse(body.at("spec").get<std::string>(), nullptr, false);
     const std::int64_t takes = spec.is_object() ? spec.value("ms", std::int64_t { 500 }) : 500;
+    const std::uint64_t milliCores = spec.is_object() ? spec.value("cpu", std::uint64_t { 0 }) : 0;
+    std::uint64_t used = milliCores;
+    for (const std::map<std::string, Run>::value_type& item : this->runs)
+        used += item.second.milliCores;
+    if (used > this->config.milliCores)
+        this->overfilled.push_back({ this->config.id, task, nowMs(), used, this->config.milliCores });
     this->history.push_back({ task, number, this->config.id, nowMs(), -1, "" });
-    this->runs[task] = { number, this->history.size() - 1, this->clockMs() + takes };
+    this->runs[task] = { number, this->history.size() - 1, this->clockMs() + takes, milliCores, takes };
     this->ends.emplace(this->clockMs() + takes, task);
     return this->answer(200, Json::object());
 }
@@ -386,7 +407,7 @@
     }
     Json running = Json::array();
     for (const std::map<std::string, Run>::value_type& item : this->runs)
-        running.push_back({ item.first, item.second.number, "", 50, 0 });
+        running.push_back({ item.first, item.second.number, "", progressOf(item.second.endsAtMs - this->clockMs(), item.second.takesMs), 0 });
     Json listed = Json::array();
     for (std::size_t index = 0; index < std::min(endsPerAnswer, this->finished.size()); ++index)
         listed.push_back(this->finished[index]);
@@ -469,7 +490,7 @@
     this->storeStandin->put("op", "config", configuration());
     for (std::size_t index = 0; index < this->config.agents; ++index) {
         this->startAgent(index);
-        this->workers.push_back(std::make_unique<Worker>(WorkerConfig { .id = "i-" + std::to_string(index), .address = this->workerAddresses[index], .registry = this->registryAddresses[index], .labels = { "a", "r1-" + std::to_string(index / 3), "only-" + std::to_string(index) } }));
+        this->workers.push_back(std::make_unique<Worker>(WorkerConfig { .id = "i-" + std::to_string(index), .address = this->workerAddresses[index], .registry = this->registryAddresses[index], .labels = { "a", "r1-" + std::to_string(index / this->config.workersPerRack), "only-" + std::to_string(index) } }));
     }
     for (std::size_t index = 0; index < this->config.entries; ++index)
         this->startEntry(index);
@@ -501,9 +522,9 @@
     remember(*this->agents[index]);
 }
 
-std::pair<unsigned, Json> Deployment::call(std::size_t entry, const std::string& method, const std::string& job, const std::string& body, Duration timeout)
+std::pair<unsigned, Json> Deployment::call(std::size_t entry, const std::string& method, const std::string& job, const std::string& body, Duration timeout, std::size_t queue)
 {
-    HttpCall call { .address = this->callerAddresses.at(entry), .method = method, .target = prefix + job, .timeout = timeout };
+    HttpCall call { .address = this->callerAddresses.at(entry), .method = method, .target = queuePrefixes.at(queue) + job, .timeout = timeout };
     call.headers = { { "Host", host }, { "Deadline-Ms", std::to_string(toMilliseconds(timeout)) }, { "Content-Type", "application/json" } };
     call.body = body;
     try {
--- a/review/harness-3/Harness.h
+++ b/review/harness-3/Harness.h
@@ -90,6 +90,15 @@
     std::string how;
 };
 
+/// @brief A start that brought a worker over its capacity.
+struct Overfill {
+    std::string worker;
+    std::string task;
+    std::int64_t atMs = 0;
+    std::uint64_t milliCores = 0;
+    std::uint64_t capacity = 0;
+};
+
 /// @brief Settings of a worker.
 struct WorkerConfig {
     std::string id;
@@ -102,18 +111,22 @@
     Duration heartbeatInterval = std::chrono::milliseconds(1500);
 };
 
-/// @brief A worker that doesn't guard its capacity. The `spec` of a job is a JSON text whose `ms` is the time that each task takes.
+/// @brief A worker that doesn't guard its capacity. The `spec` of a job is a JSON text whose `ms` is the time that each task takes, and whose
+/// `cpu` is what each task requests.
 class Worker {
 public:
     explicit Worker(WorkerConfig config);
     [[nodiscard]] std::vector<SeenRun> seen();
     [[nodiscard]] std::size_t running();
+    [[nodiscard]] std::vector<Overfill> overfills();
 
 private:
     struct Run {
         std::uint64_t number = 0;
         std::size_t index = 0;
         std::int64_t endsAtMs = 0;
+        std::uint64_t milliCores = 0;
+        std::int64_t takesMs = 0;
     };
 
     runtime::asio::awaitable<cowslipdoor::Response> respond(cowslipdoor::platform::StandinCall call);
@@ -139,6 +152,7 @@
     std::map<std::string, std::uint64_t> highestEnded;
     std::deque<Json> finished;
     std::vector<SeenRun> history;
+    std::vector<Overfill> overfilled;
     cowslipdoor::platform::StandinServer server;
 };
 
@@ -146,6 +160,7 @@
 struct DeploymentConfig {
     std::size_t entries = 3;
     std::size_t agents = 4;
+    std::size_t workersPerRack = 3;
     std::string folder;
     /// An entry whose resident memory exceeds this is killed and started again, as the platform does; zero for no limit.
     std::size_t entryMemoryMb = 0;
@@ -166,7 +181,7 @@
 
     /// @brief Sends a caller's request to an entry.
     /// @return status and body; status zero without an answer
-    std::pair<unsigned, Json> call(std::size_t entry, const std::string& method, const std::string& job, const std::string& body = "", Duration timeout = std::chrono::milliseconds(3000));
+    std::pair<unsigned, Json> call(std::size_t entry, const std::string& method, const std::string& job, const std::string& body = "", Duration timeout = std::chrono::milliseconds(3000), std::size_t queue = 0);
     /// @return index of the entry that says that it leads, or nothing
     std::optional<std::size_t> leader();
     /// @return number of jobs that a leading entry holds
