--- a/review/harness-3/Cases.cpp
+++ b/review/harness-3/Cases.cpp
@@ -285,7 +285,7 @@
         }
         record.line("3 entries and " + std::to_string(workers) + " agents are ready");
         if (number == 11)
-            return playLargeJob(deployment, record, workers, trouble, largeJob(40, 1, ""));
+            return playLargeJob(deployment, record, workers, trouble, largeJob(64, 1, ""));
         if (number == 14)
             return playLargeJob(deployment, record, workers, trouble, largeJob(6, 2, "only-0"));
         if (number == 15)
