Runtime: long turns and links closed for a full outbox are logged and counted

E108 turn_took_long reports a turn of SchedulerTask or WorkerTask of 250 ms or more, two thirds of the interval of lease renewals. E305 outbox_full reports a link that is closed because its outbox is full, with the peer and the messages that are lost, on job links and request links, and for both sides. The agent forgets such a link at once, so each is reported once.

--- a/libs/runtime/include/cowslipdoor/runtime/AgentDialer.h
+++ b/libs/runtime/include/cowslipdoor/runtime/AgentDialer.h
@@ -67,6 +67,11 @@
         std::uint64_t task = 0;
     };
 
+    struct OpenLink {
+        std::string agent;
+        std::shared_ptr<JobStream> stream;
+    };
+
     [[nodiscard]] std::optional<tcp::endpoint> readAddress(const std::string& agent, const std::string& address);
     asio::awaitable<void> maintainLink(std::string agent, DialTarget target);
     /// Returns whether a link was opened and then refused.
@@ -81,7 +86,7 @@
     Metrics& metrics;
     std::map<std::string, DialTarget> agents;
     std::uint64_t lastTask = 0;
-    std::map<LinkId, std::shared_ptr<JobStream>> links;
+    std::map<LinkId, OpenLink> links;
     std::uint64_t lastLink = 0;
 };
 
--- a/libs/runtime/include/cowslipdoor/runtime/FramedStream.h
+++ b/libs/runtime/include/cowslipdoor/runtime/FramedStream.h
@@ -5,6 +5,8 @@
 
 #include "Asio.h"
 #include "Clock.h"
+#include "Log.h"
+#include "Metrics.h"
 #include <cowslipdoor/core/Messages.h>
 #include <cowslipdoor/scheduling/JobMessages.h>
 #include <cowslipdoor/wire/Frame.h>
@@ -31,6 +33,25 @@
 template <typename Message>
 using BasicOutbox = Mailbox<BasicOutboxMessage<Message>>;
 
+/// @brief Queues a message for the peer of a link without waiting. A full outbox is logged and counted as EventId::OutboxFull.
+/// @param outbox outbox of the link
+/// @param message the message
+/// @param peer name of the peer in the log
+/// @param log receives the event
+/// @param metrics counts the event
+/// @return whether the message was queued; if not, the link has to be closed, and the messages in the outbox are lost
+template <typename Message>
+[[nodiscard]] bool queueForPeer(const BasicOutbox<Message>& outbox, Message message, const std::string& peer, const Log& log, Metrics& metrics)
+{
+    if (trySend(*outbox, BasicOutboxMessage<Message>(std::move(message))))
+        return true;
+    if (outbox->is_open()) {
+        metrics.countEvent(EventId::OutboxFull);
+        log.record(EventId::OutboxFull, peer + ": " + std::to_string(maximumOutboxMessages) + " messages are lost");
+    }
+    return false;
+}
+
 /// @brief Called for each message to be written, with the size of its frame in bytes.
 template <typename Message>
 using BasicWriteObserver = std::function<void(const Message&, std::size_t)>;
--- a/libs/runtime/src/AgentDialer.cpp
+++ b/libs/runtime/src/AgentDialer.cpp
@@ -33,18 +33,18 @@
 
 void AgentDialer::send(LinkId link, const JobMessage& message)
 {
-    const std::map<LinkId, std::shared_ptr<JobStream>>::iterator it = this->links.find(link);
-    if (it == this->links.end() || trySend(*it->second->outbox(), JobOutboxMessage(message)))
+    const std::map<LinkId, OpenLink>::iterator it = this->links.find(link);
+    if (it == this->links.end() || queueForPeer(it->second.stream->outbox(), message, "agent " + it->second.agent, this->log, this->metrics))
         return;
-    // The peer reads too slowly and the outbox is full. The link's task reports the closed link.
-    it->second->close();
+    // The link's task reports the closed link.
+    it->second.stream->close();
 }
 
 void AgentDialer::closeAll()
 {
     this->agents.clear();
-    for (const std::map<LinkId, std::shared_ptr<JobStream>>::value_type& item : this->links)
-        item.second->close();
+    for (const std::map<LinkId, OpenLink>::value_type& item : this->links)
+        item.second.stream->close();
 }
 
 std::optional<tcp::endpoint> AgentDialer::readAddress(const std::string& agent, const std::string& address)
@@ -81,7 +81,7 @@
     stream->setSilenceLimit(this->config.silenceLimit);
     stream->startWriter();
     const LinkId link { ++this->lastLink };
-    this->links.emplace(link, stream);
+    this->links.emplace(link, OpenLink { agent, stream });
     const SchedulerEvent linked = AgentLinked { agent, link };
     co_await this->sink(linked);
     co_await this->relayAll(agent, link, stream);
--- a/libs/runtime/src/AgentTask.cpp
+++ b/libs/runtime/src/AgentTask.cpp
@@ -97,7 +97,7 @@
 void AgentTask::carryOut(const SendToLink& effect)
 {
     const std::map<LinkId, Outbox>::iterator it = this->links.find(effect.link);
-    if (it == this->links.end() || trySend(*it->second, OutboxMessage(effect.message)))
+    if (it == this->links.end() || queueForPeer(it->second, effect.message, "entry", this->log, this->metrics))
         return;
     it->second->close();
     this->links.erase(it);
--- a/libs/runtime/src/EntryTask.cpp
+++ b/libs/runtime/src/EntryTask.cpp
@@ -85,7 +85,7 @@
 void EntryTask::carryOut(const SendToLink& effect)
 {
     const std::map<LinkId, Outbox>::iterator it = this->links.find(effect.link);
-    if (it == this->links.end() || trySend(*it->second, OutboxMessage(effect.message)))
+    if (it == this->links.end() || queueForPeer(it->second, effect.message, "agent", this->log, this->metrics))
         return;
     it->second->close();
     this->links.erase(it);
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -2,6 +2,7 @@
 #include "cowslipdoor/runtime/Clock.h"
 #include "cowslipdoor/runtime/Process.h"
 #include "cowslipdoor/runtime/SpawnTask.h"
+#include "cowslipdoor/runtime/TurnWatch.h"
 #include <algorithm>
 #include <cowslipdoor/scheduling/TableEvents.h>
 #include <utility>
@@ -50,8 +51,11 @@
 
 void SchedulerTask::on(const SchedulerEvent& event)
 {
-    for (const SchedulerEffect& effect : this->machine.step(event, bootTimeNow()))
+    const TimePoint begin = monotonicNow();
+    const Scheduler::Effects effects = this->machine.step(event, bootTimeNow());
+    for (const SchedulerEffect& effect : effects)
         std::visit([this](const auto& alternative) { this->carryOut(alternative); }, effect);
+    recordTurn("SchedulerTask", monotonicNow() - begin, effects.size(), this->log, this->metrics);
 }
 
 void SchedulerTask::on(const SchedulerStatusQuery& query)
--- a/libs/runtime/src/WorkerTask.cpp
+++ b/libs/runtime/src/WorkerTask.cpp
@@ -2,6 +2,7 @@
 #include "cowslipdoor/runtime/Clock.h"
 #include "cowslipdoor/runtime/Process.h"
 #include "cowslipdoor/runtime/SpawnTask.h"
+#include "cowslipdoor/runtime/TurnWatch.h"
 #include <algorithm>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/scheduling/Rows.h>
@@ -56,8 +57,11 @@
     const LeaderDetached* const detached = std::get_if<LeaderDetached>(&event);
     if (detached)
         this->links.erase(detached->link);
-    for (const WorkerEffect& effect : this->machine.step(event, bootTimeNow()))
+    const TimePoint begin = monotonicNow();
+    const WorkerMachine::Effects effects = this->machine.step(event, bootTimeNow());
+    for (const WorkerEffect& effect : effects)
         std::visit([this](const auto& alternative) { this->carryOut(alternative); }, effect);
+    recordTurn("WorkerTask", monotonicNow() - begin, effects.size(), this->log, this->metrics);
 }
 
 void WorkerTask::on(const LeaderLinkOpened& message)
@@ -94,8 +98,10 @@
 void WorkerTask::carryOut(const SendToLeader& effect)
 {
     const std::map<LinkId, JobOutbox>::iterator it = this->links.find(effect.link);
-    if (it != this->links.end() && !trySend(*it->second, JobOutboxMessage(toJobMessage(effect.report))))
-        it->second->close();
+    if (it == this->links.end() || queueForPeer(it->second, toJobMessage(effect.report), "leader", this->log, this->metrics))
+        return;
+    it->second->close();
+    this->links.erase(it);
 }
 
 void WorkerTask::carryOut(const CloseLeaderLink& effect)
--- a/libs/runtime/tests/AgentDialerTests.cpp
+++ b/libs/runtime/tests/AgentDialerTests.cpp
@@ -84,3 +84,15 @@
     test.context.run_for(milliseconds(300));
     CHECK(test.accepted.size() == 1);
 }
+
+// Guards against orders that are lost with a full outbox without a trace in logs and metrics.
+TEST_CASE("agent dialer: a link that is closed for a full outbox is counted once", "[jobs]")
+{
+    DialerUnderTest test;
+    test.keepLinked();
+    test.context.run_for(milliseconds(100));
+    REQUIRE(test.accepted.size() == 1);
+    for (std::size_t number = 0; number <= maximumOutboxMessages + 10; ++number)
+        test.dialer.send(LinkId { 1 }, Pong { 1 });
+    CHECK(test.metrics.expose().find("event=\"outbox_full\"} 1") != std::string::npos);
+}
