Placement: a worker has at most 256 unconfirmed starts

Cause: all orders of a stored write were queued for an agent in one turn. As short tasks fill one worker before the next, large jobs without a label met the same.

Ruled out: a slow agent or network, as one turn of the leader fills the outbox before the writer of the link can run.

A worker now counts the tasks that were assigned to it and that its agent has neither listed nor refused, and placement passes over a worker that has 256 of them. So no more orders than that are under way to an agent, the agent handles them before they are out of date, and the tasks that are left over can go elsewhere instead of waiting in a queue.

Tests that failed before: "scheduler: a worker has a bounded number of unconfirmed starts, and a job of many tasks for it runs through" (6,000 orders in one turn). The tests of the limits of rows confirm the starts; that of the bytes of a write now also checks that both limits are reached, in rows with checkpoints, with 48 jobs instead of 96.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -41,6 +41,10 @@
 /// and sending an order takes less than half a second.
 constexpr Duration maximumGrantAge = std::chrono::milliseconds(1000);
 
+/// @brief Maximum number of starts on a worker that it has not confirmed. Its agent sends it one order at a time, and refuses an
+/// order after 1.5 s; a worker of 32 cores has room for about 100 tasks of the smallest size in use.
+constexpr std::size_t maximumUnconfirmedStarts = 256;
+
 /// @brief Reason why a task cannot be placed on a worker.
 enum class UnfitReason : unsigned char {
     NotLinked,
@@ -57,6 +61,7 @@
     LacksLabel,
     LacksResources,
     HoldsEnoughOfStep,
+    AwaitsStarts,
 };
 
 /// @param reason the reason
@@ -116,6 +121,8 @@
     std::map<RunId, std::vector<SlackLoss>> sentLosses {};
     /// Tasks with a run here, and the incarnation of the worker that each was assigned to.
     std::map<TaskId, WorkerIdentity> tasks {};
+    /// Tasks that were assigned here and whose runs the agent has neither listed nor refused.
+    std::set<TaskId> unconfirmedStarts {};
     /// Jobs with failed runs here since the last successful run.
     std::set<JobId> failedJobs {};
     TimePoint excludedUntil {};
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -139,6 +139,7 @@
         if (!open)
             continue;
         task->listedAt = now;
+        worker.unconfirmedStarts.erase(status.run.task);
         worker.noteAcceptance(task->startedAt);
         if (!status.checkpoint.empty())
             task->record.checkpoint = status.checkpoint;
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -118,6 +118,7 @@
     ++this->assignedInPass;
     const RunId run = this->jobRegistry.assign(id, { worker.agent, worker.info->identity }, now);
     worker.allocate(id, job.spec->steps[id.step], worker.info->identity);
+    worker.unconfirmedStarts.insert(id);
     if (job.spec->steps[id.step].target > Duration {}) {
         worker.servingStartsUntil = now + this->config.servingStartTime;
         worker.assumedSlack = 0;
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -54,6 +54,8 @@
         return "without enough headroom";
     case UnfitReason::HoldsEnoughOfStep:
         return "at the task limit of the step";
+    case UnfitReason::AwaitsStarts:
+        return "at the limit of unconfirmed starts";
     }
     return "";
 }
@@ -110,6 +112,7 @@
 {
     if (this->tasks.erase(id) == 0)
         return;
+    this->unconfirmedStarts.erase(id);
     this->used = this->used.minus(step.countedDemand());
     this->longRunningMilliCores -= step.longRunning ? step.demand.milliCores : 0;
     if (step.bestEffort)
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -55,6 +55,86 @@
     }
 };
 
+JobSpecHandle largeJob(std::size_t steps, StepSpec step)
+{
+    step.demand.memoryMb = 0;
+    return jobOf("large", std::vector<StepSpec>(steps, step));
+}
+
+/// Leader with jobs of many small tasks, and one agent that lists the runs that were started.
+struct ManyRuns {
+    SchedulerUnderTest test {};
+    /// Runs that the last write has started.
+    std::set<RunId> started {};
+    std::set<RunId> listed {};
+    std::uint64_t ends = 0;
+    LinkId link { 1 };
+
+    explicit ManyRuns(const std::vector<JobSpecHandle>& jobs) { this->test.becomeLeader(jobs); }
+
+    template <typename Message>
+    [[nodiscard]] std::set<RunId> sentRuns() const
+    {
+        std::set<RunId> runs;
+        for (const SchedulerEffect& effect : this->test.effects) {
+            const SendToAgent* const sent = std::get_if<SendToAgent>(&effect);
+            const Message* const message = sent ? std::get_if<Message>(&sent->message) : nullptr;
+            if (message)
+                runs.insert(message->run);
+        }
+        return runs;
+    }
+
+    void report(const AgentReport& report) { this->test.step(AgentReportReceived { "agent", this->link, report }); }
+
+    [[nodiscard]] RunProgress progress() const
+    {
+        RunProgress report { firstIncarnation, {} };
+        for (const RunId& run : this->listed)
+            report.running.push_back({ run, "", 10, 0 });
+        return report;
+    }
+
+    /// Places what can be placed now, and notes the runs whose start is ordered.
+    Transaction write()
+    {
+        this->report(Ping { 1 });
+        const Transaction written = this->test.awaitWrite();
+        this->test.commit();
+        this->started = this->sentRuns<StartRun>();
+        this->listed.insert(this->started.begin(), this->started.end());
+        return written;
+    }
+
+    /// Lists the runs that the last write has started.
+    void confirmStarts()
+    {
+        RunProgress report { firstIncarnation, {} };
+        for (const RunId& run : this->started)
+            report.running.push_back({ run, "", 10, 0 });
+        this->report(report);
+    }
+
+    void startAll()
+    {
+        while (!this->test.machine.jobs().waiting().empty()) {
+            this->write();
+            REQUIRE_FALSE(this->started.empty());
+            this->confirmStarts();
+        }
+    }
+
+    void end(const std::set<RunId>& runs, RunEndKind kind, const std::string& checkpoint = {})
+    {
+        RunsEnded report { firstIncarnation, {} };
+        for (const RunId& run : runs) {
+            report.ends.push_back({ ++this->ends, run, kind, checkpoint });
+            this->listed.erase(run);
+        }
+        this->report(report);
+    }
+};
+
 JobSpecHandle longRunningJob(const std::string& id)
 {
     StepSpec longRunningStep = stepOf(1, 500);
@@ -477,17 +557,24 @@
 
 TEST_CASE("scheduler: writes of many large jobs stay within the store's limit of bytes", "[jobs]")
 {
-    SchedulerUnderTest test { SchedulerConfig { .lease = { .holder = "me", .incarnation = 1 }, .assignmentsPerPass = 100'000 } };
     StepSpec wide = stepOf(1000, 0);
     wide.demand = {};
     std::vector<JobSpecHandle> jobs;
-    for (int number = 100; number < 196; ++number)
+    for (int number = 100; number < 148; ++number)
         jobs.push_back(jobOf(std::to_string(number), { wide }));
-    test.becomeLeader(jobs);
+    ManyRuns runs(jobs);
+    runs.startAll();
+    // All rows change at once, those of half of the jobs with the longest checkpoints.
+    const std::set<RunId> all = runs.listed;
+    const std::set<RunId>::const_iterator middle = all.lower_bound({ { { "124" }, 0, 0 }, 0 });
+    runs.end({ all.begin(), middle }, RunEndKind::Stopped);
+    runs.end({ middle, all.end() }, RunEndKind::Stopped, std::string(maximumCheckpointBytes, 'c'));
     std::set<RowKey> written;
+    std::size_t mostRows = 0;
+    std::size_t mostBytes = 0;
     const std::size_t segments = jobs.size() * segmentCount(*jobs.front());
-    for (std::size_t count = 0; count < 20 && written.size() < segments; ++count) {
-        const Transaction write = test.awaitWrite();
+    for (std::size_t count = 0; count < 80 && written.size() < segments; ++count) {
+        const Transaction write = runs.write();
         std::size_t bytes = 0;
         for (const RowWrite& row : write.writes) {
             bytes += (row.value.size() + 2) / 3 * 4 + row.key.table.size() + row.key.part.size() + row.key.key.size();
@@ -495,11 +582,15 @@
             if (row.key.table == progressTable)
                 written.insert(row.key);
         }
+        mostRows = std::max(mostRows, write.writes.size());
+        mostBytes = std::max(mostBytes, bytes);
         CHECK(bytes < maximumTransactionBytes);
         CHECK(write.writes.size() + write.conditions.size() <= maximumTransactionEntries);
-        test.commit();
     }
     CHECK(written.size() == segments);
+    // Both limits were reached.
+    CHECK(mostRows >= runs.test.config.rowsPerWrite);
+    CHECK(mostBytes >= runs.test.config.bytesPerWrite);
 }
 
 // Guards against a pass over a large job that blocks the leader beyond its lease.
@@ -524,22 +615,52 @@
     }
 }
 
+// Guards against a job of many tasks for one worker whose orders are lost with the full outbox of the link, again and again.
+TEST_CASE("scheduler: a worker has a bounded number of unconfirmed starts, and a job of many tasks for it runs through", "[jobs]")
+{
+    ManyRuns runs({ largeJob(6, stepOf(1000, 1)) });
+    std::size_t writes = 0;
+    while (runs.test.machine.jobs().find({ "large" })->state != JobState::Done) {
+        REQUIRE(writes++ < 2 * 6000 / maximumUnconfirmedStarts);
+        runs.write();
+        CHECK(runs.started.size() <= maximumUnconfirmedStarts);
+        runs.end(runs.started, RunEndKind::Done);
+    }
+}
+
+TEST_CASE("scheduler: a start counts as unconfirmed until it is listed, ended or refused", "[jobs]")
+{
+    ManyRuns runs({ largeJob(1, stepOf(4, 1)) });
+    runs.write();
+    const auto unconfirmed = [&runs]() { return runs.test.machine.workers().at("agent").unconfirmedStarts.size(); };
+    REQUIRE(runs.started.size() == 4);
+    CHECK(unconfirmed() == 4);
+    runs.report(RunProgress { firstIncarnation, { { *runs.started.begin(), "", 10, 0 } } });
+    CHECK(unconfirmed() == 3);
+    runs.report(RunsEnded { firstIncarnation, { { 1, *std::next(runs.started.begin()), RunEndKind::Done, "" } } });
+    CHECK(unconfirmed() == 2);
+    runs.report(RunRejected { *std::next(runs.started.begin(), 2), "full" });
+    CHECK(unconfirmed() == 1);
+    // The snapshot of a new link lists nothing, so the last order is lost.
+    runs.test.step(AgentLinked { "agent", LinkId { 9 } });
+    runs.test.step(AgentReportReceived { "agent", LinkId { 9 }, WorkerSnapshot { "agent", 3, runs.test.machine.workers().at("agent").info, true, {}, {}, {}, 0 } });
+    CHECK(unconfirmed() == 0);
+}
+
 // Guards against one accepted job of some thousand tasks that ends all scheduling, as the store refuses the row of its progress.
 TEST_CASE("scheduler: the progress of a job of 6,000 tasks is stored in rows that the store takes, and a new leader restores it", "[jobs]")
 {
-    SchedulerUnderTest test { SchedulerConfig { .lease = { .holder = "me", .incarnation = 1 }, .assignmentsPerPass = 100'000 } };
-    StepSpec step = stepOf(1000, 0);
-    step.demand = {};
-    test.becomeLeader({ jobOf("large", std::vector<StepSpec>(6, step)) });
+    const JobSpecHandle large = largeJob(6, stepOf(1000, 0));
+    ManyRuns runs({ large });
+    SchedulerUnderTest& test = runs.test;
     std::map<RowKey, std::string> stored;
-    const auto commitAll = [&test, &stored]() {
-        for (int count = 0; count < 4 && (count == 0 || test.machine.jobs().changed()); ++count) {
-            const Transaction write = test.awaitWrite();
-            for (const RowWrite& row : write.writes) {
+    const auto commitAll = [&runs, &test, &stored]() {
+        for (int count = 0; count < 40 && (count == 0 || test.machine.jobs().changed() || !test.machine.jobs().waiting().empty()); ++count) {
+            for (const RowWrite& row : runs.write().writes) {
                 CHECK(row.value.size() <= maximumRowBytes);
                 stored[row.key] = row.value;
             }
-            test.commit();
+            runs.confirmStarts();
         }
         CHECK_FALSE(test.machine.jobs().changed());
     };
@@ -548,7 +669,7 @@
     std::vector<RunEnd> ends;
     for (std::uint32_t index = 0; index < 1000; ++index)
         ends.push_back({ index + 1, { { { "large" }, index % 6, index }, 1 }, index % 2 == 0 ? RunEndKind::Done : RunEndKind::Stopped, longest });
-    test.step(AgentReportReceived { "agent", LinkId { 1 }, RunsEnded { firstIncarnation, ends } });
+    runs.report(RunsEnded { firstIncarnation, ends });
     commitAll();
     std::vector<Row> rows;
     for (const std::map<RowKey, std::string>::value_type& item : stored) {
@@ -556,7 +677,7 @@
             rows.push_back({ item.first, item.second, 1, false });
     }
     JobRegistry restored;
-    restored.restore(jobOf("large", std::vector<StepSpec>(6, step)), decodeTables(2, rows).read.progress.at({ "large" }), test.now);
+    restored.restore(large, decodeTables(2, rows).read.progress.at({ "large" }), test.now);
     const TrackedJob& before = *test.machine.jobs().find({ "large" });
     const TrackedJob& after = *restored.find({ "large" });
     CHECK(after.remaining == before.remaining);
