--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -359,6 +359,8 @@
     void startNextIncarnation(TimePoint now, Effects& effects);
     [[nodiscard]] bool incarnationAnswered() const noexcept { return this->incarnation && this->incarnation->answered; }
     [[nodiscard]] bool raiseAcceptedToken(std::uint64_t token) noexcept;
+    /// Rejects the starts at the front of the queue whose renewal grant is too old.
+    void rejectLateStarts(TimePoint now, Effects& effects);
     void resolveUnconfirmedStarts(Effects& effects);
     void repeatStops();
     void reportMissing(CallNumber poll, Effects& effects);
--- a/libs/scheduling/src/WorkerMachineCalls.cpp
+++ b/libs/scheduling/src/WorkerMachineCalls.cpp
@@ -88,25 +88,30 @@
 
 void WorkerMachine::sendOrder(TimePoint now, Effects& effects)
 {
-    const StartOrder* const start = std::get_if<StartOrder>(&this->orders.front());
-    // The leader may have abandoned an order that came late or has waited long.
-    if (start && now > TimePoint(Duration(start->order.answeredPingAt)) + this->config.grantValidity) {
-        const RunId run = start->order.run;
-        this->orders.pop_front();
-        this->reject(run, "the order is out of date", effects);
-        return;
-    }
-    if (start && !this->mayRenew(now))
+    this->rejectLateStarts(now, effects);
+    if (this->orders.empty() || (std::holds_alternative<StartOrder>(this->orders.front()) && !this->mayRenew(now)))
         return;
     const Order order = this->orders.front();
     this->orders.pop_front();
     std::visit([this, now, &effects](const auto& alternative) { this->sendCall(alternative, now, effects); }, order);
 }
 
+void WorkerMachine::rejectLateStarts(TimePoint now, Effects& effects)
+{
+    // The leader may have abandoned an order that came late or has waited long.
+    const auto isLate = [this, now](const StartOrder* start) { return start && now > TimePoint(Duration(start->order.answeredPingAt)) + this->config.grantValidity; };
+    while (!this->orders.empty() && isLate(std::get_if<StartOrder>(&this->orders.front()))) {
+        const RunId run = std::get<StartOrder>(this->orders.front()).order.run;
+        this->orders.pop_front();
+        this->reject(run, "the order is out of date", effects);
+    }
+}
+
 void WorkerMachine::resolveUnconfirmedStarts(Effects& effects)
 {
+    const RunLookup listed = this->listedRuns();
     for (const RunId& run : std::exchange(this->incarnation->unconfirmedStarts, {})) {
-        if (this->lists(run))
+        if (listed.contains(&run))
             this->incarnation->started.insert_or_assign(run, this->incarnation->newestPoll);
         else
             this->reject(run, "its order had no answer and was voided", effects);
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -54,6 +54,15 @@
         return std::nullopt;
     }
 
+    template <typename Report>
+    std::size_t reportCount() const
+    {
+        return static_cast<std::size_t>(std::count_if(this->effects.begin(), this->effects.end(), [](const WorkerEffect& effect) {
+            const SendToLeader* const sent = std::get_if<SendToLeader>(&effect);
+            return sent && std::holds_alternative<Report>(sent->report);
+        }));
+    }
+
     PollAnswered answerTo(const CallPoll& poll, std::vector<RunStatus> running = {}, std::vector<RunEnd> ended = {}) const
     {
         return { poll.call, firstIncarnation.startedAtMs, 5000, std::move(running), std::move(ended) };
@@ -227,6 +236,25 @@
     CHECK(agent.reported<RunRejected>());
 }
 
+// Guards against orders that wait for ever at the agent, as each event refuses one of them, while the leader counts their runs as started.
+TEST_CASE("agent: all queued orders that are out of date are refused at once", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(LeaderMessageReceived { leaderLink, agent.order() });
+    REQUIRE(agent.lastStart);
+    constexpr std::uint32_t queued = 50;
+    for (std::uint32_t index = 1; index <= queued; ++index) {
+        StartRun order = agent.order();
+        order.run.task.index = index;
+        order.order = index + 1;
+        agent.step(LeaderMessageReceived { leaderLink, order });
+    }
+    agent.now += milliseconds(1600);
+    agent.step(OrderAnswered { *agent.lastStart, true, "", firstIncarnation.startedAtMs });
+    CHECK(agent.reportCount<RunRejected>() == queued);
+}
+
 TEST_CASE("agent: the link of a leader of an older epoch is closed, a newer leader replaces the link", "[jobs]")
 {
     AgentUnderTest agent;
