Leader: one turn sends an agent at most 1,024 stops and descriptions of runs

Stops and descriptions have one bound for a turn and an agent, a quarter of the outbox. A stop that is left out is sent with the next report, each 0.5 s, that lists its run; runs that are not described yet are kept by agent and described with the next reports; losses that have changed are found again.

Tests that failed before (3,000 messages in one turn): "scheduler: one turn sends an agent a bounded number of stops, ..." and "scheduler: one turn sends an agent a bounded number of descriptions of runs, ...".

--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -422,8 +422,10 @@
     void leaveStalledWorker(TrackedWorker& worker, const std::vector<ListedRun>& listed, TimePoint now, Effects& effects);
     /// Returns whether a worker that is not excluded can take the task of a run.
     [[nodiscard]] bool hasPlaceElsewhere(const TrackedWorker& worker, const ListedRun& run, TimePoint now) const;
-    void relocateOneStarvingRun(const TrackedWorker& worker, TimePoint now, Effects& effects);
-    void orderStop(const TrackedWorker& worker, const TaskId& id, const std::string& reason, Effects& effects);
+    void relocateOneStarvingRun(TrackedWorker& worker, TimePoint now, Effects& effects);
+    void orderStop(TrackedWorker& worker, const TaskId& id, const std::string& reason, Effects& effects);
+    /// Sends a stop unless this turn has sent enough of them; each report that lists the run repeats it.
+    void sendStop(TrackedWorker& worker, const RunId& run, Effects& effects) const;
     void applyRunStatus(TrackedWorker& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
     void adoptRuns(TrackedWorker& worker, const WorkerSnapshot& snapshot);
     void dropUnlistedRuns(TrackedWorker& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
@@ -431,7 +433,10 @@
     void markRunLost(TrackedWorker& worker, const TaskId& task, const std::string& reason, TimePoint notBefore, TimePoint now, Effects& effects);
     void markSilentWorkersLost(TimePoint now, Effects& effects);
     void sendHello(TrackedWorker& worker, Effects& effects);
-    void sendRunTraits(TrackedWorker& worker, Effects& effects) const;
+    /// Describes the runs that the agent of a new link may find on its worker, as many as a turn may send.
+    void describeRuns(TrackedWorker& worker, Effects& effects);
+    /// Returns whether a description of the run may matter to an agent.
+    [[nodiscard]] static bool needsDescription(const StepSpec& step) noexcept { return step.bestEffort || step.target > Duration {}; }
     void watchLongRunningTasks(TimePoint now, Effects& effects);
     [[nodiscard]] std::vector<TaskId> idleTasksOf(const TrackedJob& job, TimePoint now) const;
     [[nodiscard]] std::string describeIdle(const TrackedJob& job, const TaskId& id, TimePoint now) const;
@@ -443,6 +448,8 @@
     void schedulePass(TimePoint now);
 
     SchedulerConfig config;
+    /// Number of events that have been handled.
+    std::uint64_t turns = 0;
     LeaderLease leaderLease;
     JobRegistry jobRegistry;
     BurnTracker burnTracker;
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -45,6 +45,10 @@
 /// order after 1.5 s; a worker of 32 cores has room for about 100 tasks of the smallest size in use.
 constexpr std::size_t maximumUnconfirmedStarts = 256;
 
+/// @brief Maximum number of stops and descriptions of runs that one turn of the leader sends to an agent: a quarter of the outbox of
+/// a link. The next reports of the agent cause those that were left out.
+constexpr std::size_t maximumMessagesPerTurn = 1024;
+
 /// @brief Reason why a task cannot be placed on a worker.
 enum class UnfitReason : unsigned char {
     NotLinked,
@@ -119,6 +123,11 @@
     std::uint32_t pacedDownMilliCores = 0;
     /// Losses of best-effort runs as last sent to the agent.
     std::map<RunId, std::vector<SlackLoss>> sentLosses {};
+    /// Runs here that have to be described to the agent again, as its link is new.
+    std::set<RunId> undescribedRuns {};
+    /// Last turn of the leader in which stops or descriptions of runs were sent here, and their number in it.
+    std::uint64_t messagesTurn = 0;
+    std::size_t messagesInTurn = 0;
     /// Tasks with a run here, and the incarnation of the worker that each was assigned to.
     std::map<TaskId, WorkerIdentity> tasks {};
     /// Tasks that were assigned here and whose runs the agent has neither listed nor refused.
@@ -199,6 +208,11 @@
     /// @param now current time
     void noteRefusal(TimePoint assignedAt, const WorkerHealthConfig& config, TimePoint now);
 
+    /// @brief Counts a stop or a description of a run.
+    /// @param turn number of the current turn of the leader
+    /// @return whether it may be sent in this turn
+    [[nodiscard]] bool takeMessage(std::uint64_t turn) noexcept;
+
     /// @brief Notes an accepted start, which clears earlier refusals.
     /// @param assignedAt when the run was assigned; only a run assigned after the last refusal clears it
     void noteAcceptance(TimePoint assignedAt) noexcept;
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -25,6 +25,7 @@
 Scheduler::Effects Scheduler::step(const SchedulerEvent& event, TimePoint now)
 {
     Effects effects;
+    ++this->turns;
     std::visit([this, now, &effects](const auto& alternative) { this->on(alternative, now, effects); }, event);
     this->advance(now, effects);
     return effects;
@@ -356,16 +357,17 @@
     this->schedulePass(now);
 }
 
-void Scheduler::sendRunTraits(TrackedWorker& worker, Effects& effects) const
+void Scheduler::describeRuns(TrackedWorker& worker, Effects& effects)
 {
-    for (const std::map<TaskId, WorkerIdentity>::value_type& item : worker.tasks) {
-        const TrackedJob& job = *this->jobRegistry.find(item.first.job);
-        const StepSpec& step = job.spec->steps[item.first.step];
-        const TaskState& task = job.steps[item.first.step][item.first.index];
-        if (!step.bestEffort && step.target <= Duration {})
-            continue;
-        const RunId run { item.first, task.record.run };
-        this->send(worker, DescribeRun { run, this->traitsToSend(worker, run, step) }, effects);
+    while (!worker.undescribedRuns.empty()) {
+        const RunId run = *worker.undescribedRuns.begin();
+        const TaskState* const task = this->jobRegistry.openRun(run);
+        const bool here = task && task->record.assignment->agent == worker.agent;
+        if (here && !worker.takeMessage(this->turns))
+            return;
+        worker.undescribedRuns.erase(worker.undescribedRuns.begin());
+        if (here)
+            this->send(worker, DescribeRun { run, this->traitsToSend(worker, run, this->jobRegistry.find(run.task.job)->spec->steps[run.task.step]) }, effects);
     }
 }
 
--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -68,7 +68,7 @@
     return chosen && chosen->agent != worker.agent && !chosen->exclusionReason(now);
 }
 
-void Scheduler::relocateOneStarvingRun(const TrackedWorker& worker, TimePoint now, Effects& effects)
+void Scheduler::relocateOneStarvingRun(TrackedWorker& worker, TimePoint now, Effects& effects)
 {
     for (const std::map<TaskId, WorkerIdentity>::value_type& item : worker.tasks) {
         const TrackedJob& job = *this->jobRegistry.find(item.first.job);
@@ -84,13 +84,19 @@
     }
 }
 
-void Scheduler::orderStop(const TrackedWorker& worker, const TaskId& id, const std::string& reason, Effects& effects)
+void Scheduler::orderStop(TrackedWorker& worker, const TaskId& id, const std::string& reason, Effects& effects)
 {
     TaskState& task = *this->jobRegistry.task(id);
     task.stopping = true;
     const RunId run { id, task.record.run };
-    this->send(worker, StopRun { run }, effects);
+    this->sendStop(worker, run, effects);
     effects.emplace_back(RecordEvent { EventId::RunStopOrdered, describe(run) + " at " + worker.agent + ": " + reason });
 }
 
+void Scheduler::sendStop(TrackedWorker& worker, const RunId& run, Effects& effects) const
+{
+    if (worker.takeMessage(this->turns))
+        this->send(worker, StopRun { run }, effects);
+}
+
 }
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -75,6 +75,7 @@
         return;
     const std::vector<ListedRun> listed = this->openRuns(report.running);
     this->learnInterference(worker, listed, now);
+    this->describeRuns(worker, effects);
     this->sendChangedTraits(worker, effects);
     this->applyRunStatus(worker, report.running, now, effects);
     this->notePace(worker, listed, now);
@@ -135,7 +136,7 @@
         TaskState* const task = this->jobRegistry.openRun(status.run);
         const bool open = task && task->record.assignment->agent == worker.agent && task->record.assignment->worker == worker.info->identity;
         if (!open || task->stopping || isTerminal(this->jobRegistry.find(status.run.task.job)->state))
-            this->send(worker, StopRun { status.run }, effects);
+            this->sendStop(worker, status.run, effects);
         if (!open)
             continue;
         task->listedAt = now;
@@ -202,7 +203,8 @@
         }
         const StepSpec& step = this->jobRegistry.find(it->first.task.job)->spec->steps[it->first.task.step];
         const PaceTraits traits = this->traitsOf(step, worker);
-        if (differ(it->second, traits.losses)) {
+        // A change that is left out is found again with the next report.
+        if (differ(it->second, traits.losses) && worker.takeMessage(this->turns)) {
             it->second = traits.losses;
             this->send(worker, DescribeRun { it->first, traits }, effects);
         }
@@ -242,11 +244,11 @@
         if (!sameIncarnation || !named.contains({ item.first, task->record.run }))
             this->markRunLost(worker, item.first, sameIncarnation ? "the worker does not list it" : "that incarnation of the worker has ended", notBefore, now, effects);
         else if (task->stopping || isTerminal(this->jobRegistry.find(item.first.job)->state))
-            this->send(worker, StopRun { { item.first, task->record.run } }, effects);
+            this->sendStop(worker, { item.first, task->record.run }, effects);
     }
     for (const RunId& run : snapshot.pending) {
         if (!this->jobRegistry.openRun(run))
-            this->send(worker, StopRun { run }, effects);
+            this->sendStop(worker, run, effects);
     }
 }
 
@@ -272,7 +274,13 @@
     worker.ordersBeforeLink = this->orders;
     worker.settled = false;
     this->send(worker, LeaderHello { this->leaderLease.epoch(), this->config.lease.holder, worker.generation, worker.agent }, effects);
-    this->sendRunTraits(worker, effects);
+    worker.undescribedRuns.clear();
+    for (const std::map<TaskId, WorkerIdentity>::value_type& item : worker.tasks) {
+        const TrackedJob& job = *this->jobRegistry.find(item.first.job);
+        if (needsDescription(job.spec->steps[item.first.step]))
+            worker.undescribedRuns.insert({ item.first, job.steps[item.first.step][item.first.index].record.run });
+    }
+    this->describeRuns(worker, effects);
 }
 
 }
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -1,6 +1,7 @@
 #include "cowslipdoor/scheduling/Workers.h"
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace cowslipdoor {
 
@@ -154,6 +155,16 @@
     this->lastChoiceUntil = now + config.lastChoiceTime;
 }
 
+bool TrackedWorker::takeMessage(std::uint64_t turn) noexcept
+{
+    if (std::exchange(this->messagesTurn, turn) != turn)
+        this->messagesInTurn = 0;
+    if (this->messagesInTurn >= maximumMessagesPerTurn)
+        return false;
+    ++this->messagesInTurn;
+    return true;
+}
+
 void TrackedWorker::noteAcceptance(TimePoint assignedAt) noexcept
 {
     if (assignedAt <= this->refusedAt)
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -647,6 +647,44 @@
     CHECK(unconfirmed() == 0);
 }
 
+// Guards against the stops of a cancelled job that fill the outbox of a link and are lost with it.
+TEST_CASE("scheduler: one turn sends an agent a bounded number of stops, and its reports cause the others", "[jobs]")
+{
+    ManyRuns runs({ largeJob(3, stepOf(1000, 1)) });
+    runs.startAll();
+    runs.test.step(JobCancelStored { { "large" } });
+    std::set<RunId> stopped = runs.sentRuns<StopRun>();
+    CHECK(stopped.size() == maximumMessagesPerTurn);
+    for (std::size_t reports = 0; !runs.listed.empty(); ++reports) {
+        REQUIRE(reports < 3);
+        runs.end(stopped, RunEndKind::Stopped);
+        runs.report(runs.progress());
+        stopped = runs.sentRuns<StopRun>();
+        CHECK(stopped.size() <= maximumMessagesPerTurn);
+    }
+}
+
+// Guards against descriptions of runs that fill the outbox of each new link, which is then closed.
+TEST_CASE("scheduler: one turn sends an agent a bounded number of descriptions of runs, and its reports cause the others", "[jobs]")
+{
+    StepSpec serving = stepOf(1000, 1);
+    serving.longRunning = true;
+    serving.target = milliseconds(50);
+    ManyRuns runs({ largeJob(3, serving) });
+    runs.startAll();
+    runs.test.step(AgentLinked { "agent", LinkId { 9 } });
+    std::set<RunId> described = runs.sentRuns<DescribeRun>();
+    CHECK(described.size() == maximumMessagesPerTurn);
+    runs.link = LinkId { 9 };
+    for (std::size_t reports = 0; reports < 2; ++reports) {
+        runs.report(runs.progress());
+        const std::set<RunId> more = runs.sentRuns<DescribeRun>();
+        CHECK(more.size() <= maximumMessagesPerTurn);
+        described.insert(more.begin(), more.end());
+    }
+    CHECK(described.size() == 3000);
+}
+
 // Guards against one accepted job of some thousand tasks that ends all scheduling, as the store refuses the row of its progress.
 TEST_CASE("scheduler: the progress of a job of 6,000 tasks is stored in rows that the store takes, and a new leader restores it", "[jobs]")
 {
