Agent: a stop that the leader repeats is queued once

The leader repeats the stop of a run with each report that lists it. The agent queued a call for each, so an agent with many runs to stop spent its calls on those that came first, and its queue grew with each report.

The agent repeats stops itself while polls list their runs, so a stop for a run that is being stopped adds nothing.

Test that failed before: "agent: a stop that the leader repeats is called once, and again only while a poll lists its run".

--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -322,8 +322,9 @@
         this->reject(message.run, "stopped before its start", effects);
         return;
     }
-    this->incarnation->toStop.insert(message.run);
-    this->orders.emplace_front(StopOrder { message.run });
+    // A stop that the leader repeats is repeated by repeatStops() as long as polls list the run.
+    if (this->incarnation->toStop.insert(message.run).second)
+        this->orders.emplace_front(StopOrder { message.run });
 }
 
 void WorkerMachine::onMessage(LinkId, const AcknowledgeEnds& message, TimePoint now, Effects&)
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -255,6 +255,20 @@
     CHECK(agent.reportCount<RunRejected>() == queued);
 }
 
+TEST_CASE("agent: a stop that the leader repeats is called once, and again only while a poll lists its run", "[jobs]")
+{
+    AgentUnderTest agent;
+    agent.settle();
+    agent.step(LeaderMessageReceived { leaderLink, StopRun { run } });
+    REQUIRE(agent.find<CallStop>());
+    const CallNumber stop = agent.find<CallStop>()->call;
+    agent.step(LeaderMessageReceived { leaderLink, StopRun { run } });
+    agent.step(OrderAnswered { stop, true, "", firstIncarnation.startedAtMs });
+    CHECK_FALSE(agent.find<CallStop>());
+    agent.step(agent.answerTo({ .call = agent.lastPoll }, { { run, "", 10, 0 } }));
+    CHECK(agent.find<CallStop>());
+}
+
 TEST_CASE("agent: the link of a leader of an older epoch is closed, a newer leader replaces the link", "[jobs]")
 {
     AgentUnderTest agent;
