Agent: an answer that lists many runs is handled in linear time

With thousands of runs on a worker each poll delayed its pings, and so the renewal of its leases.

The agent now looks runs up in a set of what the answer lists.

--- a/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/WorkerMachine.h
@@ -245,6 +245,11 @@
     };
     using Order = std::variant<StartOrder, StopOrder, ChangePace>;
 
+    struct PointsToLess {
+        bool operator()(const RunId* left, const RunId* right) const noexcept { return *left < *right; }
+    };
+    using RunLookup = std::set<const RunId*, PointsToLess>;
+
     struct OrderInFlight {
         CallNumber call;
         Order order;
@@ -382,7 +387,8 @@
     [[nodiscard]] bool acknowledgementDue() const noexcept { return this->incarnation->acknowledgedToWorker < this->incarnation->acknowledged; }
     [[nodiscard]] std::int64_t leaseUntil(TimePoint now);
     [[nodiscard]] std::vector<RunId> pendingRuns() const;
-    [[nodiscard]] bool lists(const RunId& run) const;
+    /// Returns the runs that the last answer to a poll lists as running or ended.
+    [[nodiscard]] RunLookup listedRuns() const;
 
     WorkerMachineConfig config;
     PaceControl paceControl;
--- a/libs/scheduling/src/WorkerMachine.cpp
+++ b/libs/scheduling/src/WorkerMachine.cpp
@@ -546,8 +546,9 @@
 void WorkerMachine::reportMissing(CallNumber poll, Effects& effects)
 {
     bool missing = false;
-    std::erase_if(this->incarnation->started, [this, poll, &missing](const std::map<RunId, CallNumber>::value_type& item) {
-        const bool gone = item.second <= poll && !this->lists(item.first);
+    const RunLookup listed = this->listedRuns();
+    std::erase_if(this->incarnation->started, [poll, &listed, &missing](const std::map<RunId, CallNumber>::value_type& item) {
+        const bool gone = item.second <= poll && !listed.contains(&item.first);
         missing = missing || gone;
         return gone;
     });
@@ -608,10 +609,14 @@
     return this->generation.value_or(0) * tokensPerGeneration + this->tokenRaises + 1;
 }
 
-bool WorkerMachine::lists(const RunId& run) const
+WorkerMachine::RunLookup WorkerMachine::listedRuns() const
 {
-    const bool running = std::any_of(this->incarnation->running.begin(), this->incarnation->running.end(), [&run](const RunStatus& status) { return status.run == run; });
-    return running || std::any_of(this->incarnation->ended.begin(), this->incarnation->ended.end(), [&run](const RunEnd& end) { return end.run == run; });
+    RunLookup listed;
+    for (const RunStatus& status : this->incarnation->running)
+        listed.insert(&status.run);
+    for (const RunEnd& end : this->incarnation->ended)
+        listed.insert(&end.run);
+    return listed;
 }
 
 }
--- a/libs/scheduling/tests/WorkerMachineTests.cpp
+++ b/libs/scheduling/tests/WorkerMachineTests.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cowslipdoor/scheduling/WorkerMachine.h>
+#include <ctime>
 
 using namespace cowslipdoor;
 using namespace cowslipdoor::tests;
@@ -132,6 +133,27 @@
     StartRun order() const { return { run, firstIncarnation, "text", "", {}, 1, this->lastPing }; }
 };
 
+/// Returns the processor time in seconds, for each run, in which an agent that has started runs handles an answer that lists them all.
+double timePerListedRun(std::uint32_t count)
+{
+    AgentUnderTest agent;
+    agent.settle();
+    std::vector<RunStatus> running;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        StartRun order = agent.order();
+        order.run.task.index = index;
+        agent.step(LeaderMessageReceived { leaderLink, order });
+        agent.step(OrderAnswered { *agent.lastStart, true, "", firstIncarnation.startedAtMs });
+        running.push_back({ order.run, "", 10, 0 });
+    }
+    // The poll in flight was sent before the starts, so its answer says nothing about them.
+    agent.step(agent.answerTo({ .call = agent.lastPoll }, running));
+    const PollAnswered answer = agent.answerTo({ .call = agent.lastPoll }, std::move(running));
+    const std::clock_t begin = std::clock();
+    agent.step(answer);
+    return static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC / count;
+}
+
 }
 
 TEST_CASE("agent: a worker is settled once it answers a poll with a token that no earlier run of the agent has used", "[jobs]")
@@ -269,6 +291,13 @@
     CHECK(agent.find<CallStop>());
 }
 
+// Guards against an answer that lists thousands of runs and blocks the agent beyond its grants.
+TEST_CASE("agent: the time to handle a listed run does not grow with the runs on the worker", "[jobs]")
+{
+    const double small = std::min({ timePerListedRun(500), timePerListedRun(500), timePerListedRun(500) });
+    CHECK(timePerListedRun(8000) < 6 * small);
+}
+
 TEST_CASE("agent: the link of a leader of an older epoch is closed, a newer leader replaces the link", "[jobs]")
 {
     AgentUnderTest agent;
