Placement: a pass leaves a step as soon as no worker takes one of its tasks

Test that failed before: "scheduler: the time of a pass does not grow with the tasks that wait for room".

--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -105,7 +105,7 @@
         const TrackedWorker* const chosen = chooseWorker(job, step, task, this->knownWorkers, this->interference, now);
         if (chosen)
             this->assignTask(job, { job.spec->id, step, index }, *chosen, now, effects);
-        else if (waited)
+        else if (waited || !spec.longRunning)
             return;
         else
             recentTasksWait = true;
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -4,6 +4,7 @@
 #include <cowslipdoor/scheduling/Limits.h>
 #include <cowslipdoor/scheduling/Scheduler.h>
 #include <cowslipdoor/scheduling/TableEvents.h>
+#include <ctime>
 
 using namespace cowslipdoor;
 using namespace cowslipdoor::tests;
@@ -135,6 +136,30 @@
     }
 };
 
+/// Returns the processor time in seconds of a pass on full workers, with a job of 64 steps that waits for room.
+double timePerFullPass(std::uint32_t tasksPerStep)
+{
+    constexpr int leaders = 10;
+    // A job that has waited for a second accepts more workers.
+    constexpr int passes = 2;
+    std::clock_t taken = 0;
+    for (int leader = 0; leader < leaders; ++leader) {
+        SchedulerUnderTest test;
+        test.becomeLeader({ jobOf("full", { stepOf(1, 8000) }), largeJob(64, stepOf(tasksPerStep, 1)) });
+        static_cast<void>(test.awaitWrite());
+        test.commit();
+        REQUIRE(test.machine.jobs().find({ "large" })->assigned == 0);
+        const std::clock_t begin = std::clock();
+        // The lease is renewed each 375 ms, and the write begins with a pass.
+        for (int pass = 0; pass < passes; ++pass) {
+            static_cast<void>(test.awaitWrite(milliseconds(400)));
+            test.commit();
+        }
+        taken += std::clock() - begin;
+    }
+    return static_cast<double>(taken) / CLOCKS_PER_SEC / (leaders * passes);
+}
+
 JobSpecHandle longRunningJob(const std::string& id)
 {
     StepSpec longRunningStep = stepOf(1, 500);
@@ -615,6 +640,13 @@
     }
 }
 
+// Guards against passes that look at each task of a job that waits for room.
+TEST_CASE("scheduler: the time of a pass does not grow with the tasks that wait for room", "[jobs]")
+{
+    const double small = std::min({ timePerFullPass(50), timePerFullPass(50), timePerFullPass(50) });
+    CHECK(std::min(timePerFullPass(1000), timePerFullPass(1000)) < 5 * small);
+}
+
 // Guards against a job of many tasks for one worker whose orders are lost with the full outbox of the link, again and again.
 TEST_CASE("scheduler: a worker has a bounded number of unconfirmed starts, and a job of many tasks for it runs through", "[jobs]")
 {
