Placement: a place that another task has taken is not given away again

Cause: a place that was found for a task which then waited stayed in the cache of the pass. Tasks that weigh no places were assigned without a note to the cache, so a later task with the requirements of the first got the same place. Neither the assignment nor the agent checks the room again.

Ruled out: stale ends and reports, as the replay has none and shows both starts in one pass; it holds for memory as for cores.

Each assignment now notes the change of load, whatever path chose the worker; assignTask() is the only function that takes room, so no path is left out. It also checks the known headroom: an assignment beyond it is not made and logged as E652 headroom_exceeded. Other state that is kept through a pass: the slowdowns of the same cache are dropped with it; expected releases only decide whether to wait, and racks only rank workers, so they cannot give a place away.

Test that failed before, for cores and for memory: "place replay: a place that another task has taken in the same pass is not given away again".

--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -95,6 +95,7 @@
     ConnectionFailed = 646,
     PlaceAwaited = 650,
     PlaceWaitEnded = 651,
+    HeadroomExceeded = 652,
 };
 
 /// @brief Effect: write a log event.
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -83,6 +83,7 @@
         EventDescription { EventId::ConnectionFailed, "connection_failed", EventLevel::Error, "An unexpected error ended the service of one connection, which is closed, or one call; the detail says why." },
         EventDescription { EventId::PlaceAwaited, "place_awaited", EventLevel::Debug, "A task waits for a place on which it is expected to end earlier than on the one available now." },
         EventDescription { EventId::PlaceWaitEnded, "place_wait_ended", EventLevel::Debug, "A task no longer waits for a better place; the detail has the expected and the actual wait." },
+        EventDescription { EventId::HeadroomExceeded, "headroom_exceeded", EventLevel::Error, "A task was not assigned, as the chosen worker lacks the headroom; this is a fault of the choice of a worker." },
     };
 
 }
--- a/libs/scheduling/src/SchedulerPlaces.cpp
+++ b/libs/scheduling/src/SchedulerPlaces.cpp
@@ -108,7 +108,6 @@
         this->endPlaceWait(this->placeWaits.find({ job.spec->id, step }), std::string(toString(placeNow->reason)) + ", " + describeSlowdown(place->slowdown) + " at " + place->worker->agent, now, effects);
         this->assignTask(job, { job.spec->id, step, index }, *place->worker, now, effects);
         --placeable;
-        this->placeCache.loadChanged(*place->worker);
     }
     this->placeWaits.erase({ job.spec->id, step });
 }
--- a/libs/scheduling/src/SchedulerWrites.cpp
+++ b/libs/scheduling/src/SchedulerWrites.cpp
@@ -115,6 +115,13 @@
 void Scheduler::assignTask(const TrackedJob& job, const TaskId& id, const TrackedWorker& chosen, TimePoint now, Effects& effects)
 {
     TrackedWorker& worker = this->knownWorkers[chosen.agent];
+    this->placeCache.loadChanged(worker);
+    const ResourceVector demand = job.spec->steps[id.step].countedDemand();
+    if (!worker.free().covers(demand)) {
+        effects.emplace_back(RecordEvent { EventId::HeadroomExceeded, describe(id) + " needs " + std::to_string(demand.milliCores) + " milli-cores and " + std::to_string(demand.memoryMb) + " MB; free at " + worker.agent + " " + std::to_string(worker.free().milliCores) + " milli-cores, " + std::to_string(worker.free().memoryMb) + " MB" });
+        this->schedulePassAt(now + this->config.rejectionDelay);
+        return;
+    }
     ++this->assignedInPass;
     const RunId run = this->jobRegistry.assign(id, { worker.agent, worker.info->identity }, now);
     worker.allocate(id, job.spec->steps[id.step], worker.info->identity);
--- a/libs/scheduling/tests/PlaceReplayTests.cpp
+++ b/libs/scheduling/tests/PlaceReplayTests.cpp
@@ -55,6 +55,8 @@
     std::map<std::string, std::size_t> startsByAgent {};
     std::vector<Duration> taskTimes {};
     std::vector<std::string> placeEvents {};
+    /// Number of starts that brought a worker over its capacity.
+    std::size_t overfills = 0;
 
     explicit Replay(const PlacementConfig& placement, double strictLoss = 30, const std::vector<JobSpecHandle>& stored = {}, std::int64_t readAtMs = 0)
         : machine(SchedulerConfig { .lease = { .holder = "me", .incarnation = 1 }, .placement = placement })
@@ -101,6 +103,10 @@
         this->firstStart.try_emplace(order.run.task.job, this->now);
         this->taskStart.try_emplace(order.run.task, this->now);
         ++this->startsByAgent[worker.agent];
+        ResourceVector used {};
+        for (const std::map<RunId, ReplayRun>::value_type& item : worker.running)
+            used = used.plus(item.second.step.countedDemand());
+        this->overfills += worker.info.capacity.covers(used) ? 0 : 1;
     }
 
     void receive(ReplayWorker& worker, const StopRun& order)
@@ -465,3 +471,38 @@
         CHECK(replay.startsByAgent["remote"] == (factor < 2 ? 1 : 0));
     }
 }
+
+// Guards against a place that was found for a task that then waited, and that is given to two other tasks in the same pass.
+TEST_CASE("place replay: a place that another task has taken in the same pass is not given away again", "[place]")
+{
+    // Two cases: cores and memory are scarce.
+    for (const ResourceVector& demand : { ResourceVector { 8000, 1000, 0 }, ResourceVector { 100, 32000, 0 } }) {
+        Replay replay(PlacementConfig { .waits = true, .remoteFactor = 1.5 });
+        replay.addWorker("near", "", { "r1" });
+        replay.addWorker("remote", "", { "r2" });
+        const auto submit = [&replay, &demand](const std::string& id, std::uint32_t priority, std::uint32_t count, Duration estimate, const std::string& label, const std::string& rack) {
+            StepSpec step = stepOf(count, 0);
+            step.demand = demand;
+            step.estimate = estimate;
+            step.requiredLabel = label;
+            step.dataRack = rack;
+            JobSpec spec = *jobOf(id, { step });
+            spec.priority = priority;
+            spec.dueSlack = std::chrono::seconds(20);
+            replay.submit(std::make_shared<const JobSpec>(spec));
+        };
+        // Both workers are full; one task on the remote worker ends 1.5 s before those on the near one.
+        submit("near", 0, 2, milliseconds(8000), "near", "");
+        submit("remote", 0, 1, milliseconds(12'000), "remote", "");
+        submit("ends-first", 0, 1, milliseconds(6500), "remote", "");
+        replay.advanceFor(milliseconds(1500));
+        submit("waited-long", 2, 1, milliseconds(4000), "", "r1");
+        replay.advanceFor(milliseconds(1000));
+        submit("anywhere", 1, 1, milliseconds(4000), "", "");
+        replay.advanceFor(milliseconds(2300));
+        submit("waits", 0, 1, milliseconds(4000), "", "r1");
+        replay.advanceFor(std::chrono::seconds(11));
+        CHECK(replay.overfills == 0);
+        CHECK(replay.ended.size() == 6);
+    }
+}
