Simulation: a worker whose VM is down does not come back with a shorter fault

Trace: all VMs lose power at 26.7 s, and the agent and the worker of one VM stay down for 15 s. At 28.7 s that worker, which is down, is killed again for a second, and its restart brought it up while its agent stayed down until 41.8 s. The check counted its cores as headroom, though nothing can be started there ("1 not linked, 3 without enough headroom" in the log of the leader).

The longer downtime now holds, as the fault says. No check changes.

--- a/libs/scheduling/tests/JobSimulation.cpp
+++ b/libs/scheduling/tests/JobSimulation.cpp
@@ -1265,9 +1265,10 @@
             oracleJob.longRunningTasks.at(item.first.task).lastRun = this->now;
     }
     worker.up = false;
+    worker.downUntil = std::max(worker.downUntil, this->now + downtime);
     worker.running.clear();
     this->after(downtime, [this, index]() {
-        if (!this->workers[index].up)
+        if (!this->workers[index].up && this->now >= this->workers[index].downUntil)
             this->startWorker(index);
     });
 }
--- a/libs/scheduling/tests/JobSimulation.h
+++ b/libs/scheduling/tests/JobSimulation.h
@@ -166,6 +166,8 @@
         std::string id {};
         std::int64_t startedAtMs = 0;
         bool up = false;
+        /// Until when its VM stays down; a shorter downtime does not end a longer one.
+        TimePoint downUntil {};
         double clockRate = 1;
         /// Offset of the wall clock of its VM.
         Duration clockStep {};
