Leader: each end of a run that is stopped sends the next stop

At most 1,024 stops are under way to an agent; the others wait, and each end that the agent reports sends the next. A list of all runs shows which stops are still needed, so it starts the count anew, and stops that were lost with a link are repeated.

Test that failed before: "scheduler: an agent has a bounded number of stops under way, and each end causes the next one", which replaces the test of the bound for a turn and is stricter: it also checks the flow of the other stops.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Scheduler.h
@@ -424,8 +424,10 @@
     [[nodiscard]] bool hasPlaceElsewhere(const TrackedWorker& worker, const ListedRun& run, TimePoint now) const;
     void relocateOneStarvingRun(TrackedWorker& worker, TimePoint now, Effects& effects);
     void orderStop(TrackedWorker& worker, const TaskId& id, const std::string& reason, Effects& effects);
-    /// Sends a stop unless this turn has sent enough of them; each report that lists the run repeats it.
+    /// Sends a stop unless many are under way; each report that lists the run repeats it.
     void sendStop(TrackedWorker& worker, const RunId& run, Effects& effects) const;
+    /// Sends stops that have waited for the ends of other runs.
+    void sendWaitingStops(TrackedWorker& worker, const std::vector<RunEnd>& ends, Effects& effects) const;
     void applyRunStatus(TrackedWorker& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects);
     void adoptRuns(TrackedWorker& worker, const WorkerSnapshot& snapshot);
     void dropUnlistedRuns(TrackedWorker& worker, const WorkerSnapshot& snapshot, TimePoint now, Effects& effects);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -45,8 +45,8 @@
 /// order after 1.5 s; a worker of 32 cores has room for about 100 tasks of the smallest size in use.
 constexpr std::size_t maximumUnconfirmedStarts = 256;
 
-/// @brief Maximum number of stops and descriptions of runs that one turn of the leader sends to an agent: a quarter of the outbox of
-/// a link. The next reports of the agent cause those that were left out.
+/// @brief Maximum number of stops that are under way to an agent, and of descriptions of runs that one turn of the leader sends to it:
+/// each a quarter of the outbox of a link. The next reports of the agent cause those that were left out.
 constexpr std::size_t maximumMessagesPerTurn = 1024;
 
 /// @brief Reason why a task cannot be placed on a worker.
@@ -125,9 +125,12 @@
     std::map<RunId, std::vector<SlackLoss>> sentLosses {};
     /// Runs here that have to be described to the agent again, as its link is new.
     std::set<RunId> undescribedRuns {};
-    /// Last turn of the leader in which stops or descriptions of runs were sent here, and their number in it.
-    std::uint64_t messagesTurn = 0;
-    std::size_t messagesInTurn = 0;
+    /// Last turn of the leader in which descriptions of runs were sent here, and their number in it.
+    std::uint64_t descriptionsTurn = 0;
+    std::size_t descriptionsInTurn = 0;
+    /// Runs whose stop has been sent since the last list of all runs, and those whose stop waits for the end of another one.
+    std::set<RunId> stopsUnderWay {};
+    std::set<RunId> stopsWaiting {};
     /// Tasks with a run here, and the incarnation of the worker that each was assigned to.
     std::map<TaskId, WorkerIdentity> tasks {};
     /// Tasks that were assigned here and whose runs the agent has neither listed nor refused.
@@ -208,10 +211,18 @@
     /// @param now current time
     void noteRefusal(TimePoint assignedAt, const WorkerHealthConfig& config, TimePoint now);
 
-    /// @brief Counts a stop or a description of a run.
+    /// @brief Counts a description of a run.
     /// @param turn number of the current turn of the leader
     /// @return whether it may be sent in this turn
-    [[nodiscard]] bool takeMessage(std::uint64_t turn) noexcept;
+    [[nodiscard]] bool takeDescription(std::uint64_t turn) noexcept;
+
+    /// @brief Notes a run that has to be stopped.
+    /// @param run the run
+    /// @return whether its stop may be sent now; if not, it waits
+    [[nodiscard]] bool takeStop(const RunId& run);
+
+    /// @brief Forgets all stops, as a list of all runs shows which ones are still needed.
+    void forgetStops() noexcept;
 
     /// @brief Notes an accepted start, which clears earlier refusals.
     /// @param assignedAt when the run was assigned; only a run assigned after the last refusal clears it
--- a/libs/scheduling/src/Scheduler.cpp
+++ b/libs/scheduling/src/Scheduler.cpp
@@ -363,7 +363,7 @@
         const RunId run = *worker.undescribedRuns.begin();
         const TaskState* const task = this->jobRegistry.openRun(run);
         const bool here = task && task->record.assignment->agent == worker.agent;
-        if (here && !worker.takeMessage(this->turns))
+        if (here && !worker.takeDescription(this->turns))
             return;
         worker.undescribedRuns.erase(worker.undescribedRuns.begin());
         if (here)
--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -95,8 +95,18 @@
 
 void Scheduler::sendStop(TrackedWorker& worker, const RunId& run, Effects& effects) const
 {
-    if (worker.takeMessage(this->turns))
+    if (worker.takeStop(run))
         this->send(worker, StopRun { run }, effects);
 }
 
+void Scheduler::sendWaitingStops(TrackedWorker& worker, const std::vector<RunEnd>& ends, Effects& effects) const
+{
+    for (const RunEnd& end : ends) {
+        worker.stopsUnderWay.erase(end.run);
+        worker.stopsWaiting.erase(end.run);
+    }
+    while (!worker.stopsWaiting.empty() && worker.stopsUnderWay.size() < maximumMessagesPerTurn)
+        this->sendStop(worker, worker.stopsWaiting.extract(worker.stopsWaiting.begin()).value(), effects);
+}
+
 }
--- a/libs/scheduling/src/SchedulerReports.cpp
+++ b/libs/scheduling/src/SchedulerReports.cpp
@@ -54,6 +54,7 @@
 void Scheduler::onReport(TrackedWorker& worker, const RunsEnded& report, TimePoint now, Effects& effects)
 {
     this->applyRunEnds(worker, report.worker, report.ends, now, effects);
+    this->sendWaitingStops(worker, report.ends, effects);
 }
 
 void Scheduler::onReport(TrackedWorker& worker, const RunRejected& report, TimePoint now, Effects& effects)
@@ -131,6 +132,7 @@
 
 void Scheduler::applyRunStatus(TrackedWorker& worker, const std::vector<RunStatus>& running, TimePoint now, Effects& effects)
 {
+    worker.forgetStops();
     for (const RunStatus& status : running) {
         this->jobRegistry.noteBegun(status.run, now);
         TaskState* const task = this->jobRegistry.openRun(status.run);
@@ -204,7 +206,7 @@
         const StepSpec& step = this->jobRegistry.find(it->first.task.job)->spec->steps[it->first.task.step];
         const PaceTraits traits = this->traitsOf(step, worker);
         // A change that is left out is found again with the next report.
-        if (differ(it->second, traits.losses) && worker.takeMessage(this->turns)) {
+        if (differ(it->second, traits.losses) && worker.takeDescription(this->turns)) {
             it->second = traits.losses;
             this->send(worker, DescribeRun { it->first, traits }, effects);
         }
@@ -274,6 +276,7 @@
     worker.ordersBeforeLink = this->orders;
     worker.settled = false;
     this->send(worker, LeaderHello { this->leaderLease.epoch(), this->config.lease.holder, worker.generation, worker.agent }, effects);
+    worker.forgetStops();
     worker.undescribedRuns.clear();
     for (const std::map<TaskId, WorkerIdentity>::value_type& item : worker.tasks) {
         const TrackedJob& job = *this->jobRegistry.find(item.first.job);
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -155,16 +155,29 @@
     this->lastChoiceUntil = now + config.lastChoiceTime;
 }
 
-bool TrackedWorker::takeMessage(std::uint64_t turn) noexcept
+bool TrackedWorker::takeDescription(std::uint64_t turn) noexcept
 {
-    if (std::exchange(this->messagesTurn, turn) != turn)
-        this->messagesInTurn = 0;
-    if (this->messagesInTurn >= maximumMessagesPerTurn)
+    if (std::exchange(this->descriptionsTurn, turn) != turn)
+        this->descriptionsInTurn = 0;
+    if (this->descriptionsInTurn >= maximumMessagesPerTurn)
         return false;
-    ++this->messagesInTurn;
+    ++this->descriptionsInTurn;
     return true;
 }
 
+bool TrackedWorker::takeStop(const RunId& run)
+{
+    const bool now = this->stopsUnderWay.size() < maximumMessagesPerTurn || this->stopsUnderWay.contains(run);
+    (now ? this->stopsUnderWay : this->stopsWaiting).insert(run);
+    return now;
+}
+
+void TrackedWorker::forgetStops() noexcept
+{
+    this->stopsUnderWay.clear();
+    this->stopsWaiting.clear();
+}
+
 void TrackedWorker::noteAcceptance(TimePoint assignedAt) noexcept
 {
     if (assignedAt <= this->refusedAt)
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -680,19 +680,23 @@
 }
 
 // Guards against the stops of a cancelled job that fill the outbox of a link and are lost with it.
-TEST_CASE("scheduler: one turn sends an agent a bounded number of stops, and its reports cause the others", "[jobs]")
+TEST_CASE("scheduler: an agent has a bounded number of stops under way, and each end causes the next one", "[jobs]")
 {
     ManyRuns runs({ largeJob(3, stepOf(1000, 1)) });
     runs.startAll();
     runs.test.step(JobCancelStored { { "large" } });
-    std::set<RunId> stopped = runs.sentRuns<StopRun>();
-    CHECK(stopped.size() == maximumMessagesPerTurn);
-    for (std::size_t reports = 0; !runs.listed.empty(); ++reports) {
-        REQUIRE(reports < 3);
-        runs.end(stopped, RunEndKind::Stopped);
-        runs.report(runs.progress());
-        stopped = runs.sentRuns<StopRun>();
-        CHECK(stopped.size() <= maximumMessagesPerTurn);
+    std::set<RunId> stops = runs.sentRuns<StopRun>();
+    CHECK(stops.size() == maximumMessagesPerTurn);
+    // A report that lists the runs repeats the stops that are under way, as they may be lost.
+    runs.report(runs.progress());
+    CHECK(runs.sentRuns<StopRun>() == stops);
+    while (!runs.listed.empty()) {
+        REQUIRE_FALSE(stops.empty());
+        const RunId ended = *stops.begin();
+        stops.erase(ended);
+        runs.end({ ended }, RunEndKind::Stopped);
+        stops.merge(runs.sentRuns<StopRun>());
+        CHECK(stops.size() == std::min(runs.listed.size(), maximumMessagesPerTurn));
     }
 }
 
