Simulation: jobs of thousands of small tasks under faults of every kind

Simulations had jobs of six tasks a step, so neither orders that overflow the outbox of a link nor tasks beyond a worker's room could show. Each tenth job of the new test has 5,000 tasks. All simulations now check that no turn of a leader sends an agent more than the outbox of a link holds, and that no assignment beyond the known headroom is attempted.

--- a/libs/scheduling/tests/JobSimulation.cpp
+++ b/libs/scheduling/tests/JobSimulation.cpp
@@ -277,7 +277,9 @@
 
 void JobSimulation::step(std::size_t index, const SchedulerEvent& event)
 {
-    for (const SchedulerEffect& effect : this->entries[index].machine->step(event, this->now))
+    const Scheduler::Effects effects = this->entries[index].machine->step(event, this->now);
+    this->checkOutboxes(effects);
+    for (const SchedulerEffect& effect : effects)
         this->applyEffect(index, effect);
     this->armEntry(index);
 }
@@ -358,6 +360,19 @@
         this->sendOnLink(link, true, [this, agent, agentIncarnation, link, leaderMessage]() { this->deliverToAgent(agent, agentIncarnation, LeaderMessageReceived { LinkId { link }, leaderMessage }); });
     } else if (const RecordEvent* const record = std::get_if<RecordEvent>(&effect)) {
         this->note(node.name + " E" + std::to_string(static_cast<unsigned>(record->event)) + " " + record->detail);
+        if (record->event == EventId::HeadroomExceeded)
+            this->recordViolation(node.name + " chose a worker without headroom: " + record->detail);
+    }
+}
+
+void JobSimulation::checkOutboxes(const Scheduler::Effects& effects)
+{
+    constexpr std::size_t outboxCapacity = 4096;
+    std::map<LinkId, std::size_t> messages;
+    for (const SchedulerEffect& effect : effects) {
+        const SendToAgent* const message = std::get_if<SendToAgent>(&effect);
+        if (message && ++messages[message->link] == outboxCapacity + 1)
+            this->recordViolation("the outbox of a link overflows in one turn");
     }
 }
 
@@ -911,8 +926,17 @@
     spec.attempts = 4;
     spec.stretch = 2;
     spec.payload = "payload-" + std::to_string(number);
-    const bool longRunning = this->chance(0.15);
-    const std::size_t steps = longRunning ? 1 : 1 + this->pick(3);
+    const bool large = this->config.largeJobSteps > 0 && number % 10 == 0;
+    const bool longRunning = !large && this->chance(0.15);
+    if (large) {
+        StepSpec step;
+        step.count = 1000;
+        step.demand = { 1, 1, 0 };
+        step.estimate = milliseconds(800);
+        spec.steps.assign(this->config.largeJobSteps, step);
+    }
+    const std::size_t steps = large ? 0 : longRunning ? 1
+                                                      : 1 + this->pick(3);
     for (std::size_t step = 0; step < steps; ++step) {
         StepSpec next;
         next.count = static_cast<std::uint32_t>(1 + this->pick(6));
--- a/libs/scheduling/tests/JobSimulation.h
+++ b/libs/scheduling/tests/JobSimulation.h
@@ -75,6 +75,8 @@
     Duration tableReadTime = std::chrono::milliseconds(10);
     /// How much longer than usual the store takes for each transaction.
     Duration extraWriteTime {};
+    /// Number of steps of 1,000 small tasks that each tenth job has; zero means that all jobs are small.
+    std::size_t largeJobSteps = 0;
     /// Cores and memory of each worker.
     ResourceVector workerCapacity { 8000, 16000, 0 };
     /// Unless empty, half of the faults are drawn from these, and some long-running jobs run until all faults are over.
@@ -247,6 +249,7 @@
     void armEntry(std::size_t index);
     void armAgent(std::size_t index);
     void applyEffect(std::size_t entry, const SchedulerEffect& effect);
+    void checkOutboxes(const Scheduler::Effects& effects);
     void applyEffect(std::size_t agent, const WorkerEffect& effect);
 
     void submit(std::size_t entry, Transaction transaction, std::function<void(TransactionResult)> done);
--- a/libs/scheduling/tests/JobSimulationTests.cpp
+++ b/libs/scheduling/tests/JobSimulationTests.cpp
@@ -193,6 +193,15 @@
     }
 }
 
+// Guards against jobs of thousands of small tasks that are assigned and lost without end, or whose orders fill the outbox of a link.
+TEST_CASE("simulation: jobs of thousands of tasks and all others run through under faults of every kind", "[jobs][world][fuzz]")
+{
+    JobSimulationConfig config;
+    config.largeJobSteps = 5;
+    config.faultInterval = std::chrono::milliseconds(1500);
+    simulateSeeds(config, 3);
+}
+
 TEST_CASE("simulation: no task starts after its job's cancellation although feeds lag", "[jobs][world][fuzz]")
 {
     JobSimulationConfig config = withWorkerFaults({ WorkerFault::LaggingFeed });
