Leader: the bounds of stops and of descriptions have a constant each

One constant stood for stops under way and for descriptions in a turn. The tests of many runs list them through one function. No behaviour changes.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -45,9 +45,13 @@
 /// order after 1.5 s; a worker of 32 cores has room for about 100 tasks of the smallest size in use.
 constexpr std::size_t maximumUnconfirmedStarts = 256;
 
-/// @brief Maximum number of stops that are under way to an agent, and of descriptions of runs that one turn of the leader sends to it:
-/// each a quarter of the outbox of a link. The next reports of the agent cause those that were left out.
-constexpr std::size_t maximumMessagesPerTurn = 1024;
+/// @brief Maximum number of stops that are under way to an agent: a quarter of the outbox of a link. Each end that the agent reports
+/// causes the next one.
+constexpr std::size_t maximumStopsUnderWay = 1024;
+
+/// @brief Maximum number of descriptions of runs that one turn of the leader sends to an agent: a quarter of the outbox of a link. The
+/// next reports of the agent cause those that were left out.
+constexpr std::size_t maximumDescriptionsPerTurn = 1024;
 
 /// @brief Reason why a task cannot be placed on a worker.
 enum class UnfitReason : unsigned char {
--- a/libs/scheduling/src/SchedulerMoves.cpp
+++ b/libs/scheduling/src/SchedulerMoves.cpp
@@ -105,7 +105,7 @@
         worker.stopsUnderWay.erase(end.run);
         worker.stopsWaiting.erase(end.run);
     }
-    while (!worker.stopsWaiting.empty() && worker.stopsUnderWay.size() < maximumMessagesPerTurn)
+    while (!worker.stopsWaiting.empty() && worker.stopsUnderWay.size() < maximumStopsUnderWay)
         this->sendStop(worker, worker.stopsWaiting.extract(worker.stopsWaiting.begin()).value(), effects);
 }
 
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -159,7 +159,7 @@
 {
     if (std::exchange(this->descriptionsTurn, turn) != turn)
         this->descriptionsInTurn = 0;
-    if (this->descriptionsInTurn >= maximumMessagesPerTurn)
+    if (this->descriptionsInTurn >= maximumDescriptionsPerTurn)
         return false;
     ++this->descriptionsInTurn;
     return true;
@@ -167,7 +167,7 @@
 
 bool TrackedWorker::takeStop(const RunId& run)
 {
-    const bool now = this->stopsUnderWay.size() < maximumMessagesPerTurn || this->stopsUnderWay.contains(run);
+    const bool now = this->stopsUnderWay.size() < maximumStopsUnderWay || this->stopsUnderWay.contains(run);
     (now ? this->stopsUnderWay : this->stopsWaiting).insert(run);
     return now;
 }
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -88,12 +88,13 @@
 
     void report(const AgentReport& report) { this->test.step(AgentReportReceived { "agent", this->link, report }); }
 
-    [[nodiscard]] RunProgress progress() const
+    /// Reports the progress of runs, which also confirms their starts.
+    void list(const std::set<RunId>& runs)
     {
         RunProgress report { firstIncarnation, {} };
-        for (const RunId& run : this->listed)
+        for (const RunId& run : runs)
             report.running.push_back({ run, "", 10, 0 });
-        return report;
+        this->report(report);
     }
 
     /// Places what can be placed now, and notes the runs whose start is ordered.
@@ -107,21 +108,12 @@
         return written;
     }
 
-    /// Lists the runs that the last write has started.
-    void confirmStarts()
-    {
-        RunProgress report { firstIncarnation, {} };
-        for (const RunId& run : this->started)
-            report.running.push_back({ run, "", 10, 0 });
-        this->report(report);
-    }
-
     void startAll()
     {
         while (!this->test.machine.jobs().waiting().empty()) {
             this->write();
             REQUIRE_FALSE(this->started.empty());
-            this->confirmStarts();
+            this->list(this->started);
         }
     }
 
@@ -667,7 +659,7 @@
     const auto unconfirmed = [&runs]() { return runs.test.machine.workers().at("agent").unconfirmedStarts.size(); };
     REQUIRE(runs.started.size() == 4);
     CHECK(unconfirmed() == 4);
-    runs.report(RunProgress { firstIncarnation, { { *runs.started.begin(), "", 10, 0 } } });
+    runs.list({ *runs.started.begin() });
     CHECK(unconfirmed() == 3);
     runs.report(RunsEnded { firstIncarnation, { { 1, *std::next(runs.started.begin()), RunEndKind::Done, "" } } });
     CHECK(unconfirmed() == 2);
@@ -686,9 +678,9 @@
     runs.startAll();
     runs.test.step(JobCancelStored { { "large" } });
     std::set<RunId> stops = runs.sentRuns<StopRun>();
-    CHECK(stops.size() == maximumMessagesPerTurn);
+    CHECK(stops.size() == maximumStopsUnderWay);
     // A report that lists the runs repeats the stops that are under way, as they may be lost.
-    runs.report(runs.progress());
+    runs.list(runs.listed);
     CHECK(runs.sentRuns<StopRun>() == stops);
     while (!runs.listed.empty()) {
         REQUIRE_FALSE(stops.empty());
@@ -696,7 +688,7 @@
         stops.erase(ended);
         runs.end({ ended }, RunEndKind::Stopped);
         stops.merge(runs.sentRuns<StopRun>());
-        CHECK(stops.size() == std::min(runs.listed.size(), maximumMessagesPerTurn));
+        CHECK(stops.size() == std::min(runs.listed.size(), maximumStopsUnderWay));
     }
 }
 
@@ -710,12 +702,12 @@
     runs.startAll();
     runs.test.step(AgentLinked { "agent", LinkId { 9 } });
     std::set<RunId> described = runs.sentRuns<DescribeRun>();
-    CHECK(described.size() == maximumMessagesPerTurn);
+    CHECK(described.size() == maximumDescriptionsPerTurn);
     runs.link = LinkId { 9 };
     for (std::size_t reports = 0; reports < 2; ++reports) {
-        runs.report(runs.progress());
+        runs.list(runs.listed);
         const std::set<RunId> more = runs.sentRuns<DescribeRun>();
-        CHECK(more.size() <= maximumMessagesPerTurn);
+        CHECK(more.size() <= maximumDescriptionsPerTurn);
         described.insert(more.begin(), more.end());
     }
     CHECK(described.size() == 3000);
@@ -734,7 +726,7 @@
                 CHECK(row.value.size() <= maximumRowBytes);
                 stored[row.key] = row.value;
             }
-            runs.confirmStarts();
+            runs.list(runs.started);
         }
         CHECK_FALSE(test.machine.jobs().changed());
     };
