JSON: large texts are read in pieces, record by record

CheckedJson holds the values of the whole text, so its limit of memory is a limit of the text. JsonRecordReader takes a text of any length in pieces and delivers the elements of the lists of its root one by one; its limit concerns one record. A record over it is marked, and the others are whole. It uses the incremental parser of Boost.JSON, headers only, from the Boost that is installed already.

Nothing uses it yet; CheckedJson shares the counting of memory with it and behaves as before (its tests are unchanged).

--- a/libs/scheduling/include/cowslipdoor/scheduling/CheckedJson.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/CheckedJson.h
@@ -117,6 +117,9 @@
     /// @return a string
     [[nodiscard]] std::string text() const;
 
+    /// @return a string, valid as long as a value of the same text exists
+    [[nodiscard]] std::string_view textView() const;
+
     /// @param field name of a field
     /// @return its string, or an empty one if the object lacks the field
     [[nodiscard]] std::string textOr(const char* field) const;
@@ -153,6 +156,8 @@
     [[noreturn]] void refuse(const std::string& accepted) const;
 
 private:
+    friend class JsonRecordHandler;
+
     using Document = std::shared_ptr<const nlohmann::json>;
 
     CheckedJson(Document document, const nlohmann::json& value, std::string name);
--- a/libs/scheduling/src/CheckedJson.cpp
+++ b/libs/scheduling/src/CheckedJson.cpp
@@ -1,4 +1,5 @@
 #include "cowslipdoor/scheduling/CheckedJson.h"
+#include "JsonTree.h"
 #include <algorithm>
 #include <cmath>
 #include <cowslipdoor/core/Error.h>
@@ -14,14 +15,6 @@
     /// Greatest integer up to which a double represents every integer exactly.
     constexpr double maximumExactInteger = 9'007'199'254'740'992.0;
 
-    /// Memory of a value in a list or an object, in bytes: its 16 bytes, three times while a growing list is copied.
-    constexpr std::size_t bytesPerValue = 48;
-
-    /// Memory of an empty list or object, of a string, or of a field of an object, without their characters, in bytes.
-    constexpr std::size_t bytesPerContainer = 64;
-    constexpr std::size_t bytesPerString = 64;
-    constexpr std::size_t bytesPerField = 128;
-
     /// Maximum length of a parser's message; it may quote the text.
     constexpr std::size_t maximumMessageBytes = 200;
 
@@ -30,7 +23,7 @@
     public:
         explicit TreeBuilder(const JsonLimits& limits)
             : limits(limits)
-            , bytesLeft(limits.treeBytes)
+            , tree(limits.treeBytes)
         {
         }
 
@@ -39,7 +32,7 @@
         bool number_integer(number_integer_t value) override { return this->add(value, 0); }
         bool number_unsigned(number_unsigned_t value) override { return this->add(value, 0); }
         bool number_float(number_float_t value, const string_t&) override { return this->add(value, 0); }
-        bool string(string_t& value) override { return this->add(std::move(value), bytesPerString + value.size()); }
+        bool string(string_t& value) override { return this->add(std::move(value), JsonTree::bytesPerString + value.size()); }
         bool binary(binary_t&) override { return false; }
         bool start_object(std::size_t) override { return this->open(Json::value_t::object); }
         bool end_object() override { return this->close(); }
@@ -55,8 +48,7 @@
                 this->skipping = true;
                 return true;
             }
-            this->spend(bytesPerField + name.size());
-            this->field = &(*this->containers.back())[name];
+            this->require(this->tree.key(name));
             return true;
         }
 
@@ -65,16 +57,14 @@
             throw Error(ErrorKind::BadRequest, std::string(error.what()).substr(0, maximumMessageBytes));
         }
 
-        [[nodiscard]] Json take() { return std::move(this->root); }
+        [[nodiscard]] Json take() { return this->tree.take(); }
 
     private:
         template <typename Value>
         bool add(Value&& value, std::size_t bytes)
         {
-            if (!this->skipping) {
-                this->spend(bytesPerValue + bytes);
-                (void)this->store(std::forward<Value>(value));
-            }
+            if (!this->skipping)
+                this->require(this->tree.add(std::forward<Value>(value), bytes));
             this->endSkippedField();
             return true;
         }
@@ -83,10 +73,8 @@
         {
             if (++this->depth > maximumNestingDepth)
                 throw Error(ErrorKind::BadRequest, "the text is nested more than " + std::to_string(maximumNestingDepth) + " levels deep");
-            if (this->skipping)
-                return true;
-            this->spend(bytesPerValue + bytesPerContainer);
-            this->containers.push_back(this->store(type));
+            if (!this->skipping)
+                this->require(this->tree.open(type));
             return true;
         }
 
@@ -94,44 +82,24 @@
         {
             --this->depth;
             if (!this->skipping)
-                this->containers.pop_back();
+                this->tree.close();
             this->endSkippedField();
             return true;
         }
 
-        /// Stores a value where the text has it, and returns its place, which is valid until its list or object gets another.
-        template <typename Value>
-        Json* store(Value&& value)
-        {
-            if (this->containers.empty()) {
-                this->root = std::forward<Value>(value);
-                return &this->root;
-            }
-            if (this->containers.back()->is_array())
-                return &this->containers.back()->emplace_back(std::forward<Value>(value));
-            *this->field = std::forward<Value>(value);
-            return this->field;
-        }
-
         void endSkippedField() noexcept
         {
             this->skipping = this->skipping && this->depth > 1;
         }
 
-        void spend(std::size_t bytes)
+        void require(bool fits) const
         {
-            if (bytes > this->bytesLeft)
+            if (!fits)
                 throw Error(ErrorKind::BadRequest, "the values of the text take more than " + std::to_string(this->limits.treeBytes) + " bytes of memory");
-            this->bytesLeft -= bytes;
         }
 
         JsonLimits limits;
-        std::size_t bytesLeft;
-        Json root;
-        /// Open lists and objects, from the root inwards, without those of a skipped field.
-        std::vector<Json*> containers;
-        /// Place of the value that follows the last key.
-        Json* field = nullptr;
+        JsonTree tree;
         std::size_t depth = 0;
         bool skipping = false;
     };
@@ -242,10 +210,15 @@
 }
 
 std::string CheckedJson::text() const
+{
+    return std::string(this->textView());
+}
+
+std::string_view CheckedJson::textView() const
 {
     if (!this->value->is_string())
         this->refuse("a string");
-    return this->value->get<std::string>();
+    return this->value->get_ref<const std::string&>();
 }
 
 std::string CheckedJson::textOr(const char* field) const
