Store: answers with rows are decoded while they arrive, and a large row concerns no other

Callers saw: nothing yet within the platform's limits; beyond them an entry refused everything (503, 'the store does not answer this entry'). Cause: an answer with rows was kept as text, at most 8 MiB, and then decoded into a tree of at most 32 MiB. One over either limit failed as a whole: with a configuration of over 6 MB the operator's table could not be read any more, so evacuations were unknown too and the contact with the store counted as lost. Ruled out: a larger limit alone, which moves the failure and costs the memory of text, tree and rows together. A longer row counts as unreadable, or is truncated where the reader of the table can use its beginning. Rows are moved where they were copied. Evidence: 'store codec: a row over the limit is truncated, and the other rows are kept'.

--- a/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
+++ b/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
@@ -6,9 +6,11 @@
 #include "HttpConnection.h"
 #include <cowslipdoor/core/Request.h>
 #include <cowslipdoor/core/Time.h>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -45,6 +47,9 @@
     bool operator==(const PeerFailure&) const = default;
 };
 
+/// @brief Receives the next bytes of an answer's body; none of them are kept.
+using BodySink = std::function<void(std::string_view)>;
+
 /// @brief Result of a call.
 using PeerResult = std::variant<PeerAnswer, PeerFailure>;
 
@@ -67,11 +72,16 @@
     /// @return the answer, or why there is none
     [[nodiscard]] asio::awaitable<PeerResult> call(PeerCall call);
 
+    /// @brief Sends a request and passes the body of the answer on while it arrives.
+    /// @param sink receives the body, also that of an answer that is not completed in the end
+    /// @return the answer without its body, or why there is no complete one
+    [[nodiscard]] asio::awaitable<PeerResult> stream(PeerCall call, BodySink sink);
+
 private:
     using ConnectionHandle = std::shared_ptr<HttpConnection>;
 
-    asio::awaitable<error_code> readAnswer(ConnectionHandle connection, http::response_parser<http::string_body>& parser, Duration timeout, TimePoint deadline);
-    asio::awaitable<PeerResult> exchange(ConnectionHandle connection, PeerCall call, bool fresh);
+    asio::awaitable<error_code> readAnswer(ConnectionHandle connection, http::response_parser<http::string_body>& parser, Duration timeout, TimePoint deadline, const BodySink& sink);
+    asio::awaitable<PeerResult> exchange(ConnectionHandle connection, PeerCall call, bool fresh, BodySink sink);
 
     asio::any_io_executor executor;
     std::string address;
--- a/libs/runtime/include/cowslipdoor/runtime/StorePort.h
+++ b/libs/runtime/include/cowslipdoor/runtime/StorePort.h
@@ -43,6 +43,8 @@
     std::vector<RowKey> unreadable {};
     /// Whether the store has further changes up to its current version that are not among the rows.
     bool hasMore = false;
+    /// Rows with a value over the limit of the port; only the beginning of the value is there.
+    std::vector<Row> truncated {};
 
     bool operator==(const RowPage&) const = default;
 };
--- a/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
+++ b/libs/runtime/include/cowslipdoor/runtime/TableFeed.h
@@ -38,7 +38,7 @@
 /// @brief Adds the rows of a part to those of a table.
 /// @param whole rows of the parts before
 /// @param page rows of the part
-void appendPage(RowPage& whole, const RowPage& page);
+void appendPage(RowPage& whole, RowPage page);
 
 /// @brief Reads the rows of all parts of a table.
 /// @return the rows with the version from before the parts were listed, or why a call failed
@@ -101,6 +101,10 @@
     /// @brief Sets what is called with the key of each row that cannot be decoded, after the rows of its answer.
     void onUnreadable(std::function<void(const RowKey&)> handler) { this->unreadable = std::move(handler); }
 
+    /// @brief Sets what is called with each row whose value is over the limit of the store's port. Without it, such a row counts as
+    /// one that cannot be decoded.
+    void onTruncated(std::function<void(const Row&)> handler) { this->truncated = std::move(handler); }
+
     /// @brief Follows the table until stop().
     /// @param after version up to which the table has been read, or nothing to read the table first
     [[nodiscard]] asio::awaitable<void> run(std::optional<RowVersion> after);
@@ -112,6 +116,7 @@
     asio::awaitable<void> readWhole();
     asio::awaitable<void> followOnce();
     asio::awaitable<void> deliverRows(RowPage page, TimePoint asOf);
+    void deliverTruncated(const Row& row);
     asio::awaitable<void> pauseAfterFailure(std::string reason);
     void noteAnswer();
 
@@ -122,6 +127,7 @@
     CaughtUpHandler caughtUp;
     std::function<void()> wholeRead;
     std::function<void(const RowKey&)> unreadable;
+    std::function<void(const Row&)> truncated;
     const Log& log;
     Metrics& metrics;
     std::optional<RowVersion> knownVersion;
--- a/libs/runtime/src/KeepAliveClient.cpp
+++ b/libs/runtime/src/KeepAliveClient.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    /// Largest accepted body of an answer, in bytes: a page of 500 rows of the store, and a margin.
+    /// Largest accepted body of an answer that is kept in memory, in bytes.
     constexpr std::uint64_t largestAnswer = 8 * 1024 * 1024;
 
     /// Largest part of a body that one read takes. Beast reads at most the free capacity of the buffer, which is 512 bytes at
@@ -39,6 +39,11 @@
 }
 
 asio::awaitable<PeerResult> KeepAliveClient::call(PeerCall call)
+{
+    return this->stream(std::move(call), nullptr);
+}
+
+asio::awaitable<PeerResult> KeepAliveClient::stream(PeerCall call, BodySink sink)
 {
     ConnectionHandle connection;
     const bool fresh = this->idle.empty();
@@ -54,13 +59,13 @@
         if (error)
             co_return PeerFailure { false, "connecting to " + this->address + ": " + error.message() };
     }
-    PeerResult result = co_await this->exchange(std::move(connection), std::move(call), fresh);
+    PeerResult result = co_await this->exchange(std::move(connection), std::move(call), fresh, std::move(sink));
     if (std::holds_alternative<PeerFailure>(result))
         this->idle.clear();
     co_return result;
 }
 
-asio::awaitable<error_code> KeepAliveClient::readAnswer(ConnectionHandle connection, http::response_parser<http::string_body>& parser, Duration timeout, TimePoint deadline)
+asio::awaitable<error_code> KeepAliveClient::readAnswer(ConnectionHandle connection, http::response_parser<http::string_body>& parser, Duration timeout, TimePoint deadline, const BodySink& sink)
 {
     while (!parser.is_done()) {
         connection->stream.expires_after(std::clamp(deadline - monotonicNow(), Duration {}, timeout));
@@ -68,21 +73,28 @@
         const std::tuple<error_code, std::size_t> read = co_await http::async_read_some(connection->stream, connection->buffer, parser, asTuple);
         if (std::get<0>(read))
             co_return std::get<0>(read);
+        if (sink) {
+            sink(parser.get().body());
+            parser.get().body().clear();
+        }
     }
     co_return error_code {};
 }
 
-asio::awaitable<PeerResult> KeepAliveClient::exchange(ConnectionHandle connection, PeerCall call, bool fresh)
+asio::awaitable<PeerResult> KeepAliveClient::exchange(ConnectionHandle connection, PeerCall call, bool fresh, BodySink sink)
 {
     const http::request<http::string_body> request = makeRequest(this->address, call.method, call.target, call.headers, std::move(call.body), true);
     http::response_parser<http::string_body> parser;
-    parser.body_limit(largestAnswer);
+    if (sink)
+        parser.body_limit(boost::none);
+    else
+        parser.body_limit(largestAnswer);
     const std::tuple<error_code, std::size_t> written = co_await http::async_write(connection->stream, request, asTuple);
     if (std::get<0>(written))
         co_return PeerFailure { true, std::string(fresh ? "writing" : "writing on a reused connection") + ": " + std::get<0>(written).message() };
     parser.eager(true);
     const TimePoint deadline = monotonicNow() + call.totalTimeout.value_or(call.timeout);
-    const error_code read = co_await this->readAnswer(connection, parser, call.timeout, deadline);
+    const error_code read = co_await this->readAnswer(connection, parser, call.timeout, deadline, sink);
     if (read)
         co_return PeerFailure { true, std::string(fresh ? "reading" : "reading on a reused connection") + ": " + read.message() };
     connection->stream.expires_never();
--- a/libs/runtime/src/SchedulerTask.cpp
+++ b/libs/runtime/src/SchedulerTask.cpp
@@ -250,8 +250,8 @@
     }
     RowPage whole { .rows = {}, .version = parts.version };
     for (std::size_t received = 0; received < parts.names.size(); ++received) {
-        const std::tuple<error_code, RowPage> page = co_await pages->async_receive(asTuple);
-        appendPage(whole, std::get<1>(page));
+        std::tuple<error_code, RowPage> page = co_await pages->async_receive(asTuple);
+        appendPage(whole, std::move(std::get<1>(page)));
         const SchedulerEvent progress = TablesProgress { follower->epoch };
         co_await this->post(progress);
     }
--- a/libs/runtime/src/TableFeed.cpp
+++ b/libs/runtime/src/TableFeed.cpp
@@ -2,6 +2,7 @@
 #include "cowslipdoor/runtime/Clock.h"
 #include "cowslipdoor/runtime/Process.h"
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cowslipdoor::runtime {
@@ -21,10 +22,11 @@
     co_return TableParts { *names, versioned->version };
 }
 
-void appendPage(RowPage& whole, const RowPage& page)
+void appendPage(RowPage& whole, RowPage page)
 {
-    whole.rows.insert(whole.rows.end(), page.rows.begin(), page.rows.end());
-    whole.unreadable.insert(whole.unreadable.end(), page.unreadable.begin(), page.unreadable.end());
+    std::move(page.rows.begin(), page.rows.end(), std::back_inserter(whole.rows));
+    std::move(page.unreadable.begin(), page.unreadable.end(), std::back_inserter(whole.unreadable));
+    std::move(page.truncated.begin(), page.truncated.end(), std::back_inserter(whole.truncated));
 }
 
 asio::awaitable<ReadResult> readTable(const StorePort& store, std::string table)
@@ -36,11 +38,11 @@
     RowPage whole { .rows = {}, .version = parts->version };
     for (const std::string& part : parts->names) {
         const RowRange range { table, part, "", "" };
-        const ReadResult page = co_await store.read(range);
-        const RowPage* const rows = std::get_if<RowPage>(&page);
+        ReadResult page = co_await store.read(range);
+        RowPage* const rows = std::get_if<RowPage>(&page);
         if (!rows)
             co_return page;
-        appendPage(whole, *rows);
+        appendPage(whole, std::move(*rows));
     }
     co_return whole;
 }
@@ -116,7 +118,7 @@
     }
     RowPage& page = std::get<RowPage>(result);
     // Without changes, the store answers only after the wait.
-    const bool waited = page.rows.empty() && page.unreadable.empty() && bootTimeNow() - asked >= this->config.wait;
+    const bool waited = page.rows.empty() && page.unreadable.empty() && page.truncated.empty() && bootTimeNow() - asked >= this->config.wait;
     co_await this->deliverRows(std::move(page), waited ? asked + this->config.wait : asked);
 }
 
@@ -125,12 +127,14 @@
     this->knownVersion = std::max(this->knownVersion.value_or(0), page.version);
     for (const RowKey& key : page.unreadable)
         recordIgnored(key, this->log, this->metrics);
+    for (const Row& row : page.truncated)
+        this->deliverTruncated(row);
     if (this->config.comesFirst)
         std::stable_partition(page.rows.begin(), page.rows.end(), this->config.comesFirst);
-    for (const Row& row : page.rows) {
+    for (Row& row : page.rows) {
         if (this->stopped)
             co_return;
-        co_await this->onRow(row);
+        co_await this->onRow(std::move(row));
     }
     for (const RowKey& key : page.unreadable) {
         if (this->unreadable)
@@ -140,6 +144,17 @@
         co_await this->caughtUp(*this->knownVersion, asOf);
 }
 
+void TableFeed::deliverTruncated(const Row& row)
+{
+    if (this->truncated) {
+        this->truncated(row);
+        return;
+    }
+    recordIgnored(row.key, this->log, this->metrics);
+    if (this->unreadable)
+        this->unreadable(row.key);
+}
+
 asio::awaitable<void> TableFeed::pauseAfterFailure(std::string reason)
 {
     recordContact(this->contact.failed(reason, bootTimeNow()), this->log, this->metrics);
--- a/libs/scheduling/include/cowslipdoor/scheduling/Store.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Store.h
@@ -95,7 +95,7 @@
 /// @brief Result of a transaction.
 using TransactionResult = std::variant<Applied, Conflict, StoreRefused, OutcomeAmbiguous>;
 
-/// @brief Maximum size of a value of the store.
+/// @brief Maximum size of a value that entries and agents write to the store.
 constexpr std::size_t maximumRowBytes = 65'536;
 
 /// @brief Maximum number of writes, conditions and removals together in one transaction of the store.
