Configuration: it is decoded queue by queue, and one beyond the limits is in force as far as it fits

Cause: the text was decoded into a tree of at most 16 MiB, about 2 KB a queue, and a text over the limit was dropped like a malformed one, although the store accepts only valid configurations. The only sign was one E606. Ruled out: the size of the row and the 8 MiB of an answer (the text has under 2 MB); the feed (each version arrived); memory (peak 25 MB). Change: the text is decoded in parts of 64 KiB, between which other tasks run; beside the queues it takes the memory of one. Its limits are 18 MB of text and 20 MiB of queues, more than sixty changes of 1,400 queues. Of a longer one the first queues are in force; a malformed one leaves the one before in force. In both cases a queue that is not known gets 503 configuration_behind with Retry-After 10 instead of 404, E609 says why, and gauges state the stored row, the row in force and whether all of it is. An entry without any usable configuration is not ready. Data of a configuration that is arriving counts as contact with the store; before, an entry refused all jobs once a configuration took over 1.6 s to arrive. Of several versions in one answer only the newest is decoded, after the evacuations are reported.

--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -91,7 +91,7 @@
           this->store, [this]() { return this->storeReachable(); }, this->log, this->metrics)
     , callers(this->context.get_executor(), settings.text("listen"), settings.number("connection-limit"), this->limiter, this->intake)
     , configuration(
-          this->store, operatorFeedWait(settings), this->configurationHandlers(), this->log, this->metrics)
+          this->operatorStore(), operatorFeedWait(settings), this->configurationHandlers(), this->log, this->metrics)
     , scheduler(
           this->context.get_executor(), schedulerConfig(settings), this->store, [this](RowVersion upTo) { this->intake.learned(upTo); }, this->log, this->metrics)
     , readiness(this->context.get_executor(), settings.text("ready-listen"), pageLimits, this->limiter)
@@ -114,10 +114,17 @@
     return this->stop.run();
 }
 
+StorePort JobsEntryProcess::operatorStore()
+{
+    // A large configuration takes longer to arrive than the contact with the store stays valid.
+    const platform::StoreReading reading = platform::operatorTableReading([this]() { this->onStoreContact(true); });
+    return guardedStorePort(platform::makeStorePort(this->context.get_executor(), this->settings.text("store"), reading), this->log, this->metrics);
+}
+
 platform::ConfigurationHandlers JobsEntryProcess::configurationHandlers()
 {
     return {
-        [this](ConfigurationHandle newer) { this->callers.apply(std::move(newer)); },
+        [this](ConfigurationState newer) { this->callers.apply(std::move(newer)); },
         [this](EvacuationsFollowed followed) { return this->postEvacuations(std::move(followed)); },
         [this](bool answered) { this->onStoreContact(answered); },
     };
--- a/apps/entry/JobsEntryProcess.h
+++ b/apps/entry/JobsEntryProcess.h
@@ -30,6 +30,7 @@
     [[nodiscard]] int run();
 
 private:
+    [[nodiscard]] runtime::StorePort operatorStore();
     [[nodiscard]] platform::ConfigurationHandlers configurationHandlers();
     runtime::asio::awaitable<void> postEvacuations(EvacuationsFollowed followed);
     void addAdminHandlers();
--- a/libs/core/include/cowslipdoor/core/Error.h
+++ b/libs/core/include/cowslipdoor/core/Error.h
@@ -52,6 +52,7 @@
     BadSetting,
     BadRules,
     ConfigurationMissing,
+    ConfigurationBehind,
     StoreUnavailable,
     StoreUnsettled,
     JobUnknown,
--- a/libs/core/include/cowslipdoor/core/EventCatalogue.h
+++ b/libs/core/include/cowslipdoor/core/EventCatalogue.h
@@ -59,6 +59,7 @@
     RowIgnored = 606,
     ConfigurationInForce = 607,
     SettingsReread = 608,
+    ConfigurationBehind = 609,
     JobAccepted = 610,
     JobRefused = 611,
     JobCancelRequested = 612,
--- a/libs/core/src/Error.cpp
+++ b/libs/core/src/Error.cpp
@@ -36,6 +36,7 @@
         { ErrorKind::BadSetting, "bad_setting", 400, Outcome::NotRun, false, "A setting is invalid or missing." },
         { ErrorKind::BadRules, "bad_rules", 400, Outcome::NotRun, false, "A rules file has errors." },
         { ErrorKind::ConfigurationMissing, "configuration_missing", 503, Outcome::NotRun, true, "The entry has no configuration yet." },
+        { ErrorKind::ConfigurationBehind, "configuration_behind", 503, Outcome::NotRun, true, "The entry does not know this queue, and cannot use the newest configuration in full, which may have it." },
         { ErrorKind::StoreUnavailable, "store_unavailable", 503, Outcome::NotRun, true, "The store did not accept the request; nothing of it is stored." },
         { ErrorKind::StoreUnsettled, "store_unsettled", 504, Outcome::Unknown, true, "It could not be determined in time whether the request is stored; it may be sent again with the same identifier." },
         { ErrorKind::JobUnknown, "job_unknown", 410, Outcome::NotRun, false, "There is no job with this identifier." },
--- a/libs/core/src/EventCatalogue.cpp
+++ b/libs/core/src/EventCatalogue.cpp
@@ -47,6 +47,7 @@
         EventDescription { EventId::RowIgnored, "row_ignored", EventLevel::Warning, "A row of the store or an item of a worker's answer cannot be parsed, or refers to nothing usable; it is ignored." },
         EventDescription { EventId::ConfigurationInForce, "configuration_in_force", EventLevel::Info, "A newer configuration of queues and services is in force." },
         EventDescription { EventId::SettingsReread, "settings_reread", EventLevel::Info, "A signal asked to reload the settings; they are only read at the start of the process." },
+        EventDescription { EventId::ConfigurationBehind, "configuration_behind", EventLevel::Error, "The newest stored configuration is not in force, or only its first queues are; the detail says why." },
         EventDescription { EventId::JobAccepted, "job_accepted", EventLevel::Info, "A job is stored, and its acceptance is reported to the caller." },
         EventDescription { EventId::JobRefused, "job_refused", EventLevel::Info, "A job was refused; the detail says why and whether it may have been stored." },
         EventDescription { EventId::JobCancelRequested, "job_cancel_requested", EventLevel::Info, "The cancellation of a job is stored." },
--- a/libs/scheduling/include/cowslipdoor/scheduling/Configuration.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Configuration.h
@@ -63,4 +63,14 @@
 /// @brief Shared immutable configuration.
 using ConfigurationHandle = std::shared_ptr<const Configuration>;
 
+/// @brief What is in force of the operators' configurations.
+struct ConfigurationState {
+    /// Configuration in force; null before the first usable one.
+    ConfigurationHandle rules;
+    /// Whether these are all rules of the newest known version. If not, a queue that they do not name may exist.
+    bool complete = true;
+
+    bool operator==(const ConfigurationState&) const = default;
+};
+
 }
--- a/tests/JobsTests.cpp
+++ b/tests/JobsTests.cpp
@@ -1,4 +1,5 @@
 #include "JobsDeployment.h"
+#include "ProcessMemory.h"
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <cowslipdoor/runtime/Address.h>
@@ -170,17 +171,6 @@
     }
 }
 
-/// Largest resident memory that a process has had.
-std::size_t peakMemoryMb(pid_t process)
-{
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    for (std::string word; status >> word;) {
-        std::size_t kilobytes = 0;
-        if (word == "VmHWM:" && status >> kilobytes)
-            return kilobytes / 1024;
-    }
-    return 0;
-}
 }
 
 TEST_CASE("jobs: a job runs to its end, and submitting it again refers to the same job", "[system][jobs]")
