Soak: configurations grow, up to 60,000 queues, along with the other faults

A sequence of its own draws them, so the other faults of a seed stay as they were ('soak plan: bursts and configurations leave the other faults ...', which now leaves out both). At the end every entry has to serve the newest queue.

--- a/standins/soak/Fault.h
+++ b/standins/soak/Fault.h
@@ -176,6 +176,14 @@
     bool operator==(const Evacuate&) const = default;
 };
 
+/// @brief Writes a configuration with more queues than the one before; load, but no fault.
+struct GrowConfiguration {
+    /// Number of queues that are added.
+    std::size_t queues = 0;
+
+    bool operator==(const GrowConfiguration&) const = default;
+};
+
 /// @brief Large best-effort job with two steps of equal tasks.
 struct BurstJob {
     /// Time since the begin of the burst.
@@ -202,8 +210,8 @@
 /// @brief Fault of a deployment that serves requests.
 using RequestFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SilenceLinks, SlowConnections, DuplicateAndDelayAnswers, ChangeRules>;
 
-/// @brief Fault of a deployment that runs jobs, or a burst of jobs.
-using JobFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SlowConnections, StoreOutage, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers, CrashWorker, SendForeignHeartbeat, SilenceConnections, Evacuate, SubmitBurst>;
+/// @brief Fault of a deployment that runs jobs, a burst of jobs, or a larger configuration.
+using JobFault = std::variant<Kill, Replace, Suspend, DropConnections, HoldOneWay, SlowConnections, StoreOutage, LoseStoreAnswers, DropStoreHistory, LoseWorkerAnswers, CrashWorker, SendForeignHeartbeat, SilenceConnections, Evacuate, SubmitBurst, GrowConfiguration>;
 
 /// @brief A fault and its time.
 template <typename Fault>
--- a/standins/soak/JobSoak.cpp
+++ b/standins/soak/JobSoak.cpp
@@ -27,6 +27,8 @@
     constexpr Duration repeatLimit = std::chrono::seconds(30);
     /// How long a client of a burst keeps its connection; bounds the number of clients of a long soak.
     constexpr Duration connectionTime = std::chrono::seconds(10);
+    /// All of them fit into the limits of an entry, and their text takes more than 8 MiB.
+    constexpr std::size_t maximumFurtherQueues = 60'000;
     /// Headroom on one worker, in tasks, from which the platform requires that long-running tasks run.
     constexpr std::size_t requiredFreeTasks = 2;
     /// Allowance for late checks: they run every 20 ms, and less often on a busy VM.
@@ -177,8 +179,9 @@
 void JobSoak::runPlan(const std::vector<Planned<JobFault>>& plan)
 {
     const auto inject = [this](TimePoint now, const auto& alternative) {
-        // A burst does not postpone the checks that wait for the end of faults.
-        if constexpr (!std::is_same_v<std::decay_t<decltype(alternative)>, SubmitBurst>)
+        // Load does not postpone the checks that wait for the end of faults.
+        using Kind = std::decay_t<decltype(alternative)>;
+        if constexpr (!std::is_same_v<Kind, SubmitBurst> && !std::is_same_v<Kind, GrowConfiguration>)
             this->faultInjected = true;
         this->inject(alternative, now);
     };
@@ -257,6 +260,7 @@
             this->report.add("job " + submitted.job + " was accepted but does not end: " + this->deployment.state(submitted.job));
         }
     }
+    this->checkConfiguration();
     const std::map<std::string, std::size_t> done = this->deployment.done();
     std::map<std::string, TimePoint> cancellations;
     for (const SubmittedJob& submitted : this->accepted) {
@@ -274,6 +278,19 @@
     this->report.checked = this->accepted.size();
 }
 
+void JobSoak::checkConfiguration()
+{
+    if (this->furtherQueues == 0)
+        return;
+    for (std::size_t entry = 0; entry < this->size.entries; ++entry) {
+        try {
+            JobsDeployment::await("the newest configuration", [this, entry]() { return this->deployment.askQueue(entry, this->furtherQueues - 1).status == 200; });
+        } catch (const std::runtime_error&) {
+            this->report.add("entry " + std::to_string(entry) + " does not serve the newest of " + std::to_string(this->furtherQueues) + " queues");
+        }
+    }
+}
+
 void JobSoak::checkJob(const SubmittedJob& submitted, const std::map<std::string, std::size_t>& done)
 {
     const std::string state = this->deployment.state(submitted.job);
@@ -337,6 +354,12 @@
         this->burstClients.push_back(std::async(std::launch::async, [this, job, number = this->burstClients.size()]() { return this->runBurstClient(job, number); }));
 }
 
+void JobSoak::inject(const GrowConfiguration& fault, TimePoint)
+{
+    this->furtherQueues = std::min(this->furtherQueues + fault.queues, maximumFurtherQueues);
+    this->deployment.configure(++this->configurationVersion, this->furtherQueues);
+}
+
 void JobSoak::restoreZones(TimePoint now)
 {
     for (const std::string& zone : this->evacuationMonitor.takeEnded(now)) {
--- a/standins/soak/JobSoak.h
+++ b/standins/soak/JobSoak.h
@@ -43,6 +43,7 @@
     void observeQuietPeriod();
     void cancelLongRunningJobs();
     void checkAtEnd();
+    void checkConfiguration();
     void checkJob(const SubmittedJob& submitted, const std::map<std::string, std::size_t>& done);
 
     /// Injects a fault that all deployments have in common.
@@ -61,6 +62,7 @@
     void inject(const SilenceConnections& fault, TimePoint now);
     void inject(const Evacuate& fault, TimePoint now);
     void inject(const SubmitBurst& burst, TimePoint now);
+    void inject(const GrowConfiguration& fault, TimePoint now);
     void restoreZones(TimePoint now);
 
     SoakSize size;
@@ -72,6 +74,9 @@
     EvacuationMonitor evacuationMonitor;
     /// Jobs with long-running tasks; used only by the main thread.
     std::vector<SubmittedJob> longRunning;
+    /// Newest configuration: its version, and its queues beside that of the jobs.
+    std::uint64_t configurationVersion = 7;
+    std::size_t furtherQueues = 0;
     std::size_t answersLost = 0;
     bool faultInjected = false;
     std::optional<TimePoint> storeOutageEnd;
--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -44,11 +44,16 @@
     constexpr double harmfulLoss = 4;
     constexpr double harmlessLoss = 0.3;
 
-    /// Silences, evacuations and bursts have random sequences of their own, so that the other faults of a seed don't depend on them.
+    /// Up to eight times the growth that the platform names as one change.
+    constexpr Duration longestBetweenConfigurations = milliseconds(5000);
+    constexpr std::size_t maximumAddedQueues = 11'200;
+
+    /// Silences, evacuations, bursts and configurations have random sequences of their own, so that the other faults of a seed don't depend on them.
     constexpr std::uint64_t silenceSequence = 1ULL << 63;
     constexpr std::uint64_t evacuationSequence = 1ULL << 62;
     constexpr std::uint64_t burstSequence = 1ULL << 61;
-    constexpr std::size_t kindsWithOwnSequence = 3;
+    constexpr std::uint64_t configurationSequence = 1ULL << 60;
+    constexpr std::size_t kindsWithOwnSequence = 4;
 
     /// Draws faults and their times from a single random sequence, so that equal seeds give equal plans.
     class FaultGenerator {
@@ -132,6 +137,8 @@
             return burst;
         }
 
+        GrowConfiguration configuration() { return { 1 + this->below(maximumAddedQueues) }; }
+
         SendForeignHeartbeat drawForeignHeartbeat()
         {
             const std::size_t agent = this->agent();
@@ -257,6 +264,7 @@
             return "open connections of " + (fault.process ? describe(*fault.process) : "all processes") + " fall silent for good";
         }
         std::string operator()(const Evacuate& fault) const { return "zone-" + std::to_string(fault.zone) + " is evacuated" + lengthOf(fault.length); }
+        std::string operator()(const GrowConfiguration& fault) const { return "a configuration with " + std::to_string(fault.queues) + " more queues is written"; }
         std::string operator()(const SubmitBurst& burst) const { return "a burst of " + std::to_string(burst.jobs.size()) + " best-effort jobs begins"; }
     };
 
@@ -276,6 +284,8 @@
     const std::vector<Planned<JobFault>> bursts = planSeries(size, burstSequence, longestBetweenBursts, &FaultGenerator::burst);
     others.insert(others.end(), evacuations.begin(), evacuations.end());
     others.insert(others.end(), bursts.begin(), bursts.end());
+    const std::vector<Planned<JobFault>> configurations = planSeries(size, configurationSequence, longestBetweenConfigurations, &FaultGenerator::configuration);
+    others.insert(others.end(), configurations.begin(), configurations.end());
     std::stable_sort(others.begin(), others.end(), earlier);
     std::vector<Planned<JobFault>> merged;
     std::merge(faults.begin(), faults.end(), others.begin(), others.end(), std::back_inserter(merged), earlier);
--- a/standins/soak/tests/PlanTests.cpp
+++ b/standins/soak/tests/PlanTests.cpp
@@ -56,16 +56,31 @@
     CHECK(killed(plan, Role::Agent) == std::set<std::size_t> { 0, 1, 2, 3 });
 }
 
-// Guards against bursts that draw from the sequence of other faults, so that a known seed no longer gives its plan.
-TEST_CASE("soak plan: bursts leave the other faults of a seed as they were without them", "[soak]")
+// Guards against bursts and configurations that draw from the sequence of other faults, so that a known seed no longer gives its plan.
+TEST_CASE("soak plan: bursts and configurations leave the other faults of a seed as they were without them", "[soak]")
 {
     std::vector<Planned<JobFault>> plan = planJobFaults(size);
-    std::erase_if(plan, [](const Planned<JobFault>& planned) { return std::holds_alternative<SubmitBurst>(planned.fault); });
+    std::erase_if(plan, [](const Planned<JobFault>& planned) { return std::holds_alternative<SubmitBurst>(planned.fault) || std::holds_alternative<GrowConfiguration>(planned.fault); });
     REQUIRE(plan.size() == 281);
     CHECK(describe(plan[49].fault) == "the store is unavailable for 1849 ms");
     CHECK(toMilliseconds(plan.back().at) == 118597);
 }
 
+TEST_CASE("soak plan: the configuration grows beyond 8,646 queues, also in a soak as short as that of CI", "[soak]")
+{
+    SoakSize ofCi = size;
+    ofCi.seed = 1;
+    ofCi.length = std::chrono::seconds(8);
+    for (const SoakSize& drawn : { size, ofCi }) {
+        std::size_t queues = 0;
+        for (const Planned<JobFault>& planned : planJobFaults(drawn)) {
+            const GrowConfiguration* const growth = std::get_if<GrowConfiguration>(&planned.fault);
+            queues += growth ? growth->queues : 0;
+        }
+        CHECK(queues > 8'646);
+    }
+}
+
 // Guards against bursts that are not the load in question: small jobs, all or none cancelled, or none at all in the soak that CI plays.
 TEST_CASE("soak plan: a burst has large jobs of which some are cancelled", "[soak]")
 {
