Configuration: a request finds its queue without comparing all

Callers saw: each request took longer the more queues there were, on the smallest entries some milliseconds (calculated) with 12,000 of them. Cause: Configuration::queueOf() compared host and prefix of each queue. Change: QueueTable finds a queue by the hash of host and prefix, once for each length of prefix that occurs.

--- a/apps/entry/JobsEntryProcess.cpp
+++ b/apps/entry/JobsEntryProcess.cpp
@@ -248,7 +248,7 @@
     const ConfigurationHandle& configuration = this->callers.inForce();
     if (!configuration)
         throw Error(ErrorKind::BadRequest, "this entry has no configuration yet");
-    const std::vector<QueueRule>& queues = configuration->queues;
+    const std::vector<QueueRule>& queues = configuration->queues.all();
     const std::vector<QueueRule>::const_iterator it = std::find_if(queues.begin(), queues.end(), [&queue](const QueueRule& rule) { return rule.name == queue; });
     if (it == queues.end())
         throw Error(ErrorKind::BadRequest, "there is no queue '" + queue + "'");
--- a/libs/scheduling/include/cowslipdoor/scheduling/Configuration.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Configuration.h
@@ -3,6 +3,7 @@
 /// @file
 /// @brief Queues and services as operators configure them.
 
+#include "QueueTable.h"
 #include <cowslipdoor/core/Time.h>
 #include <cstdint>
 #include <memory>
@@ -12,28 +13,6 @@
 
 namespace cowslipdoor {
 
-/// @brief Rule of a job queue.
-struct QueueRule {
-    std::string name;
-    /// Host that requests name, compared case-insensitively.
-    std::string host;
-    /// Prefix of the paths of requests.
-    std::string prefix;
-    std::string service;
-    /// Zero is the highest priority.
-    std::uint32_t priority = 0;
-    std::uint32_t attempts = 1;
-    double stretch = 1;
-    /// Due slack: time added to the objective of each job.
-    Duration dueSlack {};
-    /// Maximum duration of a caller's request.
-    Duration timeout {};
-    /// Whether the start of a run requires a ticket from the advice service.
-    bool needsAdvice = false;
-
-    bool operator==(const QueueRule&) const = default;
-};
-
 /// @brief Limits of callers' requests.
 struct CallerLimits {
     std::size_t headerBytes = 16 * 1024;
@@ -47,7 +26,7 @@
 /// @brief Complete configuration by operators, as of one version.
 struct Configuration {
     std::uint64_t version = 0;
-    std::vector<QueueRule> queues;
+    QueueTable queues;
     std::vector<std::string> services;
     CallerLimits limits {};
 
--- a/tests/ConfigurationTests.cpp
+++ b/tests/ConfigurationTests.cpp
@@ -2,6 +2,7 @@
 #include "ProcessMemory.h"
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cowslipdoor/runtime/HttpClient.h>
 #include <csignal>
 #include <filesystem>
 
@@ -42,6 +43,16 @@
     });
 }
 
+/// Returns the row version of the configuration that is in force at an entry, as its metrics state it.
+double rowInForce(const JobsDeployment& deployment, std::size_t index)
+{
+    const std::string name = "\ncowslipdoor_configuration_row_in_force ";
+    const Response page = runtime::fetch({ .address = deployment.adminAddress(index), .method = "GET", .target = "/metrics", .timeout = std::chrono::seconds(4) });
+    const std::string text(page.body.view());
+    const std::size_t found = text.find(name);
+    return found == std::string::npos ? 0 : std::stod(text.substr(found + name.size()));
+}
+
 void checkMemory(JobsDeployment& deployment)
 {
     for (std::size_t index = 0; index < 2; ++index) {
@@ -104,8 +115,12 @@
 {
     constexpr std::size_t queues = 130'000;
     JobsDeployment deployment(configFor("beyond"));
-    deployment.configure(8, queues);
-    awaitQueue(deployment, 0);
+    for (const std::size_t extra : { 0, 1 }) {
+        const double before = rowInForce(deployment, 0);
+        deployment.configure(8 + extra, queues + extra);
+        JobsDeployment::await("all entries to have the newer configuration", [&deployment, before]() { return rowInForce(deployment, 0) > before && rowInForce(deployment, 1) > before; });
+        checkMemory(deployment);
+    }
     for (const bool restarted : { false, true }) {
         if (restarted)
             restartAll(deployment);
@@ -116,7 +131,7 @@
         CHECK(deployment.readiness(0) == 200);
         checkMemory(deployment);
     }
-    deployment.configure(9, 1);
+    deployment.configure(10, 1);
     JobsDeployment::await("the smaller configuration", [&deployment]() { return deployment.askQueue(0, 1).status == 404; });
     CHECK(deployment.askQueue(0, 0).status == 200);
 }
