Placement: a worker has at most 8,192 runs, as many as its agent can list

The agent's link would be closed at each list, and none of its runs confirmed. A worker of 32 cores has room for about 100 tasks of the smallest size in use.

--- a/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
+++ b/libs/scheduling/include/cowslipdoor/scheduling/Workers.h
@@ -45,6 +45,10 @@
 /// order after 1.5 s; a worker of 32 cores has room for about 100 tasks of the smallest size in use.
 constexpr std::size_t maximumUnconfirmedStarts = 256;
 
+/// @brief Maximum number of runs on a worker: its agent lists all of them in one message, which fits into a frame of 8 MiB also when each
+/// run has a checkpoint of the largest size. A worker of 32 cores has room for about 100 tasks of the smallest size in use.
+constexpr std::size_t maximumRunsOfWorker = 8192;
+
 /// @brief Maximum number of stops that are under way to an agent: a quarter of the outbox of a link. Each end that the agent reports
 /// causes the next one.
 constexpr std::size_t maximumStopsUnderWay = 1024;
@@ -69,6 +73,7 @@
     LacksLabel,
     LacksResources,
     HoldsEnoughOfStep,
+    HoldsMaximumRuns,
     AwaitsStarts,
 };
 
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -70,6 +70,8 @@
             return UnfitReason::LacksLabel;
         if (!worker.free().covers(step.countedDemand()))
             return UnfitReason::LacksResources;
+        if (worker.tasks.size() >= maximumRunsOfWorker)
+            return UnfitReason::HoldsMaximumRuns;
         if (worker.unconfirmedStarts.size() >= maximumUnconfirmedStarts)
             return UnfitReason::AwaitsStarts;
         if (step.maximumPerWorker != 0 && worker.countOf(job.spec->id, number) >= step.maximumPerWorker)
--- a/libs/scheduling/src/Workers.cpp
+++ b/libs/scheduling/src/Workers.cpp
@@ -55,6 +55,8 @@
         return "without enough headroom";
     case UnfitReason::HoldsEnoughOfStep:
         return "at the task limit of the step";
+    case UnfitReason::HoldsMaximumRuns:
+        return "at the limit of runs";
     case UnfitReason::AwaitsStarts:
         return "at the limit of unconfirmed starts";
     }
--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -652,6 +652,26 @@
     }
 }
 
+// Guards against an agent that cannot list the runs of its worker in one message any more.
+TEST_CASE("scheduler: a worker has a bounded number of runs, and the other tasks follow as these end", "[jobs]")
+{
+    ManyRuns runs({ largeJob(10, stepOf(1000, 0)) });
+    std::set<RunId> running;
+    for (std::size_t writes = 0; running.size() < maximumRunsOfWorker; ++writes) {
+        REQUIRE(writes < 2 * 10'000 / maximumUnconfirmedStarts);
+        runs.write();
+        running.insert(runs.started.begin(), runs.started.end());
+        runs.list(runs.started);
+    }
+    CHECK(running.size() == maximumRunsOfWorker);
+    runs.report(Ping { 2 });
+    CHECK(runs.test.machine.workers().at("agent").tasks.size() == maximumRunsOfWorker);
+    const std::set<RunId> ended(running.begin(), std::next(running.begin(), 100));
+    runs.end(ended, RunEndKind::Done);
+    runs.write();
+    CHECK(runs.test.machine.workers().at("agent").tasks.size() == maximumRunsOfWorker);
+}
+
 TEST_CASE("scheduler: a start counts as unconfirmed until it is listed, ended or refused", "[jobs]")
 {
     ManyRuns runs({ largeJob(1, stepOf(4, 1)) });
--- a/libs/wire/tests/JobCodecTests.cpp
+++ b/libs/wire/tests/JobCodecTests.cpp
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 #include <cowslipdoor/core/Error.h>
+#include <cowslipdoor/scheduling/Limits.h>
+#include <cowslipdoor/scheduling/Workers.h>
+#include <cowslipdoor/wire/Frame.h>
 #include <cowslipdoor/wire/JobCodec.h>
 
 using namespace cowslipdoor;
@@ -54,3 +57,18 @@
     CHECK_THROWS_AS(wire::decodeJobMessage(""), Error);
     CHECK_THROWS_AS(wire::decodeJobMessage(std::string(64, 'x')), Error);
 }
+
+// Guards against: an agent whose worker has many runs can send none of its lists, so that its link is closed again and again.
+TEST_CASE("job codec: the list of as many runs as a worker may have, with the largest checkpoints, fits into a frame", "[wire]")
+{
+    // A worker lists 500 ends at a time.
+    constexpr std::size_t ends = 500;
+    const std::string checkpoint(maximumCheckpointBytes, 'x');
+    const RunId run { { { "5c0e7a21d94b36f8" }, 63, 999 }, maximumRunNumber };
+    const WorkerInfo worker { { "worker", 1'700'000'000'000 }, "service", { 1, 2, 3 }, std::vector<std::string>(maximumLabels, std::string(maximumNameBytes, 'x')) };
+    const WorkerSnapshot snapshot { "agent", 7, worker, true, std::vector<RunStatus>(maximumRunsOfWorker, { run, checkpoint, 100, maximumResourceAmount }), std::vector<RunEnd>(ends, { 9, run, RunEndKind::Done, checkpoint }), std::vector<RunId>(maximumRunsOfWorker, run), 11 };
+    const std::string payload = wire::encode(JobMessage(snapshot));
+    INFO(payload.size() << " bytes");
+    CHECK(wire::frame(payload).size() > payload.size());
+    CHECK(wire::decodeJobMessage(payload) == JobMessage(snapshot));
+}
