Tests: the limits of what is read admit the largest row of the store

A row of maximumRowBytes is decoded whole, and the memory limit of CheckedJson holds the values of any text of that size. Both pass on the code before; they fail if a limit of a reader falls below the store's.

--- a/libs/scheduling/tests/CheckedJsonTests.cpp
+++ b/libs/scheduling/tests/CheckedJsonTests.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <cowslipdoor/core/Error.h>
 #include <cowslipdoor/scheduling/CheckedJson.h>
+#include <cowslipdoor/scheduling/Store.h>
 
 using namespace cowslipdoor;
 
@@ -83,6 +84,18 @@
     CHECK(CheckedJson::parse("\"" + std::string(9'000, 'x') + "\"", limits).text().size() == 9'000);
 }
 
+TEST_CASE("checked JSON: the default limit holds the values of any text that fits into a row of the store", "[jobs]")
+{
+    for (const char* const item : { "{}", "[]", "0", "\"\"", "1.5", "{\"\":0}", "{\"\":{\"\":[[0]]}}" }) {
+        INFO(item);
+        std::string list = std::string("[") + item;
+        while (list.size() + std::string(item).size() + 2 <= maximumRowBytes)
+            list += "," + std::string(item);
+        CHECK(CheckedJson::parse(list + "]").size() > 1);
+    }
+    CHECK(CheckedJson::parse("\"" + std::string(maximumRowBytes - 2, 'x') + "\"").text().size() == maximumRowBytes - 2);
+}
+
 TEST_CASE("checked JSON: fields that are not read take no memory and change nothing", "[jobs]")
 {
     constexpr std::array<std::string_view, 2> fields { "kept", "list" };
