Tests: the writes of 48 large jobs come from six workers, as one has 8,192 runs at most

'scheduler: writes of many large jobs stay within the store's limit of bytes' started all of its 48,000 runs on one worker, and has failed since a worker has a bounded number of runs. Its runs now lie on six; jobs, rows, checkpoints and checks are the same.

--- a/libs/scheduling/tests/SchedulerTests.cpp
+++ b/libs/scheduling/tests/SchedulerTests.cpp
@@ -5,6 +5,8 @@
 #include <cowslipdoor/scheduling/Scheduler.h>
 #include <cowslipdoor/scheduling/TableEvents.h>
 #include <ctime>
+#include <iterator>
+#include <map>
 
 using namespace cowslipdoor;
 using namespace cowslipdoor::tests;
@@ -64,15 +66,31 @@
 
 /// Leader with jobs of many small tasks, and one agent that lists the runs that were started.
 struct ManyRuns {
+    /// Agent that reports on the runs of its worker.
+    struct Reporter {
+        std::string agent;
+        LinkId link;
+        WorkerIdentity worker;
+    };
+
     SchedulerUnderTest test {};
     /// Runs that the last write has started.
     std::set<RunId> started {};
     std::set<RunId> listed {};
     std::uint64_t ends = 0;
     LinkId link { 1 };
+    std::vector<Reporter> others {};
+    /// Runs of the other agents.
+    std::map<RunId, std::string> agentOf {};
 
     explicit ManyRuns(const std::vector<JobSpecHandle>& jobs) { this->test.becomeLeader(jobs); }
 
+    void addAgent(const std::string& agent, LinkId linkOfAgent)
+    {
+        this->test.addWorker(agent, linkOfAgent, 8000);
+        this->others.push_back({ agent, linkOfAgent, { agent, 1 } });
+    }
+
     template <typename Message>
     [[nodiscard]] std::set<RunId> sentRuns() const
     {
@@ -88,26 +106,61 @@
 
     void report(const AgentReport& report) { this->test.step(AgentReportReceived { "agent", this->link, report }); }
 
+    /// Returns the runs of an agent's worker.
+    [[nodiscard]] std::set<RunId> runsOf(const std::string& agent, const std::set<RunId>& runs) const
+    {
+        std::set<RunId> result;
+        std::copy_if(runs.begin(), runs.end(), std::inserter(result, result.end()), [this, &agent](const RunId& run) {
+            const std::map<RunId, std::string>::const_iterator it = this->agentOf.find(run);
+            return (it == this->agentOf.end() ? "agent" : it->second) == agent;
+        });
+        return result;
+    }
+
+    [[nodiscard]] std::vector<Reporter> reporters() const
+    {
+        std::vector<Reporter> result { { "agent", this->link, firstIncarnation } };
+        result.insert(result.end(), this->others.begin(), this->others.end());
+        return result;
+    }
+
     /// Reports the progress of runs, which also confirms their starts.
     void list(const std::set<RunId>& runs)
     {
-        RunProgress report { firstIncarnation, {} };
-        for (const RunId& run : runs)
-            report.running.push_back({ run, "", 10, 0 });
-        this->report(report);
+        for (const Reporter& reporter : this->reporters()) {
+            RunProgress report { reporter.worker, {} };
+            for (const RunId& run : this->runsOf(reporter.agent, runs))
+                report.running.push_back({ run, "", 10, 0 });
+            this->test.step(AgentReportReceived { reporter.agent, reporter.link, report });
+        }
     }
 
     /// Places what can be placed now, and notes the runs whose start is ordered.
     Transaction write()
     {
-        this->report(Ping { 1 });
+        for (const Reporter& reporter : this->reporters())
+            this->test.step(AgentReportReceived { reporter.agent, reporter.link, Ping { 1 } });
         const Transaction written = this->test.awaitWrite();
         this->test.commit();
         this->started = this->sentRuns<StartRun>();
         this->listed.insert(this->started.begin(), this->started.end());
+        this->noteAgents();
         return written;
     }
 
+    /// Notes which agents have been ordered to start runs.
+    void noteAgents()
+    {
+        for (const SchedulerEffect& effect : this->test.effects) {
+            const SendToAgent* const sent = std::get_if<SendToAgent>(&effect);
+            const StartRun* const order = sent ? std::get_if<StartRun>(&sent->message) : nullptr;
+            for (const Reporter& reporter : this->others) {
+                if (order && sent->link == reporter.link)
+                    this->agentOf[order->run] = reporter.agent;
+            }
+        }
+    }
+
     void startAll()
     {
         while (!this->test.machine.jobs().waiting().empty()) {
@@ -119,12 +172,14 @@
 
     void end(const std::set<RunId>& runs, RunEndKind kind, const std::string& checkpoint = {})
     {
-        RunsEnded report { firstIncarnation, {} };
-        for (const RunId& run : runs) {
-            report.ends.push_back({ ++this->ends, run, kind, checkpoint });
-            this->listed.erase(run);
+        for (const Reporter& reporter : this->reporters()) {
+            RunsEnded report { reporter.worker, {} };
+            for (const RunId& run : this->runsOf(reporter.agent, runs)) {
+                report.ends.push_back({ ++this->ends, run, kind, checkpoint });
+                this->listed.erase(run);
+            }
+            this->test.step(AgentReportReceived { reporter.agent, reporter.link, report });
         }
-        this->report(report);
     }
 };
 
@@ -580,6 +635,8 @@
     for (int number = 100; number < 148; ++number)
         jobs.push_back(jobOf(std::to_string(number), { wide }));
     ManyRuns runs(jobs);
+    for (std::uint32_t number = 2; number <= jobs.size() * 1000 / maximumRunsOfWorker + 1; ++number)
+        runs.addAgent("agent-" + std::to_string(number), LinkId { number });
     runs.startAll();
     // All rows change at once, those of half of the jobs with the longest checkpoints.
     const std::set<RunId> all = runs.listed;
