Store: the body of a refusal does not count as contact with the store

Callers saw (since, not landed before): while the store refused its calls with a body (503 of an outage), an entry took it for reachable with each refusal, and could accept a job that it then could not store until the deadline, instead of refusing it at once. Cause: the sink of a streamed answer got every body, whatever the status, and any part of one was reported as data of the store.

--- a/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
+++ b/libs/runtime/include/cowslipdoor/runtime/KeepAliveClient.h
@@ -47,8 +47,8 @@
     bool operator==(const PeerFailure&) const = default;
 };
 
-/// @brief Receives the next bytes of an answer's body; none of them are kept.
-using BodySink = std::function<void(std::string_view)>;
+/// @brief Receives the status of an answer and the next bytes of its body, which are not empty; none of them are kept.
+using BodySink = std::function<void(unsigned, std::string_view)>;
 
 /// @brief Result of a call.
 using PeerResult = std::variant<PeerAnswer, PeerFailure>;
--- a/libs/runtime/src/KeepAliveClient.cpp
+++ b/libs/runtime/src/KeepAliveClient.cpp
@@ -73,8 +73,8 @@
         const std::tuple<error_code, std::size_t> read = co_await http::async_read_some(connection->stream, connection->buffer, parser, asTuple);
         if (std::get<0>(read))
             co_return std::get<0>(read);
-        if (sink) {
-            sink(parser.get().body());
+        if (sink && !parser.get().body().empty()) {
+            sink(parser.get().result_int(), parser.get().body());
             parser.get().body().clear();
         }
     }
