--- a/libs/scheduling/tests/JsonRecordsTests.cpp
+++ b/libs/scheduling/tests/JsonRecordsTests.cpp
@@ -55,7 +55,6 @@
 TEST_CASE("JSON records: a record over the limit is marked, and the others are whole", "[jobs]")
 {
     const std::string large(100'000, 'x');
-    const std::string list = "[" + std::string(2'000, '0').replace(0, 1, "0") + "]";
     const std::vector<JsonRecord> records = readAll(R"({"items":[{"text":")" + large + R"(","kept":1},{"kept":2}],"detail":{")" + large.substr(0, 20'000) + R"(":1},"count":3})", 1'000);
     REQUIRE(records.size() == 5);
     CHECK_FALSE(records[1].complete);
--- a/standins/soak/SoakPlan.cpp
+++ b/standins/soak/SoakPlan.cpp
@@ -44,8 +44,8 @@
     constexpr double harmfulLoss = 4;
     constexpr double harmlessLoss = 0.3;
 
-    /// Up to eight times the growth that the platform names as one change.
     constexpr Duration longestBetweenConfigurations = milliseconds(5000);
+    /// Eight times the 1,400 queues that one change adds on the platform.
     constexpr std::size_t maximumAddedQueues = 11'200;
 
     /// Silences, evacuations, bursts and configurations have random sequences of their own, so that the other faults of a seed don't depend on them.
